Add in-process fakes of the clock and the store

Cause: placement, bundles and bookings need a store whose faults a test can inject, and time that tests control.

--- /dev/null
+++ b/packages/tooling/fakes/src/index.ts
@@ -0,0 +1,3 @@
+export * from './memory-store';
+export * from './store-handle';
+export * from './virtual-clock';
--- /dev/null
+++ b/packages/tooling/fakes/src/memory-store.ts
@@ -0,0 +1,110 @@
+import type { Clock, Entry, Lease, Swap } from '@currantdrift/core';
+
+interface HeldLease {
+  readonly ttlMs: number;
+  readonly endsAt: number;
+}
+
+interface Stored {
+  readonly entry: Entry;
+  readonly leaseId: string | undefined;
+}
+
+/**
+ * The platform's store in memory. Values, revisions and leases are shared by its
+ * `StoreHandle`s; each handle has faults of its own, so that one client can be cut off.
+ */
+export class MemoryStore {
+  private readonly entries = new Map<string, Stored>();
+
+  private readonly leases = new Map<string, HeldLease>();
+
+  private revision = 0;
+
+  private leaseCount = 0;
+
+  private waiting = new Set<() => void>();
+
+  /** Number of calls by kind, as the platform counts them. */
+  readonly calls = new Map<string, number>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): MemoryStore {
+    return new MemoryStore(clock);
+  }
+
+  /** Counts a call of a client. */
+  countCall(call: string): void {
+    this.calls.set(call, (this.calls.get(call) ?? 0) + 1);
+  }
+
+  read(key: string): Entry | undefined {
+    this.expireLeases();
+    return this.entries.get(key)?.entry;
+  }
+
+  keys(prefix: string): { key: string; revision: number }[] {
+    this.expireLeases();
+    return [...this.entries.values()]
+      .filter(({ entry }) => entry.key.startsWith(prefix))
+      .map(({ entry }) => ({ key: entry.key, revision: entry.revision }))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+  }
+
+  swap(key: string, revision: number, value: Uint8Array | undefined, leaseId?: string): Swap {
+    const current = this.read(key);
+    if ((current?.revision ?? 0) !== revision) return { kind: 'conflict', current };
+    this.revision += 1;
+    if (value === undefined) this.entries.delete(key);
+    else this.entries.set(key, { entry: { key, value, revision: this.revision }, leaseId });
+    this.wakeWatchers();
+    return { kind: 'swapped', revision: this.revision };
+  }
+
+  grant(ttlMs: number): Lease {
+    this.leaseCount += 1;
+    const id = `lease-${this.leaseCount}`;
+    this.leases.set(id, { ttlMs, endsAt: this.clock.now() + ttlMs });
+    return { id, ttlMs };
+  }
+
+  renew(id: string): Lease | undefined {
+    this.expireLeases();
+    const lease = this.leases.get(id);
+    if (lease === undefined) return undefined;
+    this.leases.set(id, { ttlMs: lease.ttlMs, endsAt: this.clock.now() + lease.ttlMs });
+    return { id, ttlMs: lease.ttlMs };
+  }
+
+  revoke(id: string): void {
+    this.leases.delete(id);
+    [...this.entries.values()]
+      .filter((stored) => stored.leaseId === id)
+      .forEach((stored) => this.entries.delete(stored.entry.key));
+    this.wakeWatchers();
+  }
+
+  hasLease(id: string): boolean {
+    this.expireLeases();
+    return this.leases.has(id);
+  }
+
+  /** Resolves at the next change of any key. */
+  changed(): Promise<void> {
+    return new Promise((resolve) => {
+      this.waiting.add(resolve);
+    });
+  }
+
+  private expireLeases(): void {
+    const now = this.clock.now();
+    [...this.leases].filter(([, lease]) => lease.endsAt <= now).forEach(([id]) => this.revoke(id));
+  }
+
+  private wakeWatchers(): void {
+    const { waiting } = this;
+    this.waiting = new Set();
+    waiting.forEach((resolve) => resolve());
+  }
+}
