Add settings with checks, and telemetry

Cause: the daemon needs settings whose mistakes are all reported at once, JSON-line logs, metrics and a span for each hop. Change: packages process/settings (zod) and process/telemetry (debug, prom-client, OpenTelemetry with a JSON-line exporter).

--- a/packages/process/settings/src/index.ts
+++ b/packages/process/settings/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './mistake';
+export * from './read';
+export * from './settings';
--- a/packages/process/telemetry/src/index.ts
+++ b/packages/process/telemetry/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './log';
+export * from './metrics';
+export * from './process-telemetry';
--- /dev/null
+++ b/packages/process/telemetry/src/metrics.ts
@@ -0,0 +1,87 @@
+/** A metric of the daemon. */
+export interface MetricDefinition {
+  readonly type: 'counter' | 'gauge' | 'histogram';
+  readonly help: string;
+  readonly labels: readonly string[];
+  /** Upper bounds of a histogram's buckets, in the metric's unit. */
+  readonly buckets?: readonly number[];
+}
+
+const latencySeconds = [
+  0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120,
+];
+
+/** Every metric of the daemon by name; docs/operators.md explains how to read them. */
+export const metricDefinitions: Readonly<Record<string, MetricDefinition>> = {
+  currantdrift_requests_total: {
+    type: 'counter',
+    help: 'Requests of callers by what they ended with',
+    labels: ['kind', 'outcome'],
+  },
+  currantdrift_refusals_total: {
+    type: 'counter',
+    help: 'Refused requests by error code',
+    labels: ['code'],
+  },
+  currantdrift_time_to_first_token_seconds: {
+    type: 'histogram',
+    help: 'Time from the whole request to the first token, split by cold and warm start',
+    labels: ['start'],
+    buckets: latencySeconds,
+  },
+  currantdrift_tokens_total: {
+    type: 'counter',
+    help: 'Tokens relayed to callers',
+    labels: [],
+  },
+  currantdrift_attempts_total: {
+    type: 'counter',
+    help: 'Attempts at endpoints by what they ended with',
+    labels: ['outcome'],
+  },
+  currantdrift_queue_length: {
+    type: 'gauge',
+    help: 'Requests that wait for a replica',
+    labels: [],
+  },
+  currantdrift_open_requests: {
+    type: 'gauge',
+    help: 'Requests of callers that are being served',
+    labels: [],
+  },
+  currantdrift_idle_accelerator_seconds_total: {
+    type: 'counter',
+    help: 'Seconds that replicas of this domain were ready without a request; counted by its controller',
+    labels: [],
+  },
+  currantdrift_wakeups_total: {
+    type: 'counter',
+    help: 'Loads ordered by this controller by what they ended with',
+    labels: ['outcome'],
+  },
+  currantdrift_in_doubt_orders: {
+    type: 'gauge',
+    help: 'Orders whose effect is not known; counted by the domain controller',
+    labels: [],
+  },
+  currantdrift_store_calls_total: {
+    type: 'counter',
+    help: 'Calls to the store by kind and result',
+    labels: ['call', 'result'],
+  },
+  currantdrift_control_bytes_total: {
+    type: 'counter',
+    help: 'Bytes of control messages between daemons',
+    labels: ['direction'],
+  },
+  currantdrift_bundle_version: {
+    type: 'gauge',
+    help: 'Version of the bundle in force in this process',
+    labels: [],
+  },
+  currantdrift_controller: {
+    type: 'gauge',
+    help: '1 while this process is the controller of its domain',
+    labels: [],
+  },
+};
