--- a/packages/tooling/fakes/src/index.ts
+++ b/packages/tooling/fakes/src/index.ts
@@ -1,3 +1,5 @@
+export * from './engine';
 export * from './memory-store';
+export * from './network';
 export * from './store-handle';
 export * from './virtual-clock';
