Add HTTP adapters to engines and plain services

Cause: the daemon needs token streams, orders, reports and plain calls over HTTP. Tokens that arrive between two reads are handed on as one part; whether a byte was sent decides between unreachable and unknown; a timeout retires the open connections.

--- /dev/null
+++ b/packages/connection/endpoint/src/http-client.ts
@@ -0,0 +1,184 @@
+import { type Failure, FailureKind } from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { Pool } from 'undici';
+import { z } from 'zod';
+import { Exchange, type Head } from './exchange';
+import { errorSchema, parseJson } from './schemas';
+import type { EndpointSettings } from './settings';
+
+/** One HTTP request. */
+export interface HttpCall {
+  /** Name of the call in failures, for example `endpoint.order`. */
+  readonly step: string;
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | string;
+  /** Longest time without a byte from the server, in ms. */
+  readonly progressTimeoutMs: number;
+  /** An abort closes the connection. */
+  readonly signal?: AbortSignal;
+}
+
+/** An answer whose body can still be read. */
+export interface OpenAnswer extends Head {
+  readonly exchange: Exchange;
+}
+
+export interface WholeAnswer extends Head {
+  readonly body: Buffer;
+}
+
+/** HTTP requests to one endpoint. After a timeout, later requests use new connections. */
+export class HttpClient {
+  private pool: Pool;
+
+  private constructor(
+    private readonly origin: string,
+    private readonly peer: string,
+    private readonly settings: EndpointSettings,
+  ) {
+    this.pool = this.openPool();
+  }
+
+  /** `address` is `ip:port`; `peer` names the endpoint in failures. */
+  static create(address: string, peer: string, settings: EndpointSettings): HttpClient {
+    return new HttpClient(`http://${address}`, peer, settings);
+  }
+
+  /** Sends the request and waits for the head of its answer, whatever its status. */
+  async open(call: HttpCall): Promise<Result<OpenAnswer, Failure>> {
+    const exchange = this.dispatch(call);
+    const head = await exchange.head();
+    return head
+      .map((received) => ({ ...received, exchange }))
+      .mapErr((error) => this.lost(call.step, exchange, error.message));
+  }
+
+  /** Sends the request and waits `timeoutMs` for its whole answer, whatever its status. */
+  async whole(
+    call: Omit<HttpCall, 'progressTimeoutMs'>,
+    timeoutMs: number,
+  ): Promise<Result<WholeAnswer, Failure>> {
+    const limit = new AbortController();
+    const onAbort = () => limit.abort(call.signal?.reason);
+    call.signal?.addEventListener('abort', onAbort, { once: true });
+    if (call.signal?.aborted) onAbort();
+    const { pool } = this;
+    const timer = setTimeout(() => {
+      limit.abort(new Error(`no whole answer in ${timeoutMs} ms`));
+      this.renew(pool);
+    }, timeoutMs);
+    const opened = await this.open({
+      ...call,
+      progressTimeoutMs: timeoutMs,
+      signal: limit.signal,
+    });
+    const answer = opened.isErr() ? err(opened.error) : await this.body(call.step, opened.value);
+    clearTimeout(timer);
+    call.signal?.removeEventListener('abort', onAbort);
+    return answer;
+  }
+
+  /** Reads the rest of an open answer. */
+  async body(step: string, answer: OpenAnswer): Promise<Result<WholeAnswer, Failure>> {
+    const { exchange, status, headers } = answer;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for (;;) {
+      const chunk = await exchange.read();
+      if (chunk.isErr()) return err(this.lost(step, exchange, chunk.error.message));
+      if (chunk.value === undefined) return ok({ status, headers, body: Buffer.concat(chunks) });
+      chunks.push(chunk.value);
+      size += chunk.value.length;
+      if (size > this.settings.maxAnswerBytes) {
+        exchange.stop(new Error('the answer is too large'));
+        const message = `the answer is above ${this.settings.maxAnswerBytes} bytes`;
+        return err(this.failure(step, FailureKind.invalid, message));
+      }
+    }
+  }
+
+  /** Parses the JSON body of `answer`; `invalid` if it does not match. */
+  parse<T>(step: string, schema: z.ZodType<T>, answer: WholeAnswer): Result<T, Failure> {
+    if (answer.status !== 200) return err(this.errorAnswer(step, answer));
+    const parsed = schema.safeParse(parseJson(answer.body.toString('utf8')));
+    return parsed.success
+      ? ok(parsed.data)
+      : err(this.failure(step, FailureKind.invalid, z.prettifyError(parsed.error)));
+  }
+
+  /** What the endpoint says of the call in an error body; undefined if it says nothing. */
+  statedError(step: string, answer: WholeAnswer): Failure | undefined {
+    if (answer.status < 400) return undefined;
+    const stated = errorSchema.safeParse(parseJson(answer.body.toString('utf8')));
+    if (!stated.success) return undefined;
+    const { message, outcome, retryAfterMs } = stated.data.error;
+    const kind = outcome === 'not_run' ? FailureKind.refused : FailureKind.unknown;
+    return this.failure(step, kind, message, retryAfterMs);
+  }
+
+  /** The failure of an answer with an error status. */
+  errorAnswer(step: string, answer: WholeAnswer): Failure {
+    const kind = answer.status >= 500 ? FailureKind.unknown : FailureKind.invalid;
+    const message = `status ${answer.status} that does not state an outcome`;
+    return this.statedError(step, answer) ?? this.failure(step, kind, message);
+  }
+
+  /** The failure of an exchange that broke. */
+  lost(step: string, exchange: Exchange, message: string): Failure {
+    const kind = exchange.sent ? FailureKind.unknown : FailureKind.unreachable;
+    return this.failure(step, kind, message);
+  }
+
+  failure(step: string, kind: FailureKind, message: string, retryAfterMs?: number): Failure {
+    const failure: Failure = { kind, step, peer: this.peer, message };
+    return retryAfterMs === undefined ? failure : { ...failure, retryAfterMs };
+  }
+
+  /** Waits for requests in flight, then closes the connections. */
+  close(): Promise<void> {
+    return this.pool.close();
+  }
+
+  private dispatch(call: HttpCall): Exchange {
+    const { pool } = this;
+    const { progressTimeoutMs, signal } = call;
+    const { highWaterBytes } = this.settings;
+    let onAbort: () => void = () => {};
+    const exchange: Exchange = Exchange.create({ progressTimeoutMs, highWaterBytes }, () => {
+      signal?.removeEventListener('abort', onAbort);
+      if (exchange.timedOut) this.renew(pool);
+    });
+    onAbort = () => {
+      const reason: unknown = signal?.reason;
+      exchange.stop(reason instanceof Error ? reason : new Error('the call was aborted'));
+    };
+    if (signal?.aborted) {
+      onAbort();
+      return exchange;
+    }
+    signal?.addEventListener('abort', onAbort, { once: true });
+    const body = call.body === undefined ? null : Buffer.from(call.body);
+    pool.dispatch({ path: call.path, method: call.method, headers: call.headers, body }, exchange);
+    return exchange;
+  }
+
+  private openPool(): Pool {
+    const { connectTimeoutMs } = this.settings;
+    // Each exchange has its own timer, which does not run while the reader holds it back.
+    return new Pool(this.origin, {
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connectTimeout: connectTimeoutMs,
+    });
+  }
+
+  /** Open connections can all be silent while new ones work, so later requests open new ones. */
+  private renew(pool: Pool): void {
+    if (this.pool !== pool) return;
+    this.pool = this.openPool();
+    pool.close().catch(() => {});
+  }
+}
--- /dev/null
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -0,0 +1,169 @@
+import {
+  type CacheEvent,
+  type Endpoint,
+  type EndpointReport,
+  type Failure,
+  FailureKind,
+  type Generation,
+  type Host,
+  type Order,
+  type PlainAnswer,
+  type PlainCall,
+  type StreamPart,
+} from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { HttpClient, type WholeAnswer } from './http-client';
+import { cacheEventsSchema, reportSchema } from './schemas';
+import type { EndpointSettings } from './settings';
+import { readTokenStream } from './token-stream';
+
+const json = { 'content-type': 'application/json' };
+
+/** Statuses of gateways that say nothing about whether the service ran the call. */
+const gatewayStatuses: readonly number[] = [502, 503, 504];
+
+/** An engine or a plain service over HTTP. */
+export class HttpEndpoint implements Endpoint {
+  readonly id: string;
+
+  readonly domain: string;
+
+  readonly pool: string;
+
+  readonly fencing: boolean;
+
+  private constructor(
+    host: Host,
+    private readonly client: HttpClient,
+    private readonly settings: EndpointSettings,
+  ) {
+    this.id = host.name;
+    this.domain = host.domain;
+    this.pool = host.pool;
+    this.fencing = host.fencing;
+  }
+
+  static create(host: Host, settings: EndpointSettings): HttpEndpoint {
+    const client = HttpClient.create(host.address, `${host.name} ${host.address}`, settings);
+    return new HttpEndpoint(host, client, settings);
+  }
+
+  async generate(
+    generation: Generation,
+    signal: AbortSignal,
+  ): Promise<Result<AsyncIterable<Result<StreamPart, Failure>>, Failure>> {
+    const step = 'endpoint.generate';
+    const { traceparent, ...body } = generation;
+    const opened = await this.client.open({
+      step,
+      method: 'POST',
+      path: '/v1/completions',
+      headers: traceparent ? { ...json, traceparent } : json,
+      body: JSON.stringify(body),
+      progressTimeoutMs: this.settings.progressTimeoutMs,
+      signal,
+    });
+    if (opened.isErr()) return err(opened.error);
+    const { status, headers, exchange } = opened.value;
+    if (status === 200 && String(headers['content-type']).startsWith('text/event-stream')) {
+      return ok(readTokenStream(generation, exchange, this.client));
+    }
+    const answer = await this.client.body(step, opened.value);
+    return err(
+      answer.match(
+        (received) => this.client.errorAnswer(step, received),
+        (failure) => failure,
+      ),
+    );
+  }
+
+  /** Any answer of the service is handed on, except its statement that it did not run the call. */
+  async call(call: PlainCall, signal: AbortSignal): Promise<Result<PlainAnswer, Failure>> {
+    const step = 'endpoint.call';
+    const path = `/calls/${encodeURIComponent(call.service)}/${encodeURIComponent(call.call)}`;
+    const headers: Record<string, string> = { 'x-request-id': call.requestId };
+    if (call.contentType !== '') headers['content-type'] = call.contentType;
+    if (call.idempotencyKey !== undefined) headers['idempotency-key'] = call.idempotencyKey;
+    if (call.traceparent) headers.traceparent = call.traceparent;
+    const answer = await this.client.whole(
+      {
+        step,
+        method: call.method,
+        path: call.query === '' ? path : `${path}?${call.query}`,
+        headers,
+        body: call.body.length > 0 ? call.body : undefined,
+        signal,
+      },
+      this.settings.callTimeoutMs,
+    );
+    return answer.andThen((received) => this.plainAnswer(step, received));
+  }
+
+  async order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
+    const step = 'endpoint.order';
+    const answer = await this.client.whole(
+      {
+        step,
+        method: 'POST',
+        path: '/control/orders',
+        headers: json,
+        body: JSON.stringify(order),
+        signal,
+      },
+      this.settings.orderTimeoutMs,
+    );
+    return answer.andThen((received) =>
+      received.status === 200 ? ok(undefined) : err(this.client.errorAnswer(step, received)),
+    );
+  }
+
+  async report(signal: AbortSignal): Promise<Result<EndpointReport, Failure>> {
+    const step = 'endpoint.report';
+    const answer = await this.client.whole(
+      { step, method: 'GET', path: '/control/report', signal },
+      this.settings.controlTimeoutMs,
+    );
+    return answer.andThen((received) => this.client.parse(step, reportSchema, received));
+  }
+
+  async cacheEvents(
+    after: number,
+    signal: AbortSignal,
+  ): Promise<Result<readonly CacheEvent[], Failure>> {
+    const step = 'endpoint.cacheEvents';
+    const answer = await this.client.whole(
+      { step, method: 'GET', path: `/control/cache-events?after=${after}`, signal },
+      this.settings.controlTimeoutMs,
+    );
+    return answer
+      .andThen((received) => this.client.parse(step, cacheEventsSchema, received))
+      .map(({ events }) => events);
+  }
+
+  async cancel(requestId: string, attempt: number): Promise<void> {
+    await this.client.whole(
+      {
+        step: 'endpoint.cancel',
+        method: 'POST',
+        path: '/control/cancel',
+        headers: json,
+        body: JSON.stringify({ requestId, attempt }),
+      },
+      this.settings.controlTimeoutMs,
+    );
+  }
+
+  /** Waits for calls in flight, then closes the connections. */
+  close(): Promise<void> {
+    return this.client.close();
+  }
+
+  private plainAnswer(step: string, answer: WholeAnswer): Result<PlainAnswer, Failure> {
+    const { status, headers, body } = answer;
+    const stated = this.client.statedError(step, answer);
+    if (stated?.kind === FailureKind.refused) return err(stated);
+    if (gatewayStatuses.includes(status)) return err(this.client.errorAnswer(step, answer));
+    const contentType = String(headers['content-type'] ?? '');
+    return ok({ status, contentType, body: new Uint8Array(body) });
+  }
+}
--- /dev/null
+++ b/packages/connection/endpoint/src/token-stream.ts
@@ -0,0 +1,97 @@
+import { StringDecoder } from 'node:string_decoder';
+import { type Failure, FailureKind, type Generation, type StreamPart } from '@currantdrift/core';
+import { createParser, type EventSourceMessage } from 'eventsource-parser';
+import { err, ok, type Result } from 'neverthrow';
+import type { Exchange } from './exchange';
+import type { HttpClient } from './http-client';
+import { endSchema, errorSchema, parseJson, tokensSchema } from './schemas';
+
+const step = 'endpoint.generate';
+
+type Parsed = Result<StreamPart, Failure>;
+
+const readEvent = (event: EventSourceMessage, client: HttpClient): Parsed => {
+  const data = parseJson(event.data);
+  const tokens = tokensSchema.safeParse(data);
+  if (tokens.success) {
+    const { id, ...rest } = tokens.data;
+    return ok({ kind: 'tokens', requestId: id, ...rest });
+  }
+  const end = endSchema.safeParse(data);
+  if (end.success) {
+    const { id, attempt, offset, end: finishReason } = end.data;
+    return ok({ kind: 'end', requestId: id, attempt, offset, finishReason });
+  }
+  const stated = errorSchema.safeParse(data);
+  if (!stated.success) {
+    return err(client.failure(step, FailureKind.invalid, 'an event does not follow the protocol'));
+  }
+  const { message, outcome, retryAfterMs } = stated.data.error;
+  const kind = outcome === 'not_run' ? FailureKind.refused : FailureKind.unknown;
+  return err(client.failure(step, kind, message, retryAfterMs));
+};
+
+/** Joins runs of token events of the same attempt whose offsets follow each other. */
+const joinTokens = (parts: readonly Parsed[]): Parsed[] => {
+  if (parts.length < 2) return [...parts];
+  const joined: Parsed[] = [];
+  let open: { requestId: string; attempt: number; offset: number; tokens: string[] } | undefined;
+  parts.forEach((part) => {
+    if (part.isErr() || part.value.kind !== 'tokens') {
+      open = undefined;
+      joined.push(part);
+      return;
+    }
+    const { requestId, attempt, offset, tokens } = part.value;
+    if (
+      open?.requestId === requestId &&
+      open.attempt === attempt &&
+      open.offset + open.tokens.length === offset
+    ) {
+      open.tokens.push(...tokens);
+      return;
+    }
+    open = { requestId, attempt, offset, tokens: [...tokens] };
+    joined.push(ok({ kind: 'tokens', ...open }));
+  });
+  return joined;
+};
+
+/**
+ * Parts of an open token stream. Tokens that arrived together come as one part. The iteration
+ * ends after the end marker of this attempt or after a failure; ending it earlier closes the
+ * connection. Parts of other attempts are handed on as they are.
+ */
+export async function* readTokenStream(
+  generation: Pick<Generation, 'requestId' | 'attempt'>,
+  exchange: Exchange,
+  client: HttpClient,
+): AsyncGenerator<Result<StreamPart, Failure>> {
+  let parsed: Parsed[] = [];
+  const parser = createParser({ onEvent: (event) => parsed.push(readEvent(event, client)) });
+  const decoder = new StringDecoder('utf8');
+  try {
+    for (;;) {
+      const chunk = await exchange.read();
+      if (chunk.isErr() || chunk.value === undefined) {
+        const message = chunk.isErr() ? chunk.error.message : 'it ended without an end marker';
+        yield err(client.failure(step, FailureKind.unknown, `the stream broke: ${message}`));
+        return;
+      }
+      parsed = [];
+      parser.feed(decoder.write(chunk.value));
+      for (const part of joinTokens(parsed)) {
+        const isLast =
+          part.isErr() ||
+          (part.value.kind === 'end' &&
+            part.value.requestId === generation.requestId &&
+            part.value.attempt === generation.attempt);
+        if (isLast) exchange.drain();
+        yield part;
+        if (isLast) return;
+      }
+    }
+  } finally {
+    if (!exchange.isDraining) exchange.stop(new Error('the rest of the stream is not wanted'));
+  }
+}
