Add bundles: schema, signatures, deltas, rollout and exchange

The daemon needs the bundle in force and the operators' client needs rollouts. This is a first version whose exported names are meant to stay; it has no tests yet.

--- /dev/null
+++ b/packages/version/bundle/src/bundle-relay.ts
@@ -0,0 +1,53 @@
+import type { Clock, Failure, Random, Store, Telemetry } from '@currantdrift/core';
+import { backoffMs } from './backoff';
+import type { BundleReader } from './bundle-reader';
+import { headKey } from './head';
+import type { Rejection } from './rejection';
+
+/** Longest wait of one watch of the head, in ms. */
+const watchMs = 25_000;
+
+export interface BundleRelayOptions {
+  readonly store: Store;
+  readonly reader: BundleReader;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly telemetry: Telemetry;
+  /** Called after each answer of the store, with the time in ms since the epoch. */
+  readonly onAnswer?: (now: number) => void;
+}
+
+/** Watches the head of the bundle; two daemons of a domain run this task. */
+export class BundleRelay {
+  private constructor(private readonly options: BundleRelayOptions) {}
+
+  static create(options: BundleRelayOptions): BundleRelay {
+    return new BundleRelay(options);
+  }
+
+  /** Runs until `signal` aborts. Follows the head while the store answers, else backs off. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { store, reader, clock, random } = this.options;
+    let revision = 0;
+    let failures = 0;
+    while (!signal.aborted) {
+      const entry = await store.watch(headKey, revision, watchMs, signal);
+      if (signal.aborted) return;
+      const loaded = entry.isOk() ? await reader.loadHead(entry.value) : entry;
+      if (loaded.isOk()) {
+        failures = 0;
+        // A head that could not be taken keeps the old revision, so that it is read again.
+        if (entry.isOk()) revision = entry.value?.revision ?? 0;
+        this.options.onAnswer?.(clock.now());
+      } else {
+        failures += 1;
+        this.report(loaded.error);
+        await clock.sleep(backoffMs(failures, random), signal);
+      }
+    }
+  }
+
+  private report({ kind, step, peer, message }: Failure | Rejection): void {
+    this.options.telemetry.log('bundle.relay_failed', { kind, step, peer, message });
+  }
+}
--- /dev/null
+++ b/packages/version/bundle/src/delta.ts
@@ -0,0 +1,223 @@
+import type { Bundle } from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { bundleDigest } from './canonical';
+import { type Rejection, rejection, RejectionKind } from './rejection';
+import {
+  adapterSchema,
+  callerSchema,
+  digestSchema,
+  domainSchema,
+  modelSchema,
+  serviceSchema,
+} from './schema';
+import { type SignedBundle, signatureSchema } from './signature';
+import { sortedByName } from './normalize';
+
+const patchSchema = z.looseObject({ name: z.string() });
+/** An entry's name with its new or changed fields; lists of texts as `{add, remove}`. */
+type Patch = z.infer<typeof patchSchema>;
+
+const changeSchema = z.strictObject({
+  set: z.array(patchSchema).optional(),
+  drop: z.array(z.string()).optional(),
+});
+type Change = z.infer<typeof changeSchema>;
+
+const textChangeSchema = z.strictObject({
+  add: z.array(z.string()).optional(),
+  remove: z.array(z.string()).optional(),
+});
+
+export const deltaSchema = z.strictObject({
+  /** Version that the delta leads to; it starts at the one before. */
+  version: z.int().min(2),
+  /** Digest of the bundle that the delta starts at. */
+  previous: digestSchema,
+  /** Digest of the bundle that the delta leads to. */
+  digest: digestSchema,
+  domains: z.array(domainSchema).optional(),
+  callers: changeSchema.optional(),
+  models: changeSchema.optional(),
+  adapters: changeSchema.optional(),
+  services: changeSchema.optional(),
+  proposal: signatureSchema,
+  signOff: signatureSchema,
+});
+
+/** What one version changed, with the signatures of the whole new version. */
+export type Delta = z.infer<typeof deltaSchema>;
+
+const lists = {
+  callers: callerSchema,
+  models: modelSchema,
+  adapters: adapterSchema,
+  services: serviceSchema,
+} as const;
+type ListName = keyof typeof lists;
+const listNames = Object.keys(lists) as ListName[];
+
+interface Named {
+  readonly name: string;
+}
+type Entry = Named & Readonly<Record<string, unknown>>;
+
+/** Lists of texts that are sorted and free of duplicates. */
+const textFields: ReadonlySet<string> = new Set(['keyHashes', 'items']);
+const isTextField = (list: ListName, field: string): boolean =>
+  list === 'callers' && (textFields.has(field) || field === 'services');
+
+const same = (a: unknown, b: unknown): boolean => JSON.stringify(a) === JSON.stringify(b);
+
+const textChange = (before: readonly string[], after: readonly string[]) => {
+  const old = new Set(before);
+  const fresh = new Set(after);
+  const add = after.filter((text) => !old.has(text));
+  const remove = before.filter((text) => !fresh.has(text));
+  return { ...(add.length > 0 && { add }), ...(remove.length > 0 && { remove }) };
+};
+
+const patchOf = (list: ListName, before: Entry | undefined, after: Entry): Patch => {
+  if (before === undefined) return after;
+  const fields = Object.keys(after).filter((field) => !same(before[field], after[field]));
+  const changed = fields.map((field) => [
+    field,
+    isTextField(list, field)
+      ? textChange(before[field] as string[], after[field] as string[])
+      : after[field],
+  ]);
+  return { ...Object.fromEntries(changed), name: after.name };
+};
+
+const changeOf = (
+  list: ListName,
+  before: readonly Entry[],
+  after: readonly Entry[],
+): Change | undefined => {
+  if (before === after) return undefined;
+  const old = new Map(before.map((entry) => [entry.name, entry]));
+  const names = new Set(after.map(({ name }) => name));
+  const set = after.flatMap((entry) => {
+    const earlier = old.get(entry.name);
+    return earlier === entry || same(earlier, entry) ? [] : [patchOf(list, earlier, entry)];
+  });
+  const drop = before.flatMap(({ name }) => (names.has(name) ? [] : [name]));
+  if (set.length === 0 && drop.length === 0) return undefined;
+  return { ...(set.length > 0 && { set }), ...(drop.length > 0 && { drop }) };
+};
+
+const entriesOf = (bundle: Bundle, list: ListName): readonly Entry[] =>
+  bundle[list] as readonly unknown[] as readonly Entry[];
+
+/** The change from `before` to the next version; both are as `parseBundle` gave them. */
+export const makeDelta = (before: Bundle, after: SignedBundle): Delta => {
+  const { bundle, proposal, signOff } = after;
+  const appended = bundle.domains.slice(before.domains.length);
+  const changes = listNames.flatMap((list) => {
+    const change = changeOf(list, entriesOf(before, list), entriesOf(bundle, list));
+    return change === undefined ? [] : [[list, change] as const];
+  });
+  return {
+    version: bundle.version,
+    previous: bundleDigest(before),
+    digest: bundleDigest(bundle),
+    ...(appended.length > 0 && { domains: appended }),
+    ...Object.fromEntries(changes),
+    proposal,
+    signOff,
+  };
+};
+
+const applyPatch = (list: ListName, before: Entry | undefined, patch: Patch): unknown => {
+  if (before === undefined) return patch;
+  const fields = Object.entries(patch).map(([field, value]) => {
+    if (!isTextField(list, field)) return [field, value];
+    const change = textChangeSchema.safeParse(value);
+    if (!change.success) return [field, value];
+    const removed = new Set(change.data.remove ?? []);
+    const kept = (before[field] as string[]).filter((text) => !removed.has(text));
+    return [field, [...new Set([...kept, ...(change.data.add ?? [])])].sort()];
+  });
+  return { ...before, ...Object.fromEntries(fields) };
+};
+
+/** Merges two lists that are sorted by name; an entry of `fresh` replaces that of `kept`. */
+const merged = (kept: readonly Entry[], fresh: readonly Entry[]): Entry[] => {
+  const result: Entry[] = [];
+  let next = 0;
+  kept.forEach((entry) => {
+    while (next < fresh.length && fresh[next].name < entry.name) {
+      result.push(fresh[next]);
+      next += 1;
+    }
+    if (next < fresh.length && fresh[next].name === entry.name) {
+      result.push(fresh[next]);
+      next += 1;
+    } else {
+      result.push(entry);
+    }
+  });
+  return [...result, ...fresh.slice(next)];
+};
+
+const applyChange = (
+  list: ListName,
+  before: readonly Entry[],
+  change: Change | undefined,
+): Result<readonly Entry[], Rejection> => {
+  if (change === undefined) return ok(before);
+  const drop = new Set(change.drop ?? []);
+  const wanted = new Set((change.set ?? []).map(({ name }) => name));
+  const old = new Map(
+    before.flatMap((entry) => (wanted.has(entry.name) ? [[entry.name, entry] as const] : [])),
+  );
+  const fresh: Entry[] = [];
+  for (const patch of change.set ?? []) {
+    const parsed = lists[list].safeParse(applyPatch(list, old.get(patch.name), patch));
+    if (!parsed.success) {
+      const message = `${list} entry ${JSON.stringify(patch.name)}: ${parsed.error.issues[0].message}`;
+      return err(rejection(RejectionKind.malformed, 'bundle.delta', message));
+    }
+    fresh.push(parsed.data);
+  }
+  const kept = drop.size === 0 ? before : before.filter(({ name }) => !drop.has(name));
+  return ok(merged(kept, sortedByName(fresh)));
+};
+
+/**
+ * Rebuilds the next version. The caller has checked that `before` has the digest
+ * `delta.previous`; the result has been compared with `delta.digest`, not with the signatures.
+ */
+export const applyDelta = (before: Bundle, delta: Delta): Result<SignedBundle, Rejection> => {
+  if (delta.version !== before.version + 1) {
+    const message = `the delta leads to version ${delta.version}, held is ${before.version}`;
+    return err(rejection(RejectionKind.brokenChain, 'bundle.delta', message));
+  }
+  const changed: Record<string, unknown> = {};
+  for (const list of listNames) {
+    const entries = applyChange(list, entriesOf(before, list), delta[list]);
+    if (entries.isErr()) return err(entries.error);
+    changed[list] = entries.value;
+  }
+  const bundle: Bundle = {
+    ...before,
+    ...(changed as Pick<Bundle, ListName>),
+    version: delta.version,
+    previous: delta.previous,
+    domains: delta.domains === undefined ? before.domains : [...before.domains, ...delta.domains],
+  };
+  if (bundleDigest(bundle) !== delta.digest) {
+    const message = `version ${delta.version} rebuilt from its delta does not have its digest`;
+    return err(rejection(RejectionKind.wrongDigest, 'bundle.delta', message));
+  }
+  return ok({ bundle, proposal: delta.proposal, signOff: delta.signOff });
+};
+
+/** Reads a delta that another process sent. */
+export const parseDelta = (value: unknown): Result<Delta, Rejection> => {
+  const parsed = deltaSchema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  const [issue] = parsed.error.issues;
+  const message = `${issue.path.join('.')}: ${issue.message}`;
+  return err(rejection(RejectionKind.malformed, 'bundle.delta', message));
+};
--- a/packages/version/bundle/src/index.ts
+++ b/packages/version/bundle/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+export * from './bundle-exchange';
+export * from './bundle-holder';
+export * from './bundle-reader';
+export * from './bundle-relay';
+export { bundleDigest, canonicalBytes } from './canonical';
+export { applyDelta, type Delta, makeDelta } from './delta';
+export type { Head } from './head';
+export * from './history';
+export * from './keys';
+export * from './mistake';
+export { decodeWhole, encodeWhole } from './payload';
+export { PreparedBundle } from './prepared-bundle';
+export * from './rejection';
+export * from './rollout';
+export { bundleSchema, parseBundle } from './schema';
+export * from './signature';
+export * from './trusted-keys';
--- /dev/null
+++ b/packages/version/bundle/src/mistake.ts
@@ -0,0 +1,12 @@
+/** One mistake in a document that an operator wrote. */
+export interface Mistake {
+  /** Where, for example `callers[3].items[0]`. */
+  readonly path: string;
+  /** What stands there, as JSON, shortened. */
+  readonly value: string;
+  readonly expected: string;
+}
+
+/** One line for operators. */
+export const describeMistake = (mistake: Mistake): string =>
+  `${mistake.path}: found ${mistake.value}, expected ${mistake.expected}`;
--- /dev/null
+++ b/packages/version/bundle/src/normalize.ts
@@ -0,0 +1,31 @@
+import type { Bundle, Caller } from '@currantdrift/core';
+
+const byName = (a: { readonly name: string }, b: { readonly name: string }): number => {
+  if (a.name === b.name) return 0;
+  return a.name < b.name ? -1 : 1;
+};
+
+/** Entries in the order of their names' UTF-16 code units. */
+export const sortedByName = <T extends { readonly name: string }>(entries: readonly T[]): T[] =>
+  [...entries].sort(byName);
+
+const sortedUnique = (texts: readonly string[]): string[] => [...new Set(texts)].sort();
+
+const normalizeCaller = (caller: Caller): Caller => ({
+  ...caller,
+  keyHashes: sortedUnique(caller.keyHashes),
+  items: sortedUnique(caller.items),
+  services: sortedUnique(caller.services),
+});
+
+/**
+ * Puts the lists that are keyed by name into the order of their names, so that a delta can
+ * rebuild exactly the same bytes. Domains keep their order, which is part of their meaning.
+ */
+export const normalize = (bundle: Bundle): Bundle => ({
+  ...bundle,
+  callers: sortedByName(bundle.callers.map(normalizeCaller)),
+  models: sortedByName(bundle.models),
+  adapters: sortedByName(bundle.adapters),
+  services: sortedByName(bundle.services),
+});
--- /dev/null
+++ b/packages/version/bundle/src/payload.ts
@@ -0,0 +1,53 @@
+import { gunzipSync, gzipSync } from 'node:zlib';
+import { err, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { canonicalText } from './canonical';
+import { describeMistake } from './mistake';
+import { type Rejection, rejection, RejectionKind } from './rejection';
+import { parseBundle } from './schema';
+import { type SignedBundle, signatureSchema } from './signature';
+
+/** Largest chunk of a whole bundle, in bytes; below the store's limit of 1 MB. */
+export const maxChunkBytes = 900_000;
+
+/** Largest document after decompression, in bytes; 26,000 adapters take about 3 MB. */
+const maxDocumentBytes = 64_000_000;
+
+const envelopeSchema = z.strictObject({
+  bundle: z.unknown(),
+  proposal: signatureSchema,
+  signOff: signatureSchema,
+});
+
+/** A signed bundle as compressed JSON. Names repeat much, so it shrinks to a small part. */
+export const encodeWhole = ({ bundle, proposal, signOff }: SignedBundle): Uint8Array => {
+  const signatures = JSON.stringify({ proposal, signOff }).slice(1);
+  return gzipSync(`{"bundle":${canonicalText(bundle)},${signatures}`);
+};
+
+const malformed = (message: string): Rejection =>
+  rejection(RejectionKind.malformed, 'bundle.decode', message);
+
+/** Reads what `encodeWhole` wrote; signatures are not verified here. */
+export const decodeWhole = (bytes: Uint8Array): Result<SignedBundle, Rejection> => {
+  let document: unknown;
+  try {
+    document = JSON.parse(gunzipSync(bytes, { maxOutputLength: maxDocumentBytes }).toString());
+  } catch {
+    return err(malformed('the bytes are not a compressed JSON document'));
+  }
+  const envelope = envelopeSchema.safeParse(document);
+  if (!envelope.success) return err(malformed('the document is not a signed bundle'));
+  const { bundle, proposal, signOff } = envelope.data;
+  return parseBundle(bundle)
+    .mapErr((mistakes) => malformed(mistakes.slice(0, 3).map(describeMistake).join('; ')))
+    .map((parsed) => ({ bundle: parsed, proposal, signOff }));
+};
+
+/** Cuts bytes into parts of at most `size` bytes; there is always at least one. */
+export const splitChunks = (bytes: Uint8Array, size = maxChunkBytes): Uint8Array[] =>
+  Array.from({ length: Math.max(1, Math.ceil(bytes.length / size)) }, (_, index) =>
+    bytes.subarray(index * size, (index + 1) * size),
+  );
+
+export const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array => Buffer.concat(chunks);
--- /dev/null
+++ b/packages/version/bundle/src/prepared-bundle.ts
@@ -0,0 +1,121 @@
+import {
+  type Adapter,
+  type Bundle,
+  type Caller,
+  isAdapter,
+  type Item,
+  itemKey,
+  type Model,
+  modelOf,
+  type Service,
+} from '@currantdrift/core';
+import type { Signatures, SignedBundle } from './signature';
+
+/** Index of the first entry whose name is not before `name`; entries are sorted by name. */
+const lowerBound = (entries: readonly { readonly name: string }[], name: string): number => {
+  let low = 0;
+  let high = entries.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (entries[middle].name < name) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+};
+
+const find = <T extends { readonly name: string }>(
+  entries: readonly T[],
+  name: string,
+): T | undefined => {
+  const entry = entries.at(lowerBound(entries, name));
+  return entry?.name === name ? entry : undefined;
+};
+
+/**
+ * A version with the look-ups that requests need. Only the callers' keys are indexed, because
+ * the other lists are sorted and searched in place: 26,000 adapters cost no index and no time
+ * when a version comes into force.
+ */
+export class PreparedBundle {
+  private readonly callersByKeyHash: ReadonlyMap<string, Caller>;
+
+  private constructor(
+    readonly bundle: Bundle,
+    readonly digest: string,
+    readonly signatures: Signatures,
+  ) {
+    this.callersByKeyHash = new Map(
+      bundle.callers.flatMap((caller) => caller.keyHashes.map((hash) => [hash, caller])),
+    );
+  }
+
+  /** `signed` has been verified and has the digest `digest`. */
+  static create(signed: SignedBundle, digest: string): PreparedBundle {
+    const { bundle, proposal, signOff } = signed;
+    return new PreparedBundle(bundle, digest, { proposal, signOff });
+  }
+
+  get version(): number {
+    return this.bundle.version;
+  }
+
+  /** The caller with an API key; `hash` is its lower-case hexadecimal SHA-256. */
+  callerByKeyHash(hash: string): Caller | undefined {
+    return this.callersByKeyHash.get(hash);
+  }
+
+  caller(name: string): Caller | undefined {
+    return find(this.bundle.callers, name);
+  }
+
+  model(name: string): Model | undefined {
+    return find(this.bundle.models, name);
+  }
+
+  adapter(name: string): Adapter | undefined {
+    return find(this.bundle.adapters, name);
+  }
+
+  service(name: string): Service | undefined {
+    return find(this.bundle.services, name);
+  }
+
+  /** The model or adapter of a name. */
+  item(name: string): Model | Adapter | undefined {
+    return isAdapter(name) ? this.adapter(name) : this.model(name);
+  }
+
+  /** Key with the version in force, `quote-7@3`; undefined if the bundle has no such item. */
+  itemKey(name: string): string | undefined {
+    const item: Item | undefined = this.item(name);
+    return item === undefined ? undefined : itemKey(item);
+  }
+
+  /** Adapters of a model. */
+  adaptersOf(model: string): readonly Adapter[] {
+    const { adapters } = this.bundle;
+    // ";" follows ":" in code units, so it bounds the names that start with `model:`.
+    return adapters.slice(lowerBound(adapters, `${model}:`), lowerBound(adapters, `${model};`));
+  }
+
+  /** Tells whether a caller may reach an item of the bundle. */
+  reaches(caller: Caller, name: string): boolean {
+    if (this.item(name) === undefined) return false;
+    return (
+      caller.items.includes(name) ||
+      (isAdapter(name) && caller.items.includes(`${modelOf(name)}:*`))
+    );
+  }
+
+  /** Names of the items that a caller may reach, each once. */
+  itemsOf(caller: Caller): readonly string[] {
+    const names = caller.items.flatMap((item) =>
+      item.endsWith(':*') ? this.adaptersOf(modelOf(item)).map(({ name }) => name) : [item],
+    );
+    return [...new Set(names)].filter((name) => this.item(name) !== undefined);
+  }
+
+  reachesService(caller: Caller, name: string): boolean {
+    return this.service(name) !== undefined && caller.services.includes(name);
+  }
+}
--- /dev/null
+++ b/packages/version/bundle/src/rollout.ts
@@ -0,0 +1,225 @@
+import { randomBytes } from 'node:crypto';
+import {
+  type Clock,
+  describeFailure,
+  type Failure,
+  hadNoEffect,
+  type Random,
+  type Store,
+} from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { backoffMs } from './backoff';
+import { type HeadEntry, readHead, readRecords, readWhole } from './bundle-store';
+import { bundleDigest } from './canonical';
+import { makeDelta } from './delta';
+import { chunkKey, encodeValue, type Head, headKey, recordKey, type VersionRecord } from './head';
+import { describeMistake } from './mistake';
+import { encodeWhole, splitChunks } from './payload';
+import { parseBundle } from './schema';
+import { type SignedBundle, verifySignatures } from './signature';
+import type { TrustedKeys } from './trusted-keys';
+
+/** How a rollout ended. */
+export type RolloutOutcome =
+  /** The version is accepted, by this rollout or by an earlier one of the same bundle. */
+  | { readonly kind: 'done'; readonly version: number; readonly digest: string }
+  /** Another bundle was accepted instead; `winner` is the one at the head. */
+  | { readonly kind: 'conflict'; readonly winner: Head | undefined; readonly message: string }
+  /** Nothing was changed. */
+  | { readonly kind: 'refused'; readonly message: string }
+  /** The version may have been accepted; running the rollout again settles it. */
+  | { readonly kind: 'unknown'; readonly message: string };
+
+/** Protections that tests switch off to show that they are needed. */
+export interface RolloutProtections {
+  /** A lost answer is settled by reading the nonce at the head. */
+  readonly nonceReRead: boolean;
+}
+
+export interface RolloutOptions {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly trusted: TrustedKeys;
+  /** 32 hexadecimal digits that no other rollout has. */
+  readonly nonce?: () => string;
+  readonly protections?: RolloutProtections;
+}
+
+/** Tries of one call to the store in a rollout. */
+const maxTries = 6;
+
+const winnerText = (winner: Head): string =>
+  `version ${winner.version} by ${JSON.stringify(winner.operator)} (digest ${winner.digest})`;
+
+/** Rolls signed bundles out through the store. */
+export class Rollout {
+  private readonly nonce: () => string;
+
+  private readonly protections: RolloutProtections;
+
+  private constructor(private readonly options: RolloutOptions) {
+    this.nonce = options.nonce ?? (() => randomBytes(16).toString('hex'));
+    this.protections = options.protections ?? { nonceReRead: true };
+  }
+
+  static create(options: RolloutOptions): Rollout {
+    return new Rollout(options);
+  }
+
+  /** Rolls a bundle out in the name of `operator`. */
+  async run(signed: SignedBundle, operator: string): Promise<RolloutOutcome> {
+    const { store, trusted } = this.options;
+    const digest = bundleDigest(signed.bundle);
+    const verified = verifySignatures(digest, signed, trusted);
+    if (verified.isErr()) return { kind: 'refused', message: verified.error.message };
+    const entry = await this.retried(() => readHead(store));
+    if (entry.isErr()) return { kind: 'refused', message: describeFailure(entry.error) };
+    const { head, revision } = entry.value;
+    const standing = await this.compare(signed, digest, head);
+    if (standing !== undefined) return standing;
+    const record = await this.record(signed, digest, operator, head);
+    if (record.isErr()) return { kind: 'refused', message: record.error };
+    const written = await this.write(signed, record.value);
+    if (written.isErr()) return { kind: 'refused', message: describeFailure(written.error) };
+    return this.swapHead(record.value.rollout, revision);
+  }
+
+  /** The outcome that the head already decides; undefined if the bundle may be rolled out. */
+  private async compare(
+    { bundle }: SignedBundle,
+    digest: string,
+    head: Head | undefined,
+  ): Promise<RolloutOutcome | undefined> {
+    if (head === undefined) {
+      return bundle.version === 1
+        ? undefined
+        : { kind: 'conflict', winner: undefined, message: 'no version was rolled out before' };
+    }
+    if (head.version < bundle.version) {
+      return head.version === bundle.version - 1 && head.digest === bundle.previous
+        ? undefined
+        : this.conflict(head);
+    }
+    return this.settle(head, bundle.version, (accepted) => accepted.digest === digest);
+  }
+
+  /** Tells who won a version that the head has reached or passed. */
+  private async settle(
+    head: Head,
+    version: number,
+    isOwn: (accepted: Head) => boolean,
+  ): Promise<RolloutOutcome> {
+    if (head.version < version) return this.conflict(head);
+    const records = await this.retried(() => readRecords(this.options.store, head, version - 1));
+    const accepted = records.isOk() ? records.value.at(-1)?.rollout : undefined;
+    if (accepted?.version !== version) {
+      const message = `version ${head.version} is accepted, but the record of version ${version} cannot be read`;
+      return { kind: 'unknown', message };
+    }
+    return isOwn(accepted)
+      ? { kind: 'done', version, digest: accepted.digest }
+      : this.conflict(accepted);
+  }
+
+  private conflict(winner: Head): RolloutOutcome {
+    return { kind: 'conflict', winner, message: `accepted is ${winnerText(winner)}` };
+  }
+
+  /** Checks the bundle against the accepted one and makes its record. */
+  private async record(
+    signed: SignedBundle,
+    digest: string,
+    operator: string,
+    head: Head | undefined,
+  ): Promise<Result<VersionRecord, string>> {
+    const { store, clock } = this.options;
+    const rollout = {
+      version: signed.bundle.version,
+      digest,
+      nonce: this.nonce(),
+      operator,
+      at: clock.now(),
+      chunks: splitChunks(encodeWhole(signed)).length,
+    };
+    if (head === undefined) {
+      return parseBundle(signed.bundle)
+        .map(() => ({ rollout, before: null, delta: null }))
+        .mapErr((mistakes) => mistakes.map(describeMistake).join('; '));
+    }
+    const before = await this.retried(() => readWhole(store, head));
+    if (before.isErr()) return err(before.error.message);
+    return parseBundle(signed.bundle, before.value.bundle)
+      .map(() => ({ rollout, before: head.nonce, delta: makeDelta(before.value.bundle, signed) }))
+      .mapErr((mistakes) => mistakes.map(describeMistake).join('; '));
+  }
+
+  private async write(signed: SignedBundle, record: VersionRecord): Promise<Result<void, Failure>> {
+    const { version, nonce } = record.rollout;
+    const values = splitChunks(encodeWhole(signed)).map(
+      (bytes, index) => [chunkKey(version, nonce, index), bytes] as const,
+    );
+    for (const [key, value] of [
+      ...values,
+      [recordKey(version, nonce), encodeValue(record)] as const,
+    ]) {
+      // The key is this rollout's own, so a conflict means that an earlier try was written.
+      const written = await this.retried(() => this.options.store.compareAndSwap(key, 0, value));
+      if (written.isErr()) return err(written.error);
+    }
+    return ok(undefined);
+  }
+
+  private async swapHead(rollout: Head, revision: number): Promise<RolloutOutcome> {
+    const { store } = this.options;
+    const swap = await store.compareAndSwap(headKey, revision, encodeValue(rollout));
+    const done = { kind: 'done', version: rollout.version, digest: rollout.digest } as const;
+    if (swap.isErr()) {
+      if (hadNoEffect(swap.error)) return { kind: 'refused', message: describeFailure(swap.error) };
+      return this.protections.nonceReRead ? this.settleLost(rollout, revision) : done;
+    }
+    return swap.value.kind === 'swapped' ? done : this.lostRace(rollout);
+  }
+
+  private async lostRace(rollout: Head): Promise<RolloutOutcome> {
+    const entry = await this.retried(() => readHead(this.options.store));
+    const winner = entry.isOk() ? entry.value.head : undefined;
+    if (winner === undefined) {
+      const message = 'another version was accepted first; its name cannot be read now';
+      return { kind: 'conflict', winner, message };
+    }
+    return this.settle(winner, rollout.version, ({ nonce }) => nonce === rollout.nonce);
+  }
+
+  /** Reads the head after a lost answer; a head that stands still is swapped again. */
+  private async settleLost(rollout: Head, revision: number): Promise<RolloutOutcome> {
+    for (let attempt = 1; attempt <= maxTries; attempt += 1) {
+      const entry = await this.retried(() => readHead(this.options.store));
+      if (entry.isErr()) break;
+      if (entry.value.revision !== revision) return this.settled(rollout, entry.value);
+      // The lost write may still arrive; a second one on the same revision excludes or repeats it.
+      const swap = await this.options.store.compareAndSwap(headKey, revision, encodeValue(rollout));
+      if (swap.isOk() && swap.value.kind === 'swapped') {
+        return { kind: 'done', version: rollout.version, digest: rollout.digest };
+      }
+    }
+    const message = 'the answer of the store was lost, and the head cannot be read now';
+    return { kind: 'unknown', message };
+  }
+
+  private async settled(rollout: Head, { head }: HeadEntry): Promise<RolloutOutcome> {
+    if (head === undefined) return { kind: 'unknown', message: 'the head was deleted' };
+    return this.settle(head, rollout.version, ({ nonce }) => nonce === rollout.nonce);
+  }
+
+  /** Repeats a call with backoff; for calls that may be repeated. */
+  private async retried<T, E>(call: () => Promise<Result<T, E>>): Promise<Result<T, E>> {
+    const { clock, random } = this.options;
+    let result = await call();
+    for (let attempt = 1; result.isErr() && attempt < maxTries; attempt += 1) {
+      await clock.sleep(backoffMs(attempt, random));
+      result = await call();
+    }
+    return result;
+  }
+}
