--- a/packages/request/admission/src/index.ts
+++ b/packages/request/admission/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export { Admission } from './admission';
+export type { Grant, Ticket } from './entry';
+export { AdmissionQueue, type QueueStatus, type Take } from './queue';
+export type { AdmissionRefusal, AdmissionRequest } from './request';
+export { type AdmissionSettings, defaultAdmissionSettings } from './settings';
--- /dev/null
+++ b/packages/request/attempt/src/call-service.ts
@@ -0,0 +1,104 @@
+import {
+  describeFailure,
+  type Failure,
+  FailureKind,
+  type PlainAnswer,
+  type PlainCall,
+} from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+import type { Target } from './chooser';
+import type { RunnerOptions } from './generate';
+import { History } from './history';
+import { judgeRefusal } from './judge';
+import { answered, type Outcome, type Reason, reasonOf } from './outcome';
+import { type AttemptSettings, defaultAttemptSettings } from './settings';
+import { Stop } from './stop';
+
+/** A call of a plain service on behalf of a caller. */
+export interface ServiceRequest {
+  readonly call: PlainCall;
+  /** False if the call must run at most once. */
+  readonly repeatable: boolean;
+  /** In ms since the epoch. */
+  readonly deadline: number;
+}
+
+/** Waits for the answer of a dispatched call; a request that is stopped does not wait for it. */
+const dispatch = (
+  target: Target,
+  call: PlainCall,
+  stop: Stop,
+): Promise<Result<PlainAnswer, Failure>> =>
+  new Promise((resolve) => {
+    const peer = target.endpoint.id;
+    const fail = (message: string) =>
+      resolve(err({ kind: FailureKind.unknown, step: 'attempt.call', peer, message }));
+    const undo = stop.onEnd(() => fail(stop.reason?.message ?? 'the request has ended'));
+    target.endpoint
+      .call(call, stop.signal)
+      .then(resolve, (error: unknown) => fail(String(error)))
+      .finally(undo);
+  });
+
+/**
+ * Calls a plain service. A repeatable call is retried on other endpoints while the deadline and
+ * the retry budget allow. Any other call is sent once: another endpoint is tried only after one
+ * that could not be reached, to which no byte was sent.
+ */
+export const callService = async (
+  request: ServiceRequest,
+  options: Omit<RunnerOptions, 'onDropped'>,
+): Promise<Outcome<PlainAnswer>> => {
+  const { call, repeatable, deadline } = request;
+  const { budget, choose, clock, observer, signal } = options;
+  const settings: AttemptSettings = { ...defaultAttemptSettings, ...options.settings };
+  const history = History.create(call.requestId);
+  const stop = Stop.start('call', clock, deadline, signal);
+  const stopReason = (): Reason | undefined => stop.reason;
+  const conclude = (reason: Reason) => {
+    stop.end();
+    return history.conclude(reason, settings.defaultRetryAfterMs);
+  };
+  for (;;) {
+    const chosen = await stop.choose(choose, history.tried, clock);
+    if (chosen.isErr()) return conclude(chosen.error);
+    const { endpoint, place } = chosen.value;
+    if (stop.reason !== undefined) {
+      place.release('neutral', clock.now());
+      return conclude(stop.reason);
+    }
+    const cause = history.attempts === 0 ? 'first' : 'retry';
+    const sent = history.dispatch(endpoint.id);
+    const news = { attempt: sent.attempt, endpoint: endpoint.id, cause } as const;
+    observer?.({ kind: 'started', ...news });
+    const startedAt = clock.now();
+    const result = await dispatch(chosen.value, call, stop);
+    const now = clock.now();
+    if (result.isOk()) {
+      stop.end();
+      place.observe(now - startedAt, now);
+      place.release('succeeded', now);
+      budget.deposit(now);
+      observer?.({ kind: 'ended', ...news, result: 'complete' });
+      return answered(result.value);
+    }
+    const failure = result.error;
+    const notRun = history.fail(sent, failure);
+    const stopped = stopReason();
+    if (notRun) place.release(judgeRefusal(failure), now);
+    else if (stopped === undefined) place.release('failed', now);
+    else place.release(stopped.peer === 'self' ? 'overloaded' : 'neutral', now);
+    const broken = stopped === undefined ? 'broken' : 'cancelled';
+    const message = describeFailure(failure);
+    observer?.({ kind: 'ended', ...news, result: notRun ? 'refused' : broken, message });
+    if (stopped !== undefined) return conclude(stopped);
+    const unsent = failure.kind === FailureKind.unreachable;
+    if (!(repeatable || unsent) || history.attempts >= settings.maxAttempts) {
+      return conclude(reasonOf(failure));
+    }
+    if (!budget.withdraw(now)) {
+      const reason = reasonOf(failure);
+      return conclude({ ...reason, message: `${reason.message}; the retry budget is used up` });
+    }
+  }
+};
--- a/packages/request/attempt/src/index.ts
+++ b/packages/request/attempt/src/index.ts
@@ -1,1 +1,23 @@
-export {};
+export { callService, type ServiceRequest } from './call-service';
+export type { AttemptEvent, Chooser, Place, Target, TargetResult } from './chooser';
+export {
+  generate,
+  type GeneratedAnswer,
+  type GenerateRequest,
+  type GenerationRun,
+  type RunnerOptions,
+} from './generate';
+export {
+  type Answered,
+  answered,
+  NotRun,
+  type Outcome,
+  type Reason,
+  Sent,
+  type Unknown,
+  unknown,
+  Unsent,
+} from './outcome';
+export { allPartChecks, checkPart, type PartChecks, type Verdict } from './part-check';
+export { defaultRetryBudgetSettings, RetryBudget, type RetryBudgetSettings } from './retry-budget';
+export { type AttemptSettings, defaultAttemptSettings } from './settings';
--- a/packages/request/routing/src/index.ts
+++ b/packages/request/routing/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export { Balancer, type BalancerOptions, type EndpointStatus, type RouteRequest } from './balancer';
+export { type DomainCandidate, type DomainOption, orderDomains } from './domains';
+export type { Lease, NoEndpoint, Release } from './lease';
+export { PrefixIndex } from './prefix-index';
+export { type BalancerSettings, defaultBalancerSettings } from './settings';
