--- a/packages/process/node/src/index.ts
+++ b/packages/process/node/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './refusal';
+export * from './request';
