Add at-most-once claims for bookings

Bookings and deposits must run at most once, whichever daemon gets the request. This is a first version whose exported names are meant to stay; it has no tests yet.

--- /dev/null
+++ b/packages/request/booking/src/dispatch.ts
@@ -0,0 +1,81 @@
+import {
+  type Endpoint,
+  type Failure,
+  FailureKind,
+  hadNoEffect,
+  type PlainAnswer,
+  type PlainCall,
+} from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+import { maxContentTypeChars } from './bucket';
+import { maxKeptBodyBytes, type RecordedOutcome } from './claim';
+import { bodyDigest, callDigest } from './digest';
+import type { DispatchTicket } from './dispatch-ticket';
+import { Permit } from './permit';
+
+/** How a dispatch ended. */
+export type Dispatched =
+  /** `recorded` resolves when the outcome is in the store; it never rejects. */
+  | {
+      readonly kind: 'answered';
+      readonly answer: PlainAnswer;
+      readonly recorded: Promise<void>;
+    }
+  /** Nothing ran; the new permit serves for another try or is released. */
+  | { readonly kind: 'not_run'; readonly failure: Failure; readonly permit: Permit }
+  | { readonly kind: 'unknown'; readonly failure: Failure; readonly recorded: Promise<void> };
+
+const failureOf = (kind: FailureKind, message: string): Failure => ({
+  kind,
+  step: 'booking.dispatch',
+  peer: 'endpoint',
+  message,
+});
+
+const outcomeOf = ({ status, contentType, body }: PlainAnswer): RecordedOutcome => ({
+  status,
+  contentType: contentType.slice(0, maxContentTypeChars),
+  bodyBytes: body.length,
+  bodyDigest: bodyDigest(body),
+  ...(body.length <= maxKeptBodyBytes && { body: Buffer.from(body).toString('base64') }),
+});
+
+/**
+ * Runs `send`, which dispatches the booking, at most once for a ticket. A failure of `send`
+ * counts as not run only if it is `unreachable` or `refused`.
+ */
+export const dispatchOnce = async (
+  ticket: DispatchTicket,
+  send: () => Promise<Result<PlainAnswer, Failure>>,
+): Promise<Dispatched> => {
+  const recorder = ticket.take();
+  if (recorder === undefined) {
+    const failure = failureOf(FailureKind.unknown, 'the ticket was used before');
+    return { kind: 'unknown', failure, recorded: Promise.resolve() };
+  }
+  const { claim } = ticket;
+  const sent = await send().catch((error: unknown) =>
+    err(failureOf(FailureKind.unknown, String(error))),
+  );
+  if (sent.isOk()) {
+    const recorded = recorder.recordDone(claim, outcomeOf(sent.value));
+    return { kind: 'answered', answer: sent.value, recorded };
+  }
+  if (hadNoEffect(sent.error)) {
+    return { kind: 'not_run', failure: sent.error, permit: Permit.create(claim, recorder) };
+  }
+  return { kind: 'unknown', failure: sent.error, recorded: recorder.recordUnknown(claim) };
+};
+
+/** Dispatches the call that was claimed to an endpoint. Another call is refused as not run. */
+export const callOnce = (
+  ticket: DispatchTicket,
+  endpoint: Endpoint,
+  call: PlainCall,
+  signal: AbortSignal,
+): Promise<Dispatched> =>
+  dispatchOnce(ticket, async () =>
+    callDigest(call) === ticket.claim.bodyDigest
+      ? endpoint.call(call, signal)
+      : err(failureOf(FailureKind.refused, 'the call is not the one that was claimed')),
+  );
