Add the request path of a daemon

Cause: requests need one path from admission to the answer, in the own domain or in another one. Change: process/node serves chat requests and plain calls: bundle checks, choice of a domain, wake-up, queue, attempts, bookings, forwarding as a flow-controlled stream. A generation may start with tokens that the caller has.

--- a/packages/process/node/src/index.ts
+++ b/packages/process/node/src/index.ts
@@ -1,2 +1,2 @@
-export * from './refusal';
-export * from './request';
+export * from './request/refusal';
+export * from './request/request';
--- /dev/null
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -0,0 +1,282 @@
+import { createHash } from 'node:crypto';
+import type { BundleHolder, PreparedBundle } from '@currantdrift/bundle';
+import type { Caller, Message, Service, ServiceCall, Span } from '@currantdrift/core';
+import { FailureKind } from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { type ChatOrigin, runChat } from './chat-run';
+import {
+  EntryMessage,
+  type ForwardedAnswer,
+  type ForwardedCall,
+  type ForwardedChat,
+  type ForwardedPart,
+} from './messages';
+import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
+import type { ChatRequest, ChatStream, Entry, ServiceAnswer, ServiceRequest } from './request';
+import { hasPool, runService, type ServiceContext } from './service-run';
+
+export interface CallerEntryOptions {
+  readonly holder: BundleHolder;
+  readonly context: ServiceContext;
+}
+
+/** Time after which a caller may try again when the daemon has no bundle yet, in ms. */
+const noBundleRetryMs = 2_000;
+
+/** Time after which a caller may try again when no domain has an endpoint, in ms. */
+const noEndpointRetryMs = 5_000;
+
+const noBundle = (): Refusal =>
+  notRun(RefusalCode.noBundle, 'this daemon has no bundle yet', noBundleRetryMs);
+
+/** The same for an item that does not exist and for one that the caller may not reach. */
+const unknownItem = (item: string): Refusal =>
+  notRun(RefusalCode.unknownItem, `the model ${JSON.stringify(item)} does not exist`);
+
+interface FoundCall {
+  readonly service: Service;
+  readonly call: ServiceCall;
+}
+
+/** Serves callers' requests: checks them against the bundle, then runs or forwards them. */
+export class CallerEntry implements Entry {
+  private open = 0;
+
+  private constructor(private readonly options: CallerEntryOptions) {}
+
+  /** Also registers the handlers for requests that daemons of other domains forward. */
+  static create(options: CallerEntryOptions): CallerEntry {
+    const entry = new CallerEntry(options);
+    const { peers } = options.context;
+    peers.onStream(EntryMessage.chat, (message, _from, signal) =>
+      entry.forwardedChat(message as unknown as ForwardedChat, signal),
+    );
+    peers.onRequest(EntryMessage.call, (message) =>
+      entry.forwardedCall(message as unknown as ForwardedCall),
+    );
+    return entry;
+  }
+
+  /** Requests that are being served. */
+  get openRequests(): number {
+    return this.open;
+  }
+
+  authenticate(apiKey: string): Caller | undefined {
+    const hash = createHash('sha256').update(apiKey).digest('hex');
+    return this.options.holder.current?.callerByKeyHash(hash);
+  }
+
+  items(caller: Caller): readonly string[] {
+    return this.options.holder.current?.itemsOf(caller) ?? [];
+  }
+
+  chat(request: ChatRequest, signal: AbortSignal): ChatStream {
+    return this.runChat(request, { forwarded: false, resume: [] }, signal);
+  }
+
+  async call(
+    request: ServiceRequest,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, Refusal>> {
+    const found = this.findCall(request);
+    if (found.isErr()) return err(found.error);
+    const { service, call } = found.value;
+    if (!call.repeatable && request.idempotencyKey === undefined) {
+      const message = `${service.name}/${call.name} may run only once; send an Idempotency-Key`;
+      return err(notRun(RefusalCode.idempotencyKeyRequired, message));
+    }
+    return this.serve('service', request, async (span) =>
+      hasPool(this.options.context.view, service.pool)
+        ? runService(this.options.context, request, service.pool, call, span, signal)
+        : this.callElsewhere(request, span),
+    );
+  }
+
+  private async *runChat(
+    request: ChatRequest,
+    origin: ChatOrigin,
+    signal: AbortSignal,
+  ): ChatStream {
+    const { holder, context } = this.options;
+    const bundle = holder.current;
+    const found = this.findItem(bundle, request);
+    if (found.isErr()) {
+      yield err(found.error);
+      return;
+    }
+    const span = this.begin('chat', request);
+    let outcome = 'cancelled';
+    try {
+      for await (const part of runChat(context, request, found.value, origin, span, signal)) {
+        if (part.isErr()) outcome = part.error.outcome;
+        else if (part.value.kind === 'end') outcome = 'answered';
+        yield part;
+      }
+    } finally {
+      this.finish('chat', span, outcome);
+    }
+  }
+
+  private findItem(
+    bundle: PreparedBundle | undefined,
+    { caller, item }: ChatRequest,
+  ): Result<string, Refusal> {
+    if (bundle === undefined) return err(noBundle());
+    const itemKey = bundle.reaches(caller, item) ? bundle.itemKey(item) : undefined;
+    return itemKey === undefined ? err(unknownItem(item)) : ok(itemKey);
+  }
+
+  private findCall({ caller, service, call, method }: ServiceRequest): Result<FoundCall, Refusal> {
+    const bundle = this.options.holder.current;
+    if (bundle === undefined) return err(noBundle());
+    const found = bundle.reachesService(caller, service) ? bundle.service(service) : undefined;
+    const foundCall = found?.calls.find((one) => one.name === call && one.method === method);
+    if (found === undefined || foundCall === undefined) {
+      const message = `the call ${method} ${service}/${call} does not exist`;
+      return err(notRun(RefusalCode.unknownService, message));
+    }
+    return ok({ service: found, call: foundCall });
+  }
+
+  /** Forwards a call to the first other domain that takes it. */
+  private async callElsewhere(
+    request: ServiceRequest,
+    span: Span,
+  ): Promise<Result<ServiceAnswer, Refusal>> {
+    const { domains, clock } = this.options.context;
+    let last = notRun(
+      RefusalCode.noEndpoint,
+      `no domain has an endpoint for ${request.service} now`,
+      noEndpointRetryMs,
+    );
+    for (const domain of domains.others()) {
+      const left = request.deadline - clock.now();
+      const address = domains.entryAddress(domain);
+      if (left <= 0) return err(notRun(RefusalCode.deadlinePassed, 'the deadline has passed'));
+      if (address === undefined) continue;
+      const answer = await this.callAt(address, request, left, span);
+      // Only an attempt that provably did not run leaves the next domain free to try.
+      if (answer.isOk() || answer.error.code !== RefusalCode.noEndpoint) return answer;
+      if (answer.error.outcome === 'unknown') return answer;
+      last = answer.error;
+    }
+    return err(last);
+  }
+
+  private async callAt(
+    address: string,
+    request: ServiceRequest,
+    left: number,
+    parent: Span,
+  ): Promise<Result<ServiceAnswer, Refusal>> {
+    const { peers, telemetry } = this.options.context;
+    const span = telemetry.span('peer', parent.traceparent, { peer: address });
+    const { caller, deadline, traceparent, ...rest } = request;
+    const message: ForwardedCall = {
+      ...rest,
+      kind: EntryMessage.call,
+      caller: caller.name,
+      deadlineMs: left,
+      traceparent: span.traceparent,
+    };
+    const reply = await peers.request(address, message, left);
+    if (reply.isErr()) {
+      span.end(reply.error.kind);
+      const text = `${reply.error.peer}: ${reply.error.message}`;
+      const unsent = reply.error.kind === FailureKind.unreachable;
+      return err(
+        unsent
+          ? notRun(RefusalCode.noEndpoint, text, noEndpointRetryMs)
+          : outcomeUnknown(RefusalCode.outcomeUnknown, text),
+      );
+    }
+    const answer = reply.value as ForwardedAnswer;
+    span.end(answer.kind);
+    if (answer.kind === EntryMessage.refused) return err(answer.refusal);
+    const { status, contentType, body, replayed } = answer;
+    return ok({ status, contentType, body, replayed });
+  }
+
+  private async *forwardedChat(
+    message: ForwardedChat,
+    signal: AbortSignal,
+  ): AsyncGenerator<Message> {
+    const { clock } = this.options.context;
+    const { caller: name, deadlineMs, resume, kind, ...rest } = message;
+    const caller = this.options.holder.current?.caller(name);
+    if (caller === undefined) {
+      yield { kind: EntryMessage.refused, refusal: unknownItem(message.item) };
+      return;
+    }
+    const request: ChatRequest = { ...rest, caller, deadline: clock.now() + deadlineMs };
+    let offset = resume.length;
+    for await (const part of this.runChat(request, { forwarded: true, resume }, signal)) {
+      yield this.partOf(part, offset);
+      if (part.isOk() && part.value.kind === 'tokens') offset += part.value.tokens.length;
+    }
+  }
+
+  private partOf(
+    part: ChatStream extends AsyncIterable<infer P> ? P : never,
+    offset: number,
+  ): ForwardedPart {
+    if (part.isErr()) return { kind: EntryMessage.refused, refusal: part.error };
+    return part.value.kind === 'tokens'
+      ? { kind: EntryMessage.tokens, offset, tokens: part.value.tokens }
+      : { kind: EntryMessage.end, offset, finishReason: part.value.finishReason };
+  }
+
+  private async forwardedCall(message: ForwardedCall): Promise<Message> {
+    const { context, holder } = this.options;
+    const { caller: name, deadlineMs, kind, ...rest } = message;
+    const caller = holder.current?.caller(name);
+    const request = { ...rest, caller, deadline: context.clock.now() + deadlineMs };
+    const answer = await this.serveForwarded(request as ServiceRequest);
+    return answer.match(
+      (value): ForwardedAnswer => ({ kind: EntryMessage.answer, ...value }),
+      (refusal): ForwardedAnswer => ({ kind: EntryMessage.refused, refusal }),
+    );
+  }
+
+  private async serveForwarded(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
+    const { context } = this.options;
+    if ((request.caller as Caller | undefined) === undefined) return err(noBundle());
+    const found = this.findCall(request);
+    if (found.isErr()) return err(found.error);
+    const { service, call } = found.value;
+    if (!hasPool(context.view, service.pool)) {
+      const message = `this domain has no endpoint for ${service.name}`;
+      return err(notRun(RefusalCode.noEndpoint, message, noEndpointRetryMs));
+    }
+    return this.serve('service', request, (span) =>
+      runService(context, request, service.pool, call, span, new AbortController().signal),
+    );
+  }
+
+  private async serve<T>(
+    kind: string,
+    request: ServiceRequest,
+    run: (span: Span) => Promise<Result<T, Refusal>>,
+  ): Promise<Result<T, Refusal>> {
+    const span = this.begin(kind, request);
+    const result = await run(span);
+    this.finish(kind, span, result.isOk() ? 'answered' : result.error.outcome);
+    return result;
+  }
+
+  private begin(kind: string, request: ChatRequest | ServiceRequest): Span {
+    this.open += 1;
+    const { requestId, caller } = request;
+    return this.options.context.telemetry.span(`entry ${kind}`, request.traceparent, {
+      requestId,
+      caller: caller.name,
+    });
+  }
+
+  private finish(kind: string, span: Span, outcome: string): void {
+    this.open -= 1;
+    span.end(outcome);
+    this.options.context.telemetry.count('currantdrift_requests_total', { kind, outcome });
+  }
+}
--- /dev/null
+++ b/packages/process/node/src/request/chat-run.ts
@@ -0,0 +1,125 @@
+import type { Span } from '@currantdrift/core';
+import {
+  type AttemptSettings,
+  type GeneratedAnswer,
+  generate,
+  type Outcome,
+  type Reason,
+  type RetryBudget,
+} from '@currantdrift/attempt';
+import type { PrefixIndex } from '@currantdrift/routing';
+import { err, ok } from 'neverthrow';
+import { promptPrefixes } from './prompt-prefixes';
+import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
+import { type ChoosingContext, ReplicaChooser } from './replica-chooser';
+import type { ChatRequest, ChatStream } from './request';
+
+/** What running a chat request needs from the daemon. */
+export interface ChatContext extends ChoosingContext {
+  readonly budget: RetryBudget;
+  readonly prefixes: PrefixIndex;
+  readonly attempts: Partial<AttemptSettings>;
+}
+
+const codes = new Set<string>(Object.values(RefusalCode));
+
+const isCode = (step: string): step is RefusalCode => codes.has(step);
+
+const codeOf = (reason: Reason, outcome: 'notRun' | 'unknown'): RefusalCode => {
+  if (isCode(reason.step)) return reason.step;
+  if (reason.peer === 'self') return RefusalCode.deadlinePassed;
+  return outcome === 'notRun' ? RefusalCode.noEndpoint : RefusalCode.interrupted;
+};
+
+/** The refusal that a request's outcome becomes; undefined if it was answered. */
+export const refusalOf = (outcome: Outcome<unknown>): Refusal | undefined => {
+  if (outcome.kind === 'answered') return undefined;
+  const { reason } = outcome;
+  const build = outcome.kind === 'notRun' ? notRun : outcomeUnknown;
+  return build(codeOf(reason, outcome.kind), reason.message, reason.retryAfterMs);
+};
+
+/** Whether the request is a caller's own, or was forwarded by a daemon of another domain. */
+export interface ChatOrigin {
+  readonly forwarded: boolean;
+  /** Tokens that the caller has already. */
+  readonly resume: readonly string[];
+}
+
+/** Runs one chat request and yields its answer. `itemKey` carries the version in force. */
+export const runChat = async function* runChat(
+  context: ChatContext,
+  request: ChatRequest,
+  itemKey: string,
+  origin: ChatOrigin,
+  span: Span,
+  signal: AbortSignal,
+): ChatStream {
+  const { clock, telemetry } = context;
+  const start = clock.now();
+  const prefixes = promptPrefixes(request.messages);
+  const chooser = ReplicaChooser.create(
+    context,
+    request,
+    itemKey,
+    prefixes,
+    span,
+    !origin.forwarded,
+  );
+  context.waker.touch(itemKey, start);
+  const spans = new Map<number, Span>();
+  const run = generate(
+    {
+      requestId: request.requestId,
+      item: itemKey,
+      messages: request.messages,
+      maxTokens: request.maxTokens,
+      priority: request.priority,
+      deadline: request.deadline,
+      resume: origin.resume,
+      traceparent: span.traceparent,
+      ...(request.temperature === undefined ? {} : { temperature: request.temperature }),
+      ...(request.seed === undefined ? {} : { seed: request.seed }),
+    },
+    {
+      choose: (tried, stop) => chooser.choose(tried, stop),
+      clock,
+      budget: context.budget,
+      settings: context.attempts,
+      signal,
+      observer: ({ kind, attempt, endpoint, cause, result, message }) => {
+        if (kind === 'started') {
+          const hop = endpoint.startsWith('domain:') ? 'peer' : 'endpoint';
+          spans.set(attempt, telemetry.span(hop, span.traceparent, { endpoint, cause }));
+          context.prefixes.learn(endpoint, itemKey, prefixes);
+          return;
+        }
+        spans.get(attempt)?.end(result);
+        telemetry.count('currantdrift_attempts_total', { outcome: result ?? 'cancelled' });
+        if (result !== 'complete' && result !== 'cancelled') {
+          const { requestId } = request;
+          telemetry.log('attempt failed', { requestId, attempt, peer: endpoint, result, message });
+        }
+      },
+    },
+  );
+  let delivered = origin.resume.length;
+  let first = true;
+  for await (const tokens of run.deltas) {
+    if (first) {
+      first = false;
+      const labels = { start: chooser.cold ? 'cold' : 'warm' };
+      const seconds = (clock.now() - start) / 1000;
+      telemetry.observe('currantdrift_time_to_first_token_seconds', seconds, labels);
+    }
+    delivered += tokens.length;
+    telemetry.count('currantdrift_tokens_total', undefined, tokens.length);
+    yield ok({ kind: 'tokens', tokens });
+  }
+  const outcome: Outcome<GeneratedAnswer> = await run.outcome;
+  const refusal = refusalOf(outcome);
+  if (refusal !== undefined) yield err(refusal);
+  if (outcome.kind === 'answered') {
+    yield ok({ kind: 'end', finishReason: outcome.answer.finishReason, total: delivered });
+  }
+};
--- /dev/null
+++ b/packages/process/node/src/request/domain-endpoint.ts
@@ -0,0 +1,155 @@
+import {
+  type CacheEvent,
+  type Clock,
+  type Endpoint,
+  type EndpointReport,
+  type Failure,
+  FailureKind,
+  type Generation,
+  type Message,
+  type Peers,
+  type PlainAnswer,
+  type StreamPart,
+} from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { EntryMessage, type ForwardedChat, type ForwardedPart } from './messages';
+import type { ChatRequest } from './request';
+
+export interface DomainEndpointOptions {
+  readonly domain: string;
+  /** Peer address of the entry daemon that serves the request. */
+  readonly address: string;
+  readonly peers: Peers;
+  readonly clock: Clock;
+  readonly request: ChatRequest;
+}
+
+/** Name under which another domain counts as tried. */
+export const domainEndpointId = (domain: string): string => `domain:${domain}`;
+
+/**
+ * Another failure domain as a place to run one chat request. An entry daemon there chooses the
+ * replica; the attempt runner treats the domain like an endpoint, so that a cut stream resumes.
+ */
+export class DomainEndpoint implements Endpoint {
+  readonly id: string;
+
+  readonly domain: string;
+
+  readonly pool = '';
+
+  readonly fencing = false;
+
+  private constructor(private readonly options: DomainEndpointOptions) {
+    this.id = domainEndpointId(options.domain);
+    this.domain = options.domain;
+  }
+
+  static create(options: DomainEndpointOptions): DomainEndpoint {
+    return new DomainEndpoint(options);
+  }
+
+  async generate(
+    generation: Generation,
+    signal: AbortSignal,
+  ): Promise<Result<AsyncIterable<Result<StreamPart, Failure>>, Failure>> {
+    const { address, peers } = this.options;
+    const stream = await peers.openStream(address, this.messageOf(generation), signal);
+    return stream.map(({ parts }) => this.read(parts, generation));
+  }
+
+  call(): Promise<Result<PlainAnswer, Failure>> {
+    return this.unsupported('call');
+  }
+
+  order(): Promise<Result<void, Failure>> {
+    return this.unsupported('order');
+  }
+
+  report(): Promise<Result<EndpointReport, Failure>> {
+    return this.unsupported('report');
+  }
+
+  cacheEvents(): Promise<Result<readonly CacheEvent[], Failure>> {
+    return this.unsupported('cacheEvents');
+  }
+
+  async cancel(): Promise<void> {
+    // Aborting the stream's signal ends the request at the peer.
+  }
+
+  private messageOf(generation: Generation): ForwardedChat {
+    const { request, clock } = this.options;
+    const { temperature, seed } = request;
+    return {
+      kind: EntryMessage.chat,
+      requestId: request.requestId,
+      caller: request.caller.name,
+      item: request.item,
+      messages: request.messages,
+      maxTokens: request.maxTokens,
+      priority: request.priority,
+      deadlineMs: Math.max(1, request.deadline - clock.now()),
+      resume: generation.resume,
+      ...(temperature === undefined ? {} : { temperature }),
+      ...(seed === undefined ? {} : { seed }),
+      ...(generation.traceparent === undefined ? {} : { traceparent: generation.traceparent }),
+    };
+  }
+
+  private async *read(
+    parts: AsyncIterable<Result<Message, Failure>>,
+    { requestId, attempt }: Generation,
+  ): AsyncGenerator<Result<StreamPart, Failure>> {
+    for await (const part of parts) {
+      if (part.isErr()) {
+        yield err(part.error);
+        return;
+      }
+      const message = part.value as ForwardedPart;
+      switch (message.kind) {
+        case EntryMessage.tokens:
+          yield ok({
+            kind: 'tokens',
+            requestId,
+            attempt,
+            offset: message.offset,
+            tokens: message.tokens,
+          });
+          break;
+        case EntryMessage.end:
+          yield ok({
+            kind: 'end',
+            requestId,
+            attempt,
+            offset: message.offset,
+            finishReason: message.finishReason,
+          });
+          return;
+        case EntryMessage.refused:
+          yield err(this.failureOf(message));
+          return;
+        default:
+          yield err(this.failure(FailureKind.invalid, 'the peer sent a part of unknown kind'));
+          return;
+      }
+    }
+  }
+
+  private failureOf({ refusal }: Extract<ForwardedPart, { kind: 'entry.refused' }>): Failure {
+    const kind = refusal.outcome === 'not_run' ? FailureKind.refused : FailureKind.unknown;
+    const { retryAfterMs } = refusal;
+    return {
+      ...this.failure(kind, refusal.message),
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+    };
+  }
+
+  private failure(kind: FailureKind, message: string): Failure {
+    return { kind, step: 'peer.chat', peer: `${this.domain} ${this.options.address}`, message };
+  }
+
+  private async unsupported<T>(what: string): Promise<Result<T, Failure>> {
+    return err(this.failure(FailureKind.refused, `a domain does not offer ${what}`));
+  }
+}
--- /dev/null
+++ b/packages/process/node/src/request/service-run.ts
@@ -0,0 +1,172 @@
+import {
+  type DomainView,
+  type Failure,
+  FailureKind,
+  type PlainAnswer,
+  type PlainCall,
+  type ServiceCall,
+  type Span,
+} from '@currantdrift/core';
+import { callService, type Outcome } from '@currantdrift/attempt';
+import { type BookingAnswer, type ClaimLedger, runBooking } from '@currantdrift/booking';
+import { err, ok, type Result } from 'neverthrow';
+import { type ChatContext, refusalOf } from './chat-run';
+import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
+import { awaitPlace } from './replica-chooser';
+import type { ServiceAnswer, ServiceRequest } from './request';
+
+export interface ServiceContext extends ChatContext {
+  readonly ledger: ClaimLedger;
+}
+
+const callOf = (request: ServiceRequest, traceparent: string): PlainCall => ({
+  requestId: request.requestId,
+  service: request.service,
+  call: request.call,
+  method: request.method,
+  query: request.query,
+  contentType: request.contentType,
+  body: request.body,
+  traceparent,
+  ...(request.idempotencyKey === undefined ? {} : { idempotencyKey: request.idempotencyKey }),
+});
+
+/** Tells whether this domain has an endpoint for a pool of plain services. */
+export const hasPool = (view: DomainView, pool: string): boolean => view.pool(pool).length > 0;
+
+/** Calls an endpoint of this domain; `attempts` bounds how often it is sent. */
+const callHere = async (
+  context: ServiceContext,
+  request: ServiceRequest,
+  pool: string,
+  repeatable: boolean,
+  span: Span,
+  signal: AbortSignal,
+): Promise<Outcome<PlainAnswer>> => {
+  const { caller, priority, deadline } = request;
+  const hop = context.telemetry.span('endpoint', span.traceparent, { pool });
+  const outcome = await callService(
+    { call: callOf(request, hop.traceparent), repeatable, deadline },
+    {
+      choose: (tried, stop) =>
+        awaitPlace(
+          context,
+          `pool:${pool}`,
+          {
+            caller: caller.name,
+            weight: caller.weight,
+            priority,
+            deadline,
+            tried,
+            prefixes: [],
+          },
+          stop,
+        ),
+      clock: context.clock,
+      budget: context.budget,
+      settings: context.attempts,
+      signal,
+    },
+  );
+  hop.end(outcome.kind);
+  return outcome;
+};
+
+const failureOf = (refusal: Refusal): Failure => ({
+  kind: refusal.outcome === 'not_run' ? FailureKind.refused : FailureKind.unknown,
+  step: refusal.code,
+  peer: 'service',
+  message: refusal.message,
+  ...(refusal.retryAfterMs === undefined ? {} : { retryAfterMs: refusal.retryAfterMs }),
+});
+
+const replay = (
+  outcome: Extract<BookingAnswer, { state: 'done' }>['outcome'],
+): Result<ServiceAnswer, Refusal> => {
+  const { status, contentType, body, bodyBytes } = outcome;
+  if (body === undefined && bodyBytes > 0) {
+    const message = `the call was answered with status ${status}; its body of ${bodyBytes} bytes was too large to keep`;
+    return err(outcomeUnknown(RefusalCode.outcomeUnknown, message));
+  }
+  return ok({ status, contentType, body: Buffer.from(body ?? '', 'base64'), replayed: true });
+};
+
+/** The answer to a caller from a booking's end. */
+const answerOf = (ended: BookingAnswer): Result<ServiceAnswer, Refusal> => {
+  switch (ended.kind) {
+    case 'answered':
+      return ok({ ...ended.answer, replayed: false });
+    case 'not_run':
+      return err(notRun(RefusalCode.noEndpoint, ended.message, ended.retryAfterMs));
+    case 'refused':
+      return err(notRun(RefusalCode.storeUnavailable, ended.message, ended.retryAfterMs));
+    case 'unknown':
+      return err(outcomeUnknown(RefusalCode.outcomeUnknown, ended.failure.message));
+    case 'conflict':
+      return ended.reason === 'running'
+        ? err(
+            outcomeUnknown(
+              RefusalCode.stillRunning,
+              'a call with this Idempotency-Key is running',
+              ended.retryAfterMs,
+            ),
+          )
+        : err(
+            notRun(
+              RefusalCode.keyReused,
+              'this Idempotency-Key was used for another call; use a new key',
+            ),
+          );
+    default:
+      return ended.state === 'unknown'
+        ? err(
+            outcomeUnknown(
+              RefusalCode.outcomeUnknown,
+              'a call with this Idempotency-Key may have run; ask the service for its result',
+            ),
+          )
+        : replay(ended.outcome);
+  }
+};
+
+/** Runs a call that must run at most once: its key is claimed before anything is sent. */
+const runOnce = async (
+  context: ServiceContext,
+  request: ServiceRequest,
+  key: string,
+  pool: string,
+  span: Span,
+): Promise<Result<ServiceAnswer, Refusal>> => {
+  // The call goes on when the caller leaves: its outcome is recorded for a repeat of the key.
+  const { signal } = new AbortController();
+  const ended = await runBooking(
+    context.ledger,
+    context.clock,
+    { caller: request.caller.name, key, call: request, deadline: request.deadline },
+    async () => {
+      const outcome = await callHere(context, request, pool, false, span, signal);
+      if (outcome.kind === 'answered') return ok(outcome.answer);
+      return err(failureOf(refusalOf(outcome) as Refusal));
+    },
+  );
+  return answerOf(ended);
+};
+
+/** Runs a call of a plain service in this domain. */
+export const runService = async (
+  context: ServiceContext,
+  request: ServiceRequest,
+  pool: string,
+  call: ServiceCall,
+  span: Span,
+  signal: AbortSignal,
+): Promise<Result<ServiceAnswer, Refusal>> => {
+  if (!call.repeatable) {
+    // The entry has checked that a key is there.
+    return runOnce(context, request, request.idempotencyKey as string, pool, span);
+  }
+  const outcome = await callHere(context, request, pool, true, span, signal);
+  return outcome.kind === 'answered'
+    ? ok({ ...outcome.answer, replayed: false })
+    : err(refusalOf(outcome) as Refusal);
+};
--- a/packages/request/attempt/src/generate.ts
+++ b/packages/request/attempt/src/generate.ts
@@ -18,6 +18,8 @@
    * refusal, and never hedged. Default true.
    */
   readonly repeatable?: boolean;
+  /** Tokens that were delivered before this run; the answer goes on after them. */
+  readonly resume?: readonly string[];
 }
 
 /** What the runners need from the daemon. */
@@ -82,7 +84,7 @@
 
   private readonly settings: AttemptSettings;
 
-  private readonly tokens: string[] = [];
+  private readonly tokens: string[];
 
   private readonly live = new Set<StreamAttempt>();
 
@@ -95,6 +97,7 @@
   ) {
     this.settings = { ...defaultAttemptSettings, ...options.settings };
     this.history = History.create(request.requestId);
+    this.tokens = [...(request.resume ?? [])];
     this.stop = Stop.start('generate', options.clock, request.deadline, options.signal);
     this.buffer = TokenBuffer.create(this.settings.maxBufferedTokens, () =>
       this.stop.now('caller', 'the caller has stopped reading'),
