--- /dev/null
+++ b/packages/process/membership/src/domain-summaries.ts
@@ -0,0 +1,143 @@
+import { type Fact, FactPrefix } from './fact';
+import type { Spread } from './spread';
+
+/** What is known of another domain. */
+export interface DomainSummary {
+  readonly domain: string;
+  readonly bundleVersion: number;
+  /** Free accelerator memory, 0 (none) to 8 (all). */
+  readonly spareLevel: number;
+  /** Peer addresses of daemons that take forwarded requests. */
+  readonly entries: readonly string[];
+  /** False if no relay of the own domain hears from the domain any more. */
+  readonly isFresh: boolean;
+}
+
+/** Fields of a summary other than the warm items, as they travel. */
+export type SummaryHeader = readonly [
+  bundleVersion: number,
+  spareLevel: number,
+  entries: readonly string[],
+];
+
+type SummaryListener = (domain: string) => void;
+
+export const warmKey = (domain: string, item: string): string =>
+  `${FactPrefix.warm}${domain}/${item}`;
+
+const parseWarmKey = (key: string): { domain: string; item: string } => {
+  const rest = key.slice(FactPrefix.warm.length);
+  const slash = rest.indexOf('/');
+  return { domain: rest.slice(0, slash), item: rest.slice(slash + 1) };
+};
+
+/** Reads the header of a summary; undefined if it is malformed. */
+export const readHeader = (value: unknown): SummaryHeader | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const [version, spare, entries] = value as unknown[];
+  if (typeof version !== 'number' || typeof spare !== 'number' || !Array.isArray(entries)) {
+    return undefined;
+  }
+  return [version, spare, entries.filter((entry) => typeof entry === 'string')];
+};
+
+interface WarmItem {
+  readonly isWarm: boolean;
+  /** Link on which the word came; see `DomainLinks`. */
+  readonly epoch: number;
+}
+
+/** Summaries of the other domains, as the relays of this domain pass them on. */
+export class DomainSummaries {
+  private readonly headers = new Map<string, SummaryHeader>();
+
+  /** Epoch of the last complete list of warm items, by domain. */
+  private readonly completeEpochs = new Map<string, number>();
+
+  private readonly warm = new Map<string, Map<string, WarmItem>>();
+
+  private readonly listeners: SummaryListener[] = [];
+
+  private constructor(private readonly spread: Spread) {}
+
+  static create(spread: Spread): DomainSummaries {
+    const summaries = new DomainSummaries(spread);
+    spread.filter(FactPrefix.warm, (fact) => summaries.isCurrent(fact));
+    spread.table.subscribe(FactPrefix.warm, (fact) => summaries.takeWarm(fact));
+    spread.table.subscribe(FactPrefix.domain, (fact) => summaries.takeHeader(fact));
+    spread.table.subscribe(FactPrefix.heard, (fact) =>
+      summaries.notify(fact.key.slice(FactPrefix.heard.length)),
+    );
+    return summaries;
+  }
+
+  /** Names of the other domains that have been heard of. */
+  domains(): readonly string[] {
+    return [...this.headers.keys()].sort();
+  }
+
+  summary(domain: string): DomainSummary | undefined {
+    const header = this.headers.get(domain);
+    if (header === undefined) return undefined;
+    const [bundleVersion, spareLevel, entries] = header;
+    return { domain, bundleVersion, spareLevel, entries, isFresh: this.isFresh(domain) };
+  }
+
+  isWarm(domain: string, item: string): boolean {
+    const known = this.warm.get(domain)?.get(item);
+    return known?.isWarm === true && known.epoch >= (this.completeEpochs.get(domain) ?? 0);
+  }
+
+  /** Domains in which the item is warm, stale ones left out. */
+  domainsWith(item: string): readonly string[] {
+    return this.domains().filter((domain) => this.isFresh(domain) && this.isWarm(domain, item));
+  }
+
+  /** Calls `listener` with the name of a domain after each change of its summary. */
+  onChange(listener: SummaryListener): void {
+    this.listeners.push(listener);
+  }
+
+  private isFresh(domain: string): boolean {
+    return this.spread.table.get(`${FactPrefix.heard}${domain}`)?.value === true;
+  }
+
+  private isCurrent(fact: Fact): boolean {
+    const { domain } = parseWarmKey(fact.key);
+    return fact.rank[0] >= (this.completeEpochs.get(domain) ?? 0);
+  }
+
+  private takeWarm(fact: Fact): void {
+    const { domain, item } = parseWarmKey(fact.key);
+    const items = this.warm.get(domain) ?? new Map<string, WarmItem>();
+    this.warm.set(domain, items);
+    if (fact.value === true) items.set(item, { isWarm: true, epoch: fact.rank[0] });
+    else items.delete(item);
+    this.notify(domain);
+  }
+
+  private takeHeader(fact: Fact): void {
+    const domain = fact.key.slice(FactPrefix.domain.length);
+    const header = readHeader(fact.value);
+    if (header === undefined) return;
+    this.headers.set(domain, header);
+    const complete = Array.isArray(fact.value) ? Number(fact.value[3]) : 0;
+    if (complete > (this.completeEpochs.get(domain) ?? 0)) this.dropBefore(domain, complete);
+    this.notify(domain);
+  }
+
+  /** Items that a complete list does not name are no longer warm. */
+  private dropBefore(domain: string, epoch: number): void {
+    this.completeEpochs.set(domain, epoch);
+    const items = this.warm.get(domain);
+    items?.forEach((known, item) => {
+      if (known.epoch >= epoch) return;
+      items.delete(item);
+      this.spread.table.forget(warmKey(domain, item));
+    });
+  }
+
+  private notify(domain: string): void {
+    this.listeners.forEach((listener) => listener(domain));
+  }
+}
--- /dev/null
+++ b/packages/process/membership/src/endpoint-facts.ts
@@ -0,0 +1,145 @@
+import {
+  type EndpointReport,
+  type EndpointState,
+  type Host,
+  HostKind,
+  HostState,
+} from '@currantdrift/core';
+import { type Fact, FactPrefix, type Rank } from './fact';
+
+/** An endpoint as far as it does not change with its items and its load. */
+export interface EndpointBase {
+  readonly host: Host;
+  readonly bootId: string;
+  readonly sequence: number;
+  readonly state: HostState;
+  readonly memoryBytes: number;
+  readonly slots: number;
+  /** False if the watcher gets no answer from the endpoint. */
+  readonly reachable: boolean;
+  /** Hash of the watcher's name. */
+  readonly watcher: number;
+}
+
+/** A list that belongs to one boot of an endpoint. */
+export interface BootList<T> {
+  readonly bootId: string;
+  readonly sequence: number;
+  readonly values: readonly T[];
+}
+
+export type StateItem = EndpointState['items'][number];
+export type CachedItem = EndpointState['cached'][number];
+
+const itemStates = ['loading', 'ready', 'unloading'] as const;
+const cacheTiers = ['memory', 'disk', 'remote'] as const;
+const hostKinds = Object.values(HostKind);
+
+const isLeaving = (state: HostState) => state === HostState.leaving;
+
+const stateOf = (leaving: unknown): HostState =>
+  leaving === true ? HostState.leaving : HostState.live;
+
+export const baseFact = (
+  host: Host,
+  report: EndpointReport,
+  reachable: boolean,
+  rank: Rank,
+): Fact => ({
+  key: `${FactPrefix.endpoint}${host.name}`,
+  rank,
+  value: [
+    hostKinds.indexOf(host.kind),
+    host.address,
+    host.incarnation,
+    host.pool,
+    host.fencing,
+    isLeaving(host.state),
+    report.bootId,
+    report.sequence,
+    isLeaving(report.state),
+    report.memoryBytes,
+    report.slots,
+    reachable,
+  ],
+});
+
+/** Says that the endpoint has left the host list. */
+export const removedFact = (name: string, rank: Rank): Fact => ({
+  key: `${FactPrefix.endpoint}${name}`,
+  rank,
+  value: null,
+});
+
+export const itemsFact = (host: Host, report: EndpointReport, rank: Rank): Fact => ({
+  key: `${FactPrefix.items}${host.name}`,
+  rank,
+  value: [
+    report.bootId,
+    report.sequence,
+    report.items.map(({ item, bytes, state }) => [item, bytes, itemStates.indexOf(state)]),
+  ],
+});
+
+export const cachedFact = (host: Host, report: EndpointReport, rank: Rank): Fact => ({
+  key: `${FactPrefix.cached}${host.name}`,
+  rank,
+  value: [
+    report.bootId,
+    report.sequence,
+    report.cached.map(({ item, tier }) => [item, cacheTiers.indexOf(tier)]),
+  ],
+});
+
+/** Reads the base of an endpoint of `domain`; undefined if it was removed or is malformed. */
+export const readBase = (fact: Fact, domain: string): EndpointBase | undefined => {
+  if (!Array.isArray(fact.value) || fact.value.length < 12) return undefined;
+  const [kind, address, incarnation, pool, fencing, hostLeaving, ...rest] = fact.value as unknown[];
+  const [bootId, sequence, leaving, memoryBytes, slots, reachable] = rest;
+  return {
+    host: {
+      name: fact.key.slice(FactPrefix.endpoint.length),
+      kind: hostKinds[Number(kind)] ?? HostKind.engine,
+      domain,
+      address: String(address),
+      state: stateOf(hostLeaving),
+      incarnation: Number(incarnation),
+      pool: String(pool),
+      fencing: fencing === true,
+    },
+    bootId: String(bootId),
+    sequence: Number(sequence),
+    state: stateOf(leaving),
+    memoryBytes: Number(memoryBytes),
+    slots: Number(slots),
+    reachable: reachable === true,
+    watcher: fact.rank[2] ?? 0,
+  };
+};
+
+const readList = <T>(
+  fact: Fact,
+  read: (entry: readonly unknown[]) => T,
+): BootList<T> | undefined => {
+  if (!Array.isArray(fact.value)) return undefined;
+  const [bootId, sequence, entries] = fact.value as unknown[];
+  const lists = (Array.isArray(entries) ? entries : []).filter((entry) => Array.isArray(entry));
+  return {
+    bootId: String(bootId),
+    sequence: Number(sequence),
+    values: lists.map((entry) => read(entry as unknown[])),
+  };
+};
+
+export const readItems = (fact: Fact): BootList<StateItem> | undefined =>
+  readList(fact, ([item, bytes, state]) => ({
+    item: String(item),
+    bytes: Number(bytes),
+    state: itemStates[Number(state)] ?? 'unloading',
+  }));
+
+export const readCached = (fact: Fact): BootList<CachedItem> | undefined =>
+  readList(fact, ([item, tier]) => ({
+    item: String(item),
+    tier: cacheTiers[Number(tier)] ?? 'remote',
+  }));
--- /dev/null
+++ b/packages/process/membership/src/endpoint-watcher.ts
@@ -0,0 +1,221 @@
+import {
+  type Clock,
+  type Endpoint,
+  type EndpointConnector,
+  type EndpointReport,
+  type Failure,
+  type Host,
+  HostState,
+  type Random,
+} from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+import { baseFact, cachedFact, itemsFact } from './endpoint-facts';
+import { type Fact, FactPrefix, type Rank } from './fact';
+import { loadOf, nextLevel } from './load-level';
+
+/** Where a watcher publishes, and what it reads back. */
+export interface WatcherOutput {
+  fact(key: string): Fact | undefined;
+  publish(fact: Fact, atOnce: boolean): void;
+  level(endpoint: string, level: number): void;
+  report(host: Host, report: EndpointReport): void;
+}
+
+export interface EndpointWatcherOptions {
+  readonly host: Host;
+  readonly connector: EndpointConnector;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly output: WatcherOutput;
+  /** Hash of the name of this daemon. */
+  readonly watcher: number;
+}
+
+/** Time between two reports, in ms; a tenth is jitter. */
+const pollMs = 1000;
+
+/** Time for a report, in ms. */
+const reportTimeoutMs = 800;
+
+/** Reports without an answer after which an endpoint is published as unreachable. */
+const missesAllowed = 3;
+
+/** Time between two publications of the checkpoints outside accelerator memory, in ms. */
+const cachedIntervalMs = 10_000;
+
+/** Asks an endpoint for its report; fails with `unknown` after `timeoutMs`. */
+export const askReport = async (
+  endpoint: Endpoint,
+  clock: Clock,
+  timeoutMs = reportTimeoutMs,
+): Promise<Result<EndpointReport, Failure>> => {
+  const timeout = new AbortController();
+  const answered = new AbortController();
+  const late = clock.sleep(timeoutMs, answered.signal).then((): Result<EndpointReport, Failure> => {
+    timeout.abort();
+    const message = `no report in ${timeoutMs} ms`;
+    return err({ kind: 'unknown', step: 'endpoint.report', peer: endpoint.id, message });
+  });
+  const result = await Promise.race([endpoint.report(timeout.signal), late]);
+  answered.abort();
+  return result;
+};
+
+const sameValue = (a: unknown, b: unknown): boolean => JSON.stringify(a) === JSON.stringify(b);
+
+/** The facts of a base without the sequence number, which changes with each report. */
+const withoutSequence = (value: unknown): unknown =>
+  Array.isArray(value) ? [...(value as unknown[]).slice(0, 7), ...value.slice(8)] : value;
+
+const withoutHeader = (value: unknown): unknown =>
+  Array.isArray(value) ? [value[0], value[2]] : value;
+
+/** Polls one endpoint and publishes what changes. `run` is its task. */
+export class EndpointWatcher {
+  private host: Host;
+
+  private endpoint: Endpoint;
+
+  private last: EndpointReport | undefined;
+
+  private misses = 0;
+
+  private reachable = true;
+
+  private sequence = 0;
+
+  private level: number | undefined;
+
+  private cachedAt = Number.NEGATIVE_INFINITY;
+
+  private constructor(
+    private readonly options: EndpointWatcherOptions,
+    /** Above the incarnations of all earlier watchers of the endpoint that are known. */
+    private incarnation: number,
+  ) {
+    this.host = options.host;
+    this.endpoint = options.connector.connect(options.host);
+  }
+
+  static create(options: EndpointWatcherOptions): EndpointWatcher {
+    const { name } = options.host;
+    const keys = [FactPrefix.endpoint, FactPrefix.items, FactPrefix.cached];
+    const known = keys.map((prefix) => options.output.fact(`${prefix}${name}`)?.rank[0] ?? 0);
+    return new EndpointWatcher(options, Math.max(...known) + 1);
+  }
+
+  /** Takes the host list's present word on the endpoint. */
+  update(host: Host): void {
+    const isMoved = host.address !== this.host.address;
+    const isReplaced = host.incarnation !== this.host.incarnation;
+    const isLeaving = host.state !== this.host.state;
+    this.host = host;
+    if (isMoved || isReplaced) {
+      this.endpoint = this.options.connector.connect(host);
+      this.last = undefined;
+      this.misses = 0;
+    }
+    if (isLeaving) this.markLeaving();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.options;
+    this.markLeaving();
+    await clock.sleep(random.next() * pollMs, signal);
+    while (!signal.aborted) {
+      const startedAt = clock.now();
+      await this.poll(signal);
+      const interval = pollMs * (0.95 + random.next() / 10);
+      await clock.sleep(Math.max(0, startedAt + interval - clock.now()), signal);
+    }
+  }
+
+  private async poll(signal: AbortSignal): Promise<void> {
+    const { clock, connector } = this.options;
+    const { host } = this;
+    let result = await askReport(this.endpoint, clock);
+    if (result.isErr()) this.misses += 1;
+    if (result.isErr() && this.misses >= missesAllowed && !signal.aborted) {
+      // The kept connection may be silent while new ones work.
+      this.endpoint = connector.connect(host);
+      result = await askReport(this.endpoint, clock);
+    }
+    const isSame = host.incarnation === this.host.incarnation && host.address === this.host.address;
+    if (signal.aborted || !isSame) return;
+    if (result.isOk()) this.take(result.value, clock.now());
+    else if (this.misses >= missesAllowed) this.takeSilence();
+  }
+
+  private take(report: EndpointReport, now: number): void {
+    const { last } = this;
+    this.misses = 0;
+    this.reachable = true;
+    // Reports can overtake each other on two connections.
+    if (last?.bootId === report.bootId && report.sequence < last.sequence) return;
+    this.last = report;
+    this.options.output.report(this.host, report);
+    if (report.state === HostState.leaving) this.markLeaving();
+    this.publishChanges(report, now);
+    this.level = nextLevel(this.level, loadOf(report));
+    this.options.output.level(this.host.name, this.level);
+  }
+
+  private takeSilence(): void {
+    this.reachable = false;
+    if (this.last !== undefined) this.publishBase(this.last);
+    else this.republishUnreachable();
+  }
+
+  /** A new watcher that never got a report keeps the word of the last one, but not reachable. */
+  private republishUnreachable(): void {
+    const known = this.options.output.fact(`${FactPrefix.endpoint}${this.host.name}`);
+    if (!Array.isArray(known?.value)) return;
+    const last = known.value.length - 1;
+    if (known.value[last] === false) return;
+    const value: unknown[] = [...(known.value as unknown[]).slice(0, last), false];
+    this.outrank(known);
+    this.options.output.publish({ ...known, rank: this.nextRank(), value }, false);
+  }
+
+  /** The mark names the incarnation of the host, so no report of that incarnation undoes it. */
+  private markLeaving(): void {
+    if (this.host.state !== HostState.leaving && this.last?.state !== HostState.leaving) return;
+    const key = `${FactPrefix.leaving}${this.host.name}`;
+    this.options.output.publish({ key, rank: [this.host.incarnation], value: true }, true);
+  }
+
+  private publishChanges(report: EndpointReport, now: number): void {
+    this.publishBase(report);
+    this.publishIfChanged(itemsFact(this.host, report, this.nextRank()), withoutHeader);
+    if (now - this.cachedAt < cachedIntervalMs) return;
+    this.cachedAt = now;
+    this.publishIfChanged(cachedFact(this.host, report, this.nextRank()), withoutHeader);
+  }
+
+  private publishBase(report: EndpointReport): void {
+    const fact = baseFact(this.host, report, this.reachable, this.nextRank());
+    this.publishIfChanged(fact, withoutSequence);
+  }
+
+  private publishIfChanged(fact: Fact, compared: (value: unknown) => unknown): void {
+    const { output, watcher } = this.options;
+    const known = output.fact(fact.key);
+    const isOwn = known?.rank[2] === watcher && known.rank[0] === this.incarnation;
+    if (isOwn && sameValue(compared(known.value), compared(fact.value))) return;
+    this.outrank(known);
+    output.publish({ ...fact, rank: this.nextRank() }, false);
+  }
+
+  /** Another watcher with a view of its own has published as well; this one is assigned now. */
+  private outrank(known: Fact | undefined): void {
+    const [incarnation = 0, , watcher] = known?.rank ?? [];
+    if (watcher === this.options.watcher || incarnation < this.incarnation) return;
+    this.incarnation = incarnation + 1;
+    this.sequence = 0;
+  }
+
+  private nextRank(): Rank {
+    this.sequence += 1;
+    return [this.incarnation, this.sequence, this.options.watcher];
+  }
+}
--- a/packages/process/membership/src/index.ts
+++ b/packages/process/membership/src/index.ts
@@ -1,1 +1,20 @@
-export {};
+export {
+  EndpointDirectory,
+  type EndpointDirectoryOptions,
+  type EndpointListener,
+} from './endpoint-directory';
+export { type Fact, FactPrefix, type Rank, type WireFact } from './fact';
+export { FactTable } from './fact-table';
+export { type Member, MemberStatus } from './member';
+export { Membership, type MemberListener, type MembershipOptions, type Self } from './membership';
+export { defaultMembershipSettings, type MembershipSettings } from './membership-settings';
+export type { ProbingPeers } from './probing-peers';
+export { Spread, type SpreadOptions } from './spread';
+export { watcherOf, Watchers, type ReportListener, type WatchersOptions } from './watchers';
+export {
+  EndpointWatcher,
+  type EndpointWatcherOptions,
+  type WatcherOutput,
+} from './endpoint-watcher';
+export { type DomainContact, DomainLinks, type DomainLinksOptions, relaysOf } from './domain-links';
+export { DomainSummaries, type DomainSummary } from './domain-summaries';
--- /dev/null
+++ b/packages/process/membership/src/level-facts.ts
@@ -0,0 +1,32 @@
+import { hash32 } from '@currantdrift/core';
+import { type Fact, FactPrefix, type Rank } from './fact';
+
+/** Bytes of an endpoint in the list: hash of its name and its level. */
+const entryBytes = 5;
+
+/** Load levels of all endpoints of a watcher in one fact of 5 bytes for each endpoint. */
+export const levelsFact = (
+  watcher: string,
+  levels: ReadonlyMap<string, number>,
+  rank: Rank,
+): Fact => {
+  const bytes = new Uint8Array(levels.size * entryBytes);
+  const view = new DataView(bytes.buffer);
+  [...levels].forEach(([endpoint, level], index) => {
+    view.setUint32(index * entryBytes, hash32(endpoint));
+    view.setUint8(index * entryBytes + entryBytes - 1, level);
+  });
+  return { key: `${FactPrefix.levels}${watcher}`, rank, value: bytes };
+};
+
+/** Levels by the hash of the endpoint's name. */
+export const readLevels = (fact: Fact): ReadonlyMap<number, number> => {
+  const levels = new Map<number, number>();
+  if (!(fact.value instanceof Uint8Array)) return levels;
+  const { buffer, byteOffset, byteLength } = fact.value;
+  const view = new DataView(buffer, byteOffset, byteLength);
+  for (let at = 0; at + entryBytes <= byteLength; at += entryBytes) {
+    levels.set(view.getUint32(at), view.getUint8(at + entryBytes - 1));
+  }
+  return levels;
+};
--- /dev/null
+++ b/packages/process/membership/src/watchers.ts
@@ -0,0 +1,255 @@
+import {
+  type Clock,
+  type EndpointConnector,
+  type EndpointReport,
+  type Failure,
+  hash32,
+  type Host,
+  HostKind,
+  type Random,
+  rendezvousOrder,
+  SilentTelemetry,
+  type Telemetry,
+} from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+import type { EndpointDirectory } from './endpoint-directory';
+import { removedFact } from './endpoint-facts';
+import { askReport, EndpointWatcher, type WatcherOutput } from './endpoint-watcher';
+import { FactPrefix } from './fact';
+import { levelsFact } from './level-facts';
+import type { Membership } from './membership';
+
+export interface WatchersOptions {
+  readonly membership: Membership;
+  readonly directory: EndpointDirectory;
+  readonly connector: EndpointConnector;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** The host list as last read; hosts of other domains and daemons are passed over. */
+  readonly hosts: () => readonly Host[];
+  readonly telemetry?: Telemetry;
+}
+
+export type ReportListener = (host: Host, report: EndpointReport) => void;
+
+/** Time between two looks at members and hosts, in ms. */
+const assignMs = 500;
+
+/** Shortest time between two publications of load levels, in ms. */
+const levelsMs = 5000;
+
+/**
+ * Time for each member between two publications of levels, in ms. Levels then take the same
+ * number of bytes at each daemon in a domain of any size.
+ */
+const levelsMsPerMember = 500;
+
+/** Time for which a host must be gone from the lagging list before its endpoint is removed, in ms. */
+const removalMs = 15_000;
+
+interface Running {
+  readonly watcher: EndpointWatcher;
+  readonly stop: AbortController;
+}
+
+/** Name of the member that watches an endpoint; undefined without members. */
+export const watcherOf = (endpoint: string, members: readonly string[]): string | undefined =>
+  rendezvousOrder(endpoint, members)[0];
+
+/** Watches the endpoints that fall to this daemon, one task for each. */
+export class Watchers {
+  private readonly running = new Map<string, Running>();
+
+  private readonly listeners: ReportListener[] = [];
+
+  private readonly levels = new Map<string, number>();
+
+  private levelsChanged = false;
+
+  private levelsAt = Number.NEGATIVE_INFINITY;
+
+  private levelsSequence = 0;
+
+  private readonly missingSince = new Map<string, number>();
+
+  private assignment = '';
+
+  private assigned: readonly string[] = [];
+
+  private stopped = new AbortController();
+
+  private readonly output: WatcherOutput;
+
+  private readonly telemetry: Telemetry;
+
+  private constructor(private readonly options: WatchersOptions) {
+    const { membership } = options;
+    this.telemetry = options.telemetry ?? SilentTelemetry.create();
+    this.output = {
+      fact: (key) => membership.spread.table.get(key),
+      publish: (fact, atOnce) => {
+        membership.publish(fact, atOnce);
+      },
+      level: (endpoint, level) => this.takeLevel(endpoint, level),
+      report: (host, report) => this.listeners.forEach((listener) => listener(host, report)),
+    };
+  }
+
+  static create(options: WatchersOptions): Watchers {
+    return new Watchers(options);
+  }
+
+  /** Starts the loop that follows members and hosts. */
+  start(): void {
+    this.stopped = new AbortController();
+    this.loop(this.stopped.signal).catch((error: unknown) => {
+      this.telemetry.log('watchers failed', { message: String(error) });
+    });
+  }
+
+  /** Ends all tasks; another member takes over when this one has left. */
+  stop(): void {
+    this.stopped.abort();
+    this.running.forEach(({ stop }) => stop.abort());
+    this.running.clear();
+  }
+
+  /** Names of the endpoints that this daemon watches. */
+  watched(): readonly string[] {
+    return [...this.running.keys()].sort();
+  }
+
+  /** Calls `listener` with each new report of an endpoint that this daemon watches. */
+  onReport(listener: ReportListener): void {
+    this.listeners.push(listener);
+  }
+
+  /** Asks any endpoint of the domain for its report, on a connection of its own. */
+  async fetchReport(id: string, timeoutMs?: number): Promise<Result<EndpointReport, Failure>> {
+    const { connector, clock, directory } = this.options;
+    const host = this.hosts().find(({ name }) => name === id) ?? directory.endpoint(id)?.host;
+    if (host === undefined) {
+      const message = 'no such endpoint in this domain';
+      return err({ kind: 'unreachable', step: 'endpoint.report', peer: id, message });
+    }
+    return askReport(connector.connect(host), clock, timeoutMs);
+  }
+
+  /** Marks an endpoint as drained by an operator, or ends that, in the whole domain. */
+  drain(id: string, isDrained = true): void {
+    const key = `${FactPrefix.drain}${id}`;
+    const known = this.output.fact(key);
+    const rank = [(known?.rank[0] ?? 0) + 1, hash32(this.options.membership.self.name)];
+    this.output.publish({ key, rank, value: isDrained }, true);
+  }
+
+  private hosts(): readonly Host[] {
+    const { domain } = this.options.membership.self;
+    return this.options
+      .hosts()
+      .filter((host) => host.domain === domain && host.kind !== HostKind.daemon);
+  }
+
+  private async loop(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      this.assign(clock.now());
+      this.publishLevels(clock.now());
+      await clock.sleep(assignMs, signal);
+    }
+  }
+
+  private assign(now: number): void {
+    const hosts = this.hosts();
+    const members = this.options.membership.alive().map(({ name }) => name);
+    const own = this.ownEndpoints(hosts, members);
+    const byName = new Map(hosts.map((host) => [host.name, host]));
+    this.running.forEach(({ stop }, name) => {
+      if (own.has(name)) return;
+      stop.abort();
+      this.running.delete(name);
+      this.levels.delete(name);
+    });
+    own.forEach((name) => {
+      const host = byName.get(name);
+      if (host === undefined) return;
+      const running = this.running.get(name);
+      if (running === undefined) this.watch(host);
+      else running.watcher.update(host);
+    });
+    this.removeMissing(byName, members, now);
+  }
+
+  /** Hashing is repeated only when members or endpoints change. */
+  private ownEndpoints(hosts: readonly Host[], members: readonly string[]): ReadonlySet<string> {
+    const names = hosts.map(({ name }) => name);
+    const assignment = `${members.join(',')}|${names.join(',')}`;
+    if (assignment !== this.assignment) {
+      this.assignment = assignment;
+      this.assigned = names.filter((name) => this.isOwn(name, members));
+    }
+    return new Set(this.assigned);
+  }
+
+  private isOwn(endpoint: string, members: readonly string[]): boolean {
+    return watcherOf(endpoint, members) === this.options.membership.self.name;
+  }
+
+  private watch(host: Host): void {
+    const { clock, connector, membership, random } = this.options;
+    const watcher = EndpointWatcher.create({
+      host,
+      connector,
+      clock,
+      random,
+      output: this.output,
+      watcher: hash32(membership.self.name),
+    });
+    const stop = new AbortController();
+    this.running.set(host.name, { watcher, stop });
+    watcher.run(stop.signal).catch((error: unknown) => {
+      this.telemetry.log('watcher failed', { peer: host.name, message: String(error) });
+      // The next look at the assignment starts a new task.
+      if (this.running.get(host.name)?.watcher === watcher) this.running.delete(host.name);
+    });
+  }
+
+  private removeMissing(
+    hosts: ReadonlyMap<string, Host>,
+    members: readonly string[],
+    now: number,
+  ): void {
+    // An empty list is a list that has not been read yet.
+    if (hosts.size === 0) return;
+    this.options.directory.endpoints().forEach(({ host: { name } }) => {
+      if (hosts.has(name)) {
+        this.missingSince.delete(name);
+        return;
+      }
+      const since = this.missingSince.get(name) ?? now;
+      this.missingSince.set(name, since);
+      if (now - since < removalMs || !this.isOwn(name, members)) return;
+      const [incarnation = 0] = this.output.fact(`${FactPrefix.endpoint}${name}`)?.rank ?? [];
+      const rank = [incarnation + 1, 1, hash32(this.options.membership.self.name)];
+      this.output.publish(removedFact(name, rank), false);
+      this.missingSince.delete(name);
+    });
+  }
+
+  private takeLevel(endpoint: string, level: number): void {
+    if (this.levels.get(endpoint) === level) return;
+    this.levels.set(endpoint, level);
+    this.levelsChanged = true;
+  }
+
+  private publishLevels(now: number): void {
+    const { membership } = this.options;
+    const interval = Math.max(levelsMs, levelsMsPerMember * membership.members().length);
+    if (!this.levelsChanged || now - this.levelsAt < interval) return;
+    this.levelsChanged = false;
+    this.levelsAt = now;
+    this.levelsSequence += 1;
+    const rank = [membership.self.incarnation, this.levelsSequence];
+    membership.publish(levelsFact(membership.self.name, this.levels, rank));
+  }
+}
