Keep goodput under overload in admission

Change: new entries need the mean plus three mean deviations, waiting ones the mean; the grant rate no longer counts the interval in progress as whole; queues that share endpoints take turns.

--- a/packages/request/admission/src/admission.ts
+++ b/packages/request/admission/src/admission.ts
@@ -35,7 +35,9 @@
     let slot = this.queues.get(key);
     if (slot === undefined) {
       const take: Take<T> = (head, at) => this.take(key, head, at);
-      slot = { queue: AdmissionQueue.create(take, this.settings), usedAt: now };
+      const onFinish = (at: number) => this.pump(at);
+      const queue = AdmissionQueue.create(take, this.settings, onFinish);
+      slot = { queue, usedAt: now };
       if (this.closed) slot.queue.close(now);
       else this.queues.set(key, slot);
     }
@@ -58,8 +60,11 @@
   /** To be called when an endpoint has come free or a replica has become ready. */
   pump(now: number): void {
     [...this.queues].forEach(([key, slot]) => {
-      if (slot.queue.size > 0) {
-        slot.queue.pump(now);
+      const { queue } = slot;
+      if (queue.size > 0) {
+        const before = queue.inService;
+        queue.pump(now);
+        if (queue.inService === before) return;
         // Goes to the end of the map, behind the queues that were not served now.
         this.queues.delete(key);
         this.queues.set(key, slot);
--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -7,11 +7,8 @@
 
 const maxPriority = 9;
 
-/**
- * Factor by which the estimate for an entry that already waits must exceed the time left before
- * it is refused; keeps noise of the estimate from refusing entries that were just admitted.
- */
-const waitingTolerance = 1.5;
+/** Largest share of a request's time that the margin for slow answers may keep from waiting. */
+const maxMarginShare = 0.75;
 
 /** Shortest time between two estimates for all waiting entries, in ms. */
 const reviewMs = 50;
@@ -71,12 +68,23 @@
   private constructor(
     private readonly take: Take<T>,
     private readonly settings: AdmissionSettings,
+    private readonly onFinish: (now: number) => void,
   ) {
     this.rate = ServiceRate.create(settings.memoryMs);
   }
 
-  static create<T>(take: Take<T>, settings: Partial<AdmissionSettings> = {}): AdmissionQueue<T> {
-    return new AdmissionQueue(take, { ...defaultAdmissionSettings, ...settings });
+  /** `onFinish` is called when a grant has ended; without it, the queue then pumps itself. */
+  static create<T>(
+    take: Take<T>,
+    settings: Partial<AdmissionSettings> = {},
+    onFinish?: (now: number) => void,
+  ): AdmissionQueue<T> {
+    const queue: AdmissionQueue<T> = new AdmissionQueue(
+      take,
+      { ...defaultAdmissionSettings, ...settings },
+      onFinish ?? ((now) => queue.pump(now)),
+    );
+    return queue;
   }
 
   get size(): number {
@@ -145,7 +153,7 @@
     if (mistake !== undefined) return { kind: 'invalid', message: mistake, retryAfterMs: 0 };
     if (this.closed) return this.closing();
     if (request.deadline <= now) return this.tooLate(entry, 0, now);
-    const late = this.refuseEarly(entry, now, 1);
+    const late = this.refuseEarly(entry, this.safeServiceMs(entry), now);
     if (late !== undefined) return late;
     if ((this.perCaller.get(request.caller) ?? 0) >= this.settings.maxPerCaller) {
       return this.full('caller_full', `${request.caller} has too many requests waiting`, now);
@@ -158,18 +166,18 @@
     return undefined;
   }
 
-  /** Refuses `entry` when the backlog ahead of it takes longer than it can wait. */
+  /** Refuses `entry` when the backlog ahead of it and its own service take too long. */
   private refuseEarly(
     entry: Entry<T>,
+    serviceMs: number,
     now: number,
-    tolerance: number,
   ): AdmissionRefusal | undefined {
     if (!this.settings.earlyRefusal || this.waiting === 0) return undefined;
     const interval = this.rate.intervalMs(this.running, now);
     if (interval === undefined) return undefined;
     const waitMs = (this.ahead(entry) + 1) * interval;
-    const left = entry.request.deadline - now - this.serviceMs(entry);
-    return waitMs > left * tolerance ? this.tooLate(entry, waitMs, now) : undefined;
+    const left = entry.request.deadline - now - serviceMs;
+    return waitMs > left ? this.tooLate(entry, waitMs, now) : undefined;
   }
 
   /** Tells whether an entry at the head cannot be answered in time, however soon it is granted. */
@@ -188,7 +196,7 @@
       const late =
         entry.request.deadline <= now
           ? this.tooLate(entry, 0, now)
-          : this.refuseEarly(entry, now, waitingTolerance);
+          : this.refuseEarly(entry, this.serviceMs(entry), now);
       if (late !== undefined) this.refuse(entry, late, now);
     });
   }
@@ -222,7 +230,7 @@
       finished = true;
       this.running -= 1;
       if (served) this.rate.observeService(at - now);
-      this.pump(at);
+      this.onFinish(at);
       return true;
     };
     entry.settle(ok({ value, waitedMs: now - entry.enteredAt, finish }));
@@ -267,9 +275,22 @@
     return entry.request.serviceMs ?? this.rate.serviceMs ?? 0;
   }
 
+  /**
+   * Service time with a margin for slow answers. New entries need it, waiting ones only the mean,
+   * so that an entry is not refused because of noise just after it was let in.
+   */
+  private safeServiceMs(entry: Entry<T>): number {
+    const meanMs = this.serviceMs(entry);
+    if (entry.request.serviceMs !== undefined) return meanMs;
+    const patienceMs = entry.request.deadline - entry.enteredAt;
+    return Math.max(meanMs, Math.min(this.rate.safeServiceMs ?? 0, patienceMs * maxMarginShare));
+  }
+
   private tooLate(entry: Entry<T>, waitMs: number, now: number): AdmissionRefusal {
-    const allowedMs = entry.request.deadline - entry.enteredAt - this.serviceMs(entry);
-    const excess = waitMs - Math.max(0, allowedMs);
+    const allowedMs = entry.request.deadline - entry.enteredAt - this.safeServiceMs(entry);
+    // One more interval, because the backlog shrinks in steps.
+    const step = this.rate.intervalMs(this.running, now) ?? 0;
+    const excess = waitMs - Math.max(0, allowedMs) + step;
     return {
       kind: 'too_late',
       message: 'the request cannot be answered before its deadline',
--- a/packages/request/admission/src/service-rate.ts
+++ b/packages/request/admission/src/service-rate.ts
@@ -1,6 +1,12 @@
 /** Backlogged time, in ms, from which the measured rate is preferred over running / service time. */
 const enoughBackloggedMs = 250;
 
+/** Share of a new sample in the mean service time and its deviation. */
+const sampleWeight = 0.05;
+
+/** Mean deviations above the mean; covers 96% of exponential service times. */
+const deviations = 3;
+
 /**
  * How fast a queue is served, from its own grants and completions. Only time with entries waiting
  * counts, because the rate of an idle queue says nothing about its capacity.
@@ -10,12 +16,17 @@
 
   private backloggedMs = 0;
 
+  /** Part of the backlogged time that has passed since the last grant. */
+  private sinceGrantMs = 0;
+
   private backlogged = false;
 
   private updatedAt: number | undefined;
 
   private meanMs: number | undefined;
 
+  private deviationMs = 0;
+
   private constructor(private readonly memoryMs: number) {}
 
   static create(memoryMs: number): ServiceRate {
@@ -31,12 +42,21 @@
   /** Counts a grant that was made while entries waited. */
   countGrant(now: number): void {
     this.advance(now);
-    if (this.backlogged) this.grants += 1;
+    if (!this.backlogged) return;
+    this.grants += 1;
+    this.sinceGrantMs = 0;
   }
 
   /** Takes the time from grant to answer of a request that was served. */
   observeService(serviceMs: number): void {
-    this.meanMs = this.meanMs === undefined ? serviceMs : this.meanMs * 0.9 + serviceMs * 0.1;
+    if (this.meanMs === undefined) {
+      this.meanMs = serviceMs;
+      this.deviationMs = serviceMs / 2;
+      return;
+    }
+    const error = serviceMs - this.meanMs;
+    this.meanMs += error * sampleWeight;
+    this.deviationMs += (Math.abs(error) - this.deviationMs) * sampleWeight;
   }
 
   /** Mean time from grant to answer in ms; undefined before the first answer. */
@@ -44,11 +64,18 @@
     return this.meanMs;
   }
 
+  /** Time in ms within which nearly all answers are given; undefined before the first answer. */
+  get safeServiceMs(): number | undefined {
+    return this.meanMs === undefined ? undefined : this.meanMs + deviations * this.deviationMs;
+  }
+
   /** Milliseconds between grants under backlog; undefined while nothing is known. */
   intervalMs(running: number, now: number): number | undefined {
     this.advance(now);
     if (this.backloggedMs >= enoughBackloggedMs && this.grants > 0) {
-      return this.backloggedMs / this.grants;
+      const complete = (this.backloggedMs - this.sinceGrantMs) / this.grants;
+      // The interval in progress counts once it makes the estimate worse, as when service stalls.
+      return Math.max(complete, this.backloggedMs / (this.grants + 1));
     }
     if (this.meanMs !== undefined && running > 0) return this.meanMs / running;
     return undefined;
@@ -62,5 +89,6 @@
     const keep = Math.exp(-elapsed / this.memoryMs);
     this.grants *= keep;
     this.backloggedMs = this.backloggedMs * keep + elapsed;
+    this.sinceGrantMs += elapsed;
   }
 }
--- /dev/null
+++ b/packages/request/admission/test/queue.test.ts
@@ -0,0 +1,241 @@
+import fc from 'fast-check';
+import {
+  Admission,
+  AdmissionQueue,
+  type AdmissionRequest,
+  type Ticket,
+} from '@currantdrift/admission';
+
+const request = (caller: string, change: Partial<AdmissionRequest> = {}): AdmissionRequest => ({
+  caller,
+  weight: 1,
+  priority: 5,
+  deadline: 10_000,
+  ...change,
+});
+
+/** A queue whose capacity is set by the test; names the granted in order. */
+const setUp = (settings = {}) => {
+  const pool = { free: 0, granted: [] as string[] };
+  const queue = AdmissionQueue.create((head) => {
+    if (pool.free === 0) return undefined;
+    pool.free -= 1;
+    pool.granted.push(head.caller);
+    return head.caller;
+  }, settings);
+  return { pool, queue };
+};
+
+const refusalOf = async (ticket: Ticket<string>) => (await ticket.result)._unsafeUnwrapErr();
+
+// Guards against an order other than priority, fair share, deadline.
+test('grants by priority, then in turn between callers, then by deadline', () => {
+  const { pool, queue } = setUp();
+  queue.enter(request('a', { deadline: 9_000 }), 0);
+  queue.enter(request('a', { deadline: 8_000 }), 0);
+  queue.enter(request('b', { deadline: 9_500 }), 0);
+  queue.enter(request('c', { weight: 2 }), 0);
+  queue.enter(request('c', { weight: 2 }), 0);
+  queue.enter(request('urgent', { priority: 9 }), 0);
+  pool.free = 10;
+  queue.pump(1);
+  expect(pool.granted).toMatchInlineSnapshot(`
+   [
+     "urgent",
+     "a",
+     "b",
+     "c",
+     "c",
+     "a",
+   ]
+  `);
+});
+
+// Guards against one caller that fills the queue, and against refusals without a retry time.
+test('bounds a caller, and gives up the longest backlog when the queue is full', async () => {
+  const { queue } = setUp({ maxWaiting: 4, maxPerCaller: 3 });
+  const greedy = [0, 1, 2, 3].map((at) => queue.enter(request('greedy'), at));
+  queue.enter(request('b'), 4);
+  const refused = [await refusalOf(greedy[3])];
+  const small = queue.enter(request('c'), 5);
+  refused.push(await refusalOf(greedy[2]));
+  queue.enter(request('urgent', { priority: 9 }), 6);
+  refused.push(await refusalOf(greedy[1]));
+  refused.push(await refusalOf(queue.enter(request('b'), 7)));
+  expect(small.cancel(8)).toBe(true);
+  expect({ refused, waiting: queue.size }).toMatchInlineSnapshot(`
+   {
+     "refused": [
+       {
+         "kind": "caller_full",
+         "message": "greedy has too many requests waiting",
+         "retryAfterMs": 1000,
+       },
+       {
+         "kind": "queue_full",
+         "message": "made room for another caller",
+         "retryAfterMs": 1000,
+       },
+       {
+         "kind": "queue_full",
+         "message": "made room for another caller",
+         "retryAfterMs": 1000,
+       },
+       {
+         "kind": "queue_full",
+         "message": "too many requests are waiting",
+         "retryAfterMs": 1000,
+       },
+     ],
+     "waiting": 3,
+   }
+  `);
+});
+
+// Guards against a retry time that is too early: a request that comes back then is let in.
+test('an early refusal states when the same request would be let in', async () => {
+  const { pool, queue } = setUp();
+  pool.free = 2;
+  const running = [queue.enter(request('a'), 0), queue.enter(request('a'), 0)];
+  // Two answers of 100 ms each: one every 50 ms.
+  for (const ticket of running) (await ticket.result)._unsafeUnwrap().finish(true, 100);
+  pool.free = 2;
+  queue.enter(request('a'), 100);
+  queue.enter(request('a'), 100);
+  for (let index = 0; index < 12; index += 1) queue.enter(request(`w${index}`), 100);
+  const late = await refusalOf(queue.enter(request('z', { deadline: 700 }), 100));
+  expect(late.kind).toBe('too_late');
+  const back = 100 + late.retryAfterMs;
+  for (let at = 150; at <= back; at += 50) {
+    pool.free = 1;
+    queue.pump(at);
+  }
+  const again = queue.enter(request('z', { deadline: back + 600 }), back);
+  expect(again.cancel(back)).toBe(true);
+});
+
+// Guards against bad input that corrupts the order, and against waiting in a stopping process.
+test('refuses invalid requests, requests past their deadline, and all when closed', async () => {
+  const { queue } = setUp();
+  const refusals = [
+    await refusalOf(queue.enter(request('a', { weight: 0 }), 0)),
+    await refusalOf(queue.enter(request('a', { priority: 10 }), 0)),
+    await refusalOf(queue.enter(request('a', { deadline: NaN }), 0)),
+    await refusalOf(queue.enter(request('a', { deadline: 5 }), 5)),
+  ];
+  const waiting = queue.enter(request('a'), 6);
+  queue.close(7);
+  refusals.push(await refusalOf(waiting), await refusalOf(queue.enter(request('a'), 8)));
+  expect(refusals).toMatchInlineSnapshot(`
+   [
+     {
+       "kind": "invalid",
+       "message": "weight must be above 0, is 0",
+       "retryAfterMs": 0,
+     },
+     {
+       "kind": "invalid",
+       "message": "priority must be an integer from 0 to 9, is 10",
+       "retryAfterMs": 0,
+     },
+     {
+       "kind": "invalid",
+       "message": "deadline must be a time in ms, is NaN",
+       "retryAfterMs": 0,
+     },
+     {
+       "kind": "too_late",
+       "message": "the request cannot be answered before its deadline",
+       "retryAfterMs": 1000,
+     },
+     {
+       "kind": "closed",
+       "message": "the process is stopping",
+       "retryAfterMs": 1000,
+     },
+     {
+       "kind": "closed",
+       "message": "the process is stopping",
+       "retryAfterMs": 1000,
+     },
+   ]
+  `);
+});
+
+// Guards against a queue whose entries are always behind those of another on the same endpoints.
+test('queues that share endpoints take turns', () => {
+  const granted: string[] = [];
+  let free = 0;
+  const admission = Admission.create((key) => {
+    if (free === 0) return undefined;
+    free -= 1;
+    granted.push(key);
+    return key;
+  });
+  [0, 1].forEach((at) => ['x', 'y'].forEach((key) => admission.enter(key, request('a'), at)));
+  for (let at = 2; at < 6; at += 1) {
+    free = 1;
+    admission.pump(at);
+  }
+  expect(granted).toEqual(['x', 'y', 'x', 'y']);
+});
+
+// Guards against an entry that is settled twice or never, whatever the order of events.
+test('each entry is granted, refused or cancelled exactly once', async () => {
+  const step = fc.oneof(
+    fc.record({
+      kind: fc.constant('enter' as const),
+      caller: fc.constantFrom('a', 'b', 'c'),
+      priority: fc.integer({ min: 0, max: 9 }),
+      patience: fc.integer({ min: -5, max: 300 }),
+    }),
+    fc.record({ kind: fc.constant('cancel' as const), index: fc.nat(40) }),
+    fc.record({ kind: fc.constant('finish' as const), index: fc.nat(40), served: fc.boolean() }),
+    fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 120 }) }),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(step, { maxLength: 80 }), async (steps) => {
+      const { pool, queue } = setUp({ maxWaiting: 6, maxPerCaller: 3 });
+      pool.free = 2;
+      const tickets: Ticket<string>[] = [];
+      const settled: string[] = [];
+      const grants: { finish(served: boolean, now: number): boolean }[] = [];
+      let now = 0;
+      let cancelled = 0;
+      for (const one of steps) {
+        if (one.kind === 'enter') {
+          const { caller, priority, patience } = one;
+          const ticket = queue.enter(request(caller, { priority, deadline: now + patience }), now);
+          const index = tickets.push(ticket) - 1;
+          settled[index] = 'waiting';
+          ticket.result
+            .then((result) => {
+              settled[index] = result.isOk() ? 'granted' : result.error.kind;
+              if (result.isOk()) grants.push(result.value);
+            })
+            .catch(() => {});
+        } else if (one.kind === 'cancel') {
+          if (tickets[one.index]?.cancel(now)) cancelled += 1;
+        } else if (one.kind === 'finish') {
+          pool.free += 1;
+          if (!grants[one.index]?.finish(one.served, now)) pool.free -= 1;
+        } else {
+          now += one.ms;
+          queue.pump(now);
+        }
+        await Promise.resolve();
+        await Promise.resolve();
+        const count = (kind: string) => settled.filter((each) => each === kind).length;
+        expect(count('waiting')).toBe(queue.size);
+        expect(count('cancelled')).toBe(cancelled);
+        expect(count('granted')).toBe(pool.granted.length);
+        expect(queue.size).toBeLessThanOrEqual(6);
+      }
+      queue.close(now);
+      await Promise.resolve();
+      await Promise.resolve();
+      expect(settled).not.toContain('waiting');
+    }),
+    { seed: 20261204, numRuns: 300 },
+  );
+});
