Add the operators' client and the operators' HTTP interface

Cause: operators need to check, sign, roll out and inspect bundles, and to see and steer the system.

--- /dev/null
+++ b/packages/process/cli/src/command.ts
@@ -0,0 +1,39 @@
+import type { Result } from 'neverthrow';
+import type { ExitCode } from './exit';
+
+/** Why a command ended without its result. */
+export interface CommandFailure {
+  readonly code: ExitCode;
+  readonly message: string;
+}
+
+/** What a command gives: lines for people and a value for `--json`. */
+export interface CommandOutput {
+  readonly lines: readonly string[];
+  readonly value: unknown;
+}
+
+export interface CommandOption {
+  readonly type: 'string' | 'boolean';
+  /** Word for the value in the help. */
+  readonly value?: string;
+  readonly help: string;
+  readonly required?: boolean;
+}
+
+export type OptionValues = Readonly<Record<string, string | boolean | undefined>>;
+
+/** One command of the client. */
+export interface Command {
+  /** Words of the command, `bundle rollout`. */
+  readonly name: string;
+  /** Names of the positional arguments. */
+  readonly operands: readonly string[];
+  readonly summary: string;
+  readonly options: Readonly<Record<string, CommandOption>>;
+  readonly examples: readonly string[];
+  run(
+    operands: readonly string[],
+    options: OptionValues,
+  ): Promise<Result<CommandOutput, CommandFailure>>;
+}
--- /dev/null
+++ b/packages/process/cli/src/daemon-client.ts
@@ -0,0 +1,92 @@
+import { err, ok, type Result, ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+import type { CommandFailure, CommandOption, OptionValues } from './command';
+import { ExitCode } from './exit';
+
+/** Options of the commands that talk to a daemon. */
+export const daemonOptions: Readonly<Record<string, CommandOption>> = {
+  url: {
+    type: 'string',
+    value: 'URL',
+    help: "a daemon's operators' address; default CURRANTDRIFT_URL",
+  },
+  token: {
+    type: 'string',
+    value: 'TOKEN',
+    help: "operator token; default CURRANTDRIFT_TOKEN, which keeps it out of the shell's history",
+  },
+};
+
+/** An answer of a daemon. */
+export interface DaemonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const timeoutMs = 30_000;
+
+const usage = (message: string): CommandFailure => ({ code: ExitCode.usage, message });
+
+const errorText = ({ status, body }: DaemonAnswer): string => {
+  const message = (body as { error?: { message?: string } } | undefined)?.error?.message;
+  return message ?? `the daemon answered with status ${status}`;
+};
+
+/** Talks to a daemon's operators' port. */
+export class DaemonClient {
+  private constructor(
+    private readonly url: string,
+    private readonly token: string,
+  ) {}
+
+  /** From the command's options and the environment. */
+  static create(options: OptionValues): Result<DaemonClient, CommandFailure> {
+    const url = options.url ?? process.env.CURRANTDRIFT_URL;
+    const token = options.token ?? process.env.CURRANTDRIFT_TOKEN;
+    if (typeof url !== 'string') return err(usage('give --url or set CURRANTDRIFT_URL'));
+    if (typeof token !== 'string') return err(usage('give --token or set CURRANTDRIFT_TOKEN'));
+    if (!URL.canParse(url)) return err(usage(`${JSON.stringify(url)} is not a URL`));
+    return ok(new DaemonClient(url.replace(/\/$/, ''), token));
+  }
+
+  /** Asks for a value; any status but 200 is a failure. */
+  async get(path: string): Promise<Result<unknown, CommandFailure>> {
+    const answer = await this.send('GET', path);
+    return answer.andThen((value) =>
+      value.status === 200
+        ? ok(value.body)
+        : err({ code: ExitCode.failed, message: errorText(value) }),
+    );
+  }
+
+  async post(path: string, body: unknown): Promise<Result<unknown, CommandFailure>> {
+    const answer = await this.send('POST', path, JSON.stringify(body));
+    return answer.andThen((value) =>
+      value.status === 200
+        ? ok(value.body)
+        : err({ code: ExitCode.failed, message: errorText(value) }),
+    );
+  }
+
+  /** Sends a request and gives the answer whatever its status. */
+  send(
+    method: 'GET' | 'POST',
+    path: string,
+    body?: string | Uint8Array,
+  ): ResultAsync<DaemonAnswer, CommandFailure> {
+    const call = async (): Promise<DaemonAnswer> => {
+      const response = await request(`${this.url}/operator/v1${path}`, {
+        method,
+        headers: { Authorization: `Bearer ${this.token}` },
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        ...(body === undefined ? {} : { body }),
+      });
+      return { status: response.statusCode, body: await response.body.json() };
+    };
+    return ResultAsync.fromPromise(call(), (error) => ({
+      code: ExitCode.unreachable,
+      message: `${this.url}: ${error instanceof Error ? error.message : String(error)}`,
+    }));
+  }
+}
--- a/packages/process/cli/src/index.ts
+++ b/packages/process/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './exit';
+export * from './run';
--- /dev/null
+++ b/packages/process/cli/test/cli.test.ts
@@ -0,0 +1,62 @@
+import { mkdtempSync, rmSync, statSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { run } from '@currantdrift/cli';
+
+const invoke = async (...words: string[]) => {
+  const lines: string[] = [];
+  const take = (text: string) => lines.push(text);
+  const code = await run(words, { out: take, err: take });
+  return { code, text: lines.join('\n') };
+};
+
+let folder: string;
+
+beforeEach(() => {
+  folder = mkdtempSync(join(tmpdir(), 'currantdrift-'));
+});
+
+afterEach(() => rmSync(folder, { recursive: true }));
+
+// Guards against commands that drop out of the help.
+test('shows the help', async () => {
+  expect(await invoke('--help')).toMatchSnapshot();
+  expect(await invoke('bundle', 'propose', '--help')).toMatchSnapshot();
+});
+
+// Guards against mistyped words without a hint, and against exit codes that scripts rely on.
+test('answers mistakes with the nearest valid word', async () => {
+  const mistakes = [
+    await invoke('bundel', 'chek'),
+    await invoke('statsu'),
+    await invoke('status', '--jsn'),
+    await invoke('bundle', 'check'),
+    await invoke('bundle', 'propose', 'x.json'),
+    await invoke('status', '--url', 'nonsense', '--token', 't'),
+  ];
+  expect(mistakes).toMatchSnapshot();
+});
+
+// Guards against a private key that others can read.
+test('writes private keys for their owner alone', async () => {
+  const name = join(folder, 'nino');
+  expect((await invoke('keys', 'generate', name)).code).toBe(0);
+  // eslint-disable-next-line no-bitwise -- permission bits
+  expect(statSync(`${name}.key`).mode & 0o777).toBe(0o600);
+  expect((await invoke('keys', 'generate', name)).code).toBe(1);
+});
+
+// Guards against bundle mistakes that are reported one a run.
+test('lists every mistake of a bundle', async () => {
+  const file = join(folder, 'bundle.json');
+  writeFileSync(file, JSON.stringify({ version: 0, previous: null, domains: [], callers: 1 }));
+  const { code, text } = await invoke('bundle', 'check', file);
+  expect(code).toBe(1);
+  expect(text.replaceAll(folder, '')).toMatchSnapshot();
+});
+
+// Guards against a daemon that is down being reported as a refusal.
+test('tells a daemon that cannot be reached by its exit code', async () => {
+  const { code } = await invoke('status', '--url', 'http://127.0.0.1:9', '--token', 't');
+  expect(code).toBe(5);
+});
--- a/packages/process/node/src/index.ts
+++ b/packages/process/node/src/index.ts
@@ -1,2 +1,3 @@
 export * from './request/refusal';
 export * from './request/request';
+export * from './process/operations';
