--- a/packages/tooling/fakes/src/network.ts
+++ b/packages/tooling/fakes/src/network.ts
@@ -197,7 +197,13 @@
     return {
       now: () => this.clock.now(),
       sleep: async (ms, signal) => {
-        await this.clock.sleep(ms, signal);
+        // The signal often outlives the delay; the listener on it must not.
+        const ended = new AbortController();
+        const end = () => ended.abort();
+        if (signal?.aborted) end();
+        signal?.addEventListener('abort', end, { once: true });
+        await this.clock.sleep(ms, ended.signal);
+        signal?.removeEventListener('abort', end);
         if (station.paused) await station.resumed();
       },
     };
