--- a/packages/tooling/fakes/src/engine.ts
+++ b/packages/tooling/fakes/src/engine.ts
@@ -254,8 +254,11 @@
   }
 
   private async deliver(order: Order): Promise<Result<void, Failure>> {
+    const { bootId } = this;
     const delay = this.faults.latencyMs / 2 + this.faults.orderDelayMs(order);
     if (delay > 0) await this.clock.sleep(delay);
+    // The connection that carried the order ended with the process at its other end.
+    if (bootId !== this.bootId) return this.restarted();
     const result = await this.carryOut(order);
     if (this.faults.latencyMs > 0) await this.clock.sleep(this.faults.latencyMs / 2);
     if (this.faults.cut || this.faults.losesAnswer(order)) {
--- /dev/null
+++ b/packages/version/placement/src/accounting.ts
@@ -0,0 +1,164 @@
+import type { LoadedItem } from '@currantdrift/core';
+import { type EngineEvidence, type Evidence, isRaised } from './evidence';
+import { type Intent, IntentKind, nameOf, occupies, pairKey } from './intent';
+import { permitsUnrecorded } from './outage';
+import { allProtections, type Protections } from './protections';
+import type { DomainRecord } from './record';
+
+/** An item that is, or may be, in the memory of an engine. */
+export interface Claim {
+  readonly engine: string;
+  /** Item key. */
+  readonly item: string;
+  readonly bytes: number;
+  /** Intents of the pair, oldest first. */
+  readonly intents: readonly Intent[];
+  /** What the engine's newest report says of the item. */
+  readonly reported: LoadedItem | undefined;
+  /** True if it is not known whether the engine holds the item. */
+  readonly inDoubt: boolean;
+}
+
+/** Everything that accounting looks at; a value of one moment. */
+export interface Account {
+  readonly record: DomainRecord;
+  readonly evidence: Evidence;
+  /** Ids of intents whose order this process is about to send or waits for. */
+  readonly pending: ReadonlySet<string>;
+  /** Those of `pending` whose answer is overdue or lost. */
+  readonly doubtful: ReadonlySet<string>;
+  readonly protections?: Protections;
+}
+
+/** Tells whether another process may still send the order of the intent. */
+export const isForeign = ({ epoch, answered }: Intent, record: DomainRecord): boolean =>
+  epoch < record.epoch && !answered;
+
+/**
+ * Tells whether the engine's process, for which the intent was made, has been replaced so that
+ * the intent can have no more effect. An order that any process may yet send is never void.
+ */
+const isVoid = (intent: Intent, account: Account): boolean => {
+  const report = account.evidence.get(intent.engine)?.report;
+  if (report === undefined || report.bootId === intent.bootId) return false;
+  return !isForeign(intent, account.record) && !account.pending.has(intent.id);
+};
+
+const isCounted = (intent: Intent, account: Account): boolean => {
+  if (!occupies(intent) || isVoid(intent, account)) return false;
+  const { countInDoubt, pairExclusion } = account.protections ?? allProtections;
+  if (intent.answered) return true;
+  if (account.pending.has(intent.id) && !account.doubtful.has(intent.id)) return true;
+  if (isForeign(intent, account.record) && !pairExclusion) return false;
+  return countInDoubt || intent.kind === IntentKind.standing;
+};
+
+/** The claims on the memory of engines, by pair of engine and item. */
+export const claimsOf = (account: Account): ReadonlyMap<string, Claim> => {
+  const claims = new Map<string, Claim>();
+  account.evidence.forEach(({ id, report }) =>
+    report?.items.forEach((reported) =>
+      claims.set(pairKey(id, reported.item), {
+        engine: id,
+        item: reported.item,
+        bytes: reported.bytes,
+        intents: [],
+        reported,
+        inDoubt: false,
+      }),
+    ),
+  );
+  account.record.intents.forEach((intent) => {
+    const key = pairKey(intent.engine, intent.item);
+    const claim = claims.get(key);
+    if (claim === undefined && !isCounted(intent, account)) return;
+    claims.set(key, {
+      engine: intent.engine,
+      item: intent.item,
+      bytes: Math.max(claim?.bytes ?? 0, intent.bytes),
+      intents: [...(claim?.intents ?? []), intent],
+      reported: claim?.reported,
+      inDoubt:
+        (claim?.inDoubt ?? false) ||
+        (!intent.answered && (!account.pending.has(intent.id) || account.doubtful.has(intent.id))),
+    });
+  });
+  return claims;
+};
+
+/** Bytes of the engine's memory that are used or may come to be used. */
+export const committedBytes = (claims: ReadonlyMap<string, Claim>, engine: string): number =>
+  [...claims.values()]
+    .filter((claim) => claim.engine === engine)
+    .reduce((sum, { bytes }) => sum + bytes, 0);
+
+/**
+ * Tells whether an engine may hold a replica of `name` that the record does not show: an earlier
+ * holder may have loaded it during a store outage, and the engine has not been heard since.
+ */
+export const mayHoldUnrecorded = (
+  { id, fencing, report }: EngineEvidence,
+  name: string,
+  { epoch, unrecorded }: DomainRecord,
+): boolean =>
+  unrecorded &&
+  fencing &&
+  permitsUnrecorded(id, name) &&
+  !(report !== undefined && report.epoch >= epoch);
+
+/**
+ * Replicas of an item, all versions together, that count against its limit.
+ *
+ * @param name item name without version
+ * @param pool pool of the item's model; engines of other pools hold no unrecorded replica
+ */
+export const countReplicas = (
+  account: Account,
+  claims: ReadonlyMap<string, Claim>,
+  name: string,
+  pool: string,
+): number => {
+  const holding = new Set(
+    [...claims.values()].filter((claim) => nameOf(claim.item) === name).map((claim) => claim),
+  );
+  const engines = new Set([...holding].map(({ engine }) => engine));
+  const unheard = [...account.evidence.values()].filter(
+    (engine) =>
+      engine.pool === pool &&
+      !engines.has(engine.id) &&
+      mayHoldUnrecorded(engine, name, account.record),
+  );
+  return holding.size + unheard.length;
+};
+
+const hasUnload = ({ intents }: Claim): boolean =>
+  intents.some(({ kind }) => kind === IntentKind.unload);
+
+/** Tells whether requests may go to the replica. */
+export const isRoutable = (claim: Claim): boolean =>
+  claim.reported?.state === 'ready' && !hasUnload(claim);
+
+/** Claims on which requests for the item key may run, in order of engine id. */
+export const routableClaims = (
+  claims: ReadonlyMap<string, Claim>,
+  item: string,
+): readonly Claim[] =>
+  [...claims.values()]
+    .filter((claim) => claim.item === item && isRoutable(claim))
+    .sort((a, b) => (a.engine < b.engine ? -1 : 1));
+
+/** Tells whether the controller must send no order for the pair. */
+export const isExcluded = (account: Account, engine: string, item: string): boolean => {
+  const { pairExclusion } = account.protections ?? allProtections;
+  return (
+    pairExclusion &&
+    account.record.intents.some(
+      (intent) =>
+        intent.engine === engine && intent.item === item && isForeign(intent, account.record),
+    )
+  );
+};
+
+/** Tells whether the controller may send orders to the engine: fencing must be in force first. */
+export const acceptsOrders = (engine: EngineEvidence, epoch: number): boolean =>
+  engine.report !== undefined && (!engine.fencing || isRaised(engine, epoch));
--- /dev/null
+++ b/packages/version/placement/src/acknowledgement.ts
@@ -0,0 +1,50 @@
+import type { Store } from '@currantdrift/core';
+import { z } from 'zod';
+import type { Holder } from './record';
+
+const schema = z.object({
+  incarnation: z.number().int().nonnegative(),
+  epoch: z.number().int().nonnegative(),
+  unsettled: z.array(z.string()),
+});
+
+/** A former holder's statement that it sends no more orders of `epoch` or below. */
+export interface Acknowledgement {
+  readonly incarnation: number;
+  readonly epoch: number;
+  /** Ids of intents whose order had no answer; their bytes may still arrive. */
+  readonly unsettled: readonly string[];
+}
+
+const keyOf = (domain: string, daemon: string): string => `domain/${domain}/ack/${daemon}`;
+
+/** The acknowledgement of a former holder; undefined if there is none or it cannot be read. */
+export const readAcknowledgement = async (
+  store: Store,
+  domain: string,
+  { daemon, incarnation }: Holder,
+): Promise<Acknowledgement | undefined> => {
+  const entry = (await store.get(keyOf(domain, daemon))).unwrapOr(undefined);
+  if (entry === undefined) return undefined;
+  try {
+    const parsed = schema.safeParse(JSON.parse(new TextDecoder().decode(entry.value)));
+    return parsed.success && parsed.data.incarnation === incarnation ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Writes an acknowledgement; false if it is not known to stand. */
+export const writeAcknowledgement = async (
+  store: Store,
+  domain: string,
+  daemon: string,
+  acknowledgement: Acknowledgement,
+): Promise<boolean> => {
+  const key = keyOf(domain, daemon);
+  const current = await store.get(key);
+  if (current.isErr()) return false;
+  const bytes = new TextEncoder().encode(JSON.stringify(acknowledgement));
+  const swap = await store.compareAndSwap(key, current.value?.revision ?? 0, bytes);
+  return swap.isOk() && swap.value.kind === 'swapped';
+};
--- /dev/null
+++ b/packages/version/placement/src/allotment.ts
@@ -0,0 +1,21 @@
+import { type BundleDomain, rendezvousOrder } from '@currantdrift/core';
+
+/**
+ * Replicas of an item that `domain` may hold when the item's limit over all domains is `limit`.
+ * Slots are dealt round-robin over the founding domains in the item's rendezvous order, so the
+ * result never falls when the limit rises, and the allotments of all domains add up to the limit.
+ * A domain that is unknown or was appended later holds none.
+ *
+ * @param item name without version; all versions of an item share its slots
+ */
+export const allotment = (
+  item: string,
+  limit: number,
+  domain: string,
+  domains: readonly BundleDomain[],
+): number => {
+  const founding = domains.filter((candidate) => candidate.founding).map(({ name }) => name);
+  const position = rendezvousOrder(item, founding).indexOf(domain);
+  if (position < 0 || limit <= 0) return 0;
+  return Math.floor(limit / founding.length) + (position < limit % founding.length ? 1 : 0);
+};
--- /dev/null
+++ b/packages/version/placement/src/catalogue.ts
@@ -0,0 +1,73 @@
+import { type Bundle, isAdapter, itemKey, modelOf, parseItemKey } from '@currantdrift/core';
+import { allotment } from './allotment';
+import { nameOf } from './intent';
+import { allotmentWithLoans } from './loan';
+import type { DomainRecord } from './record';
+
+/** An item as the accepted bundle has it. */
+export interface Listed {
+  /** Item key with the version of the bundle. */
+  readonly key: string;
+  readonly name: string;
+  readonly bytes: number;
+  /** Limit over all domains. */
+  readonly limit: number;
+  readonly pool: string;
+  /** Key of the model that an adapter belongs to. */
+  readonly model?: string;
+}
+
+/** The items of a bundle by name. */
+export class Catalogue {
+  private readonly items = new Map<string, Listed>();
+
+  private constructor(readonly bundle: Bundle) {
+    bundle.models.forEach((model) =>
+      this.items.set(model.name, {
+        key: itemKey(model),
+        name: model.name,
+        bytes: model.bytes,
+        limit: model.replicas,
+        pool: model.pool,
+      }),
+    );
+    bundle.adapters.forEach((adapter) => {
+      const model = this.items.get(modelOf(adapter.name));
+      if (model === undefined || !isAdapter(adapter.name)) return;
+      this.items.set(adapter.name, {
+        key: itemKey(adapter),
+        name: adapter.name,
+        bytes: adapter.bytes,
+        limit: adapter.replicas,
+        pool: model.pool,
+        model: model.key,
+      });
+    });
+  }
+
+  static create(bundle: Bundle): Catalogue {
+    return new Catalogue(bundle);
+  }
+
+  get(name: string): Listed | undefined {
+    return this.items.get(name);
+  }
+
+  /** Finds an item by key or by name; undefined if the bundle has no such item or version. */
+  find(item: string): Listed | undefined {
+    const listed = this.items.get(nameOf(item));
+    return parseItemKey(item) === undefined || listed?.key === item ? listed : undefined;
+  }
+
+  all(): readonly Listed[] {
+    return [...this.items.values()];
+  }
+
+  /** Replicas that `domain` may hold of an item, loans included; 0 for an item not listed. */
+  allotted(name: string, domain: string, record: DomainRecord): number {
+    const listed = this.items.get(name);
+    if (listed === undefined) return 0;
+    const own = allotment(name, listed.limit, domain, this.bundle.domains);
+    return allotmentWithLoans(own, name, listed.limit, domain, record.loans);
+  }
+}
--- /dev/null
+++ b/packages/version/placement/src/choice.ts
@@ -0,0 +1,179 @@
+import { CacheTier, HostState } from '@currantdrift/core';
+import {
+  type Account,
+  acceptsOrders,
+  type Claim,
+  committedBytes,
+  isExcluded,
+  isRoutable,
+} from './accounting';
+import type { EngineEvidence } from './evidence';
+import { IntentKind, isAdapterOf, nameOf, pairKey } from './intent';
+
+/** What is to be placed. */
+export interface Wanted {
+  /** Item key. */
+  readonly item: string;
+  readonly bytes: number;
+  readonly pool: string;
+  /** Key of the model that an adapter needs on the same engine. */
+  readonly model?: string;
+}
+
+/** What the choice takes into account beside the record and the reports; times in ms. */
+export interface ChoiceInputs {
+  readonly account: Account;
+  readonly claims: ReadonlyMap<string, Claim>;
+  /** Pairs that are being drained or unloaded. */
+  readonly draining: ReadonlySet<string>;
+  /** Engines on which the last try failed. */
+  readonly avoided: ReadonlySet<string>;
+  /** Load level of an engine in eighths of its slots. */
+  readonly level: (engine: string) => number;
+  /** Value of keeping an item, by name without version. */
+  readonly value: (name: string) => number;
+  readonly loadMs: (bytes: number, tier: CacheTier) => number;
+  /** Expected wait for the resource behind a load of this tier. */
+  readonly queueMs: (tier: CacheTier) => number;
+  /** Time that an eviction takes before the load can start. */
+  readonly evictMs: number;
+  /** Tells whether the present state of the store permits a load on the engine. */
+  readonly permits: (engine: EngineEvidence, item: string) => boolean;
+}
+
+/** Where an item goes and what has to leave first. */
+export interface Placement {
+  readonly engine: string;
+  readonly bootId: string;
+  readonly tier: CacheTier;
+  readonly evictions: readonly Claim[];
+  /** Standing intents that give way to the load. */
+  readonly withdrawn: readonly string[];
+  /** Time until the item is ready. */
+  readonly estimateMs: number;
+}
+
+/** Extra time, in ms, charged for each eighth of load; a full engine is slower to first token. */
+const levelMs = 25;
+
+/** Evictions that one load may cause; more would unload half an engine for one item. */
+const maxEvictions = 8;
+
+const isStandingOnly = ({ intents, reported }: Claim): boolean =>
+  reported === undefined &&
+  intents.length > 0 &&
+  intents.every(({ kind }) => kind === IntentKind.standing);
+
+/** Where the engine finds the checkpoint of an item. */
+export const tierOf = ({ report }: EngineEvidence, item: string): CacheTier =>
+  report?.cached.find((cached) => cached.item === item)?.tier ?? CacheTier.remote;
+
+const isIdle = (claim: Claim, inputs: ChoiceInputs): boolean =>
+  isRoutable(claim) &&
+  !claim.inDoubt &&
+  claim.reported?.running === 0 &&
+  !inputs.draining.has(pairKey(claim.engine, claim.item)) &&
+  !isExcluded(inputs.account, claim.engine, claim.item);
+
+/** Claims that leave with `claim`: a model takes its adapters along. */
+const withAdapters = (claim: Claim, onEngine: readonly Claim[]): readonly Claim[] => [
+  ...onEngine.filter(({ item }) => item !== claim.item && isAdapterOf(item, claim.item)),
+  claim,
+];
+
+const evictionsFor = (
+  shortBytes: number,
+  wanted: Wanted,
+  onEngine: readonly Claim[],
+  inputs: ChoiceInputs,
+): readonly Claim[] | undefined => {
+  const groups = onEngine
+    .filter((claim) => claim.item !== wanted.model && isIdle(claim, inputs))
+    .map((claim) => withAdapters(claim, onEngine))
+    .filter((group) => group.every((claim) => isIdle(claim, inputs)))
+    .map((group) => ({
+      group,
+      bytes: group.reduce((sum, { bytes }) => sum + bytes, 0),
+      value: group.reduce((sum, { item }) => sum + inputs.value(nameOf(item)), 0),
+    }))
+    .sort((a, b) => a.value / a.bytes - b.value / b.bytes);
+  const chosen = new Set<Claim>();
+  let freed = 0;
+  groups.forEach(({ group }) => {
+    if (freed >= shortBytes) return;
+    group
+      .filter((claim) => !chosen.has(claim))
+      .forEach((claim) => {
+        chosen.add(claim);
+        freed += claim.bytes;
+      });
+  });
+  return freed >= shortBytes && chosen.size <= maxEvictions ? [...chosen] : undefined;
+};
+
+const placementOn = (
+  engine: EngineEvidence,
+  wanted: Wanted,
+  inputs: ChoiceInputs,
+): Placement | undefined => {
+  const { account, claims } = inputs;
+  const { report } = engine;
+  if (report === undefined || engine.pool !== wanted.pool) return undefined;
+  if (engine.state !== HostState.live || !acceptsOrders(engine, account.record.epoch)) {
+    return undefined;
+  }
+  if (inputs.avoided.has(engine.id) || isExcluded(account, engine.id, wanted.item)) {
+    return undefined;
+  }
+  if (!inputs.permits(engine, wanted.item) || wanted.bytes > report.memoryBytes) return undefined;
+  const onEngine = [...claims.values()].filter((claim) => claim.engine === engine.id);
+  if (wanted.model !== undefined) {
+    const model = claims.get(pairKey(engine.id, wanted.model));
+    if (model === undefined || !isRoutable(model)) return undefined;
+    if (inputs.draining.has(pairKey(engine.id, wanted.model))) return undefined;
+  }
+  const own = claims.get(pairKey(engine.id, wanted.item));
+  if (own !== undefined && !isStandingOnly(own)) return undefined;
+  const standing = onEngine.filter((claim) => isStandingOnly(claim) && claim !== own);
+  const withdrawable = standing.filter(
+    ({ item, intents }) =>
+      !isExcluded(account, engine.id, item) &&
+      intents.every(({ epoch }) => epoch === account.record.epoch),
+  );
+  const free = report.memoryBytes - committedBytes(claims, engine.id) + (own?.bytes ?? 0);
+  const withdrawn: Claim[] = [];
+  let short = wanted.bytes - free;
+  withdrawable.forEach((claim) => {
+    if (short <= 0) return;
+    withdrawn.push(claim);
+    short -= claim.bytes;
+  });
+  const evictions = short > 0 ? evictionsFor(short, wanted, onEngine, inputs) : [];
+  if (evictions === undefined) return undefined;
+  const tier = tierOf(engine, wanted.item);
+  return {
+    engine: engine.id,
+    bootId: report.bootId,
+    tier,
+    evictions,
+    withdrawn: withdrawn.flatMap(({ intents }) => intents.map(({ id }) => id)),
+    estimateMs:
+      inputs.loadMs(wanted.bytes, tier) +
+      inputs.queueMs(tier) +
+      (evictions.length > 0 ? inputs.evictMs : 0) +
+      inputs.level(engine.id) * levelMs,
+  };
+};
+
+/** All engines on which the item can be placed, the lowest time to first token first. */
+export const placementsFor = (wanted: Wanted, inputs: ChoiceInputs): readonly Placement[] =>
+  [...inputs.account.evidence.values()]
+    .map((engine) => placementOn(engine, wanted, inputs))
+    .filter((placement) => placement !== undefined)
+    .sort(
+      (a, b) =>
+        a.estimateMs - b.estimateMs ||
+        a.evictions.length - b.evictions.length ||
+        a.withdrawn.length - b.withdrawn.length ||
+        (a.engine < b.engine ? -1 : 1),
+    );
--- /dev/null
+++ b/packages/version/placement/src/controller.ts
@@ -0,0 +1,349 @@
+import {
+  type Bundle,
+  type Clock,
+  type DomainView,
+  type Endpoint,
+  type HostList,
+  type Random,
+  SilentTelemetry,
+  type Store,
+  SystemRandom,
+  type Telemetry,
+  type WakeRefusal,
+  type Waker,
+} from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { writeAcknowledgement } from './acknowledgement';
+import { Budget, domainShare } from './budget';
+import { Catalogue } from './catalogue';
+import { Domain } from './domain';
+import { type DrainMark, Drains } from './drains';
+import { Engines } from './engines';
+import { nameOf } from './intent';
+import type { KeepWarm } from './keep-warm';
+import { Ledger } from './ledger';
+import { DomainLease } from './lease';
+import { LoadSpeed } from './load-speed';
+import { allProtections, type Protections } from './protections';
+import { decodeRecord, type DomainRecord, emptyRecord, encodeRecord, type Holder } from './record';
+import { withHolder, withoutHolder, withoutIntents } from './record-updates';
+import type { ReportContext } from './settle';
+import { defaultPlacementSettings, type PlacementSettings } from './settings';
+import { Tenure } from './tenure';
+
+/** Number of engines in this domain and in all, for the shares of common budgets. */
+export interface Fleet {
+  readonly engines: number;
+  readonly allEngines: number;
+  /** Weight-store loads at once that other domains leave unused, by a fresh summary. */
+  readonly spareLoads?: number;
+}
+
+export interface ControllerOptions {
+  readonly domain: string;
+  readonly daemon: Holder;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly hosts: HostList;
+  /** Adapter to an engine of the domain, by host name. */
+  readonly endpoint: (id: string) => Endpoint | undefined;
+  /** The accepted bundle; undefined before there is one. */
+  readonly bundle: () => Bundle | undefined;
+  readonly view: DomainView;
+  readonly keepWarm: KeepWarm;
+  /** Told all replicas that get no new requests, at each change. */
+  readonly onDrain?: (marks: readonly DrainMark[]) => void;
+  readonly fleet?: () => Fleet;
+  readonly random?: Random;
+  readonly telemetry?: Telemetry;
+  readonly settings?: Partial<PlacementSettings>;
+  /** Only tests switch protections off. */
+  readonly protections?: Partial<Protections>;
+}
+
+/** What operators see of a domain's placement. */
+export interface ControllerStatus {
+  readonly isHolder: boolean;
+  readonly epoch: number;
+  readonly isOutage: boolean;
+  readonly drains: readonly DrainMark[];
+  readonly record: DomainRecord | undefined;
+}
+
+const retryMs = 1_000;
+
+/** Tries of an acknowledgement, and the pause between them in ms. */
+const acknowledgeTries = 100;
+
+const noController: WakeRefusal = {
+  kind: 'no_controller',
+  message: 'this daemon does not control the domain',
+  retryAfterMs: 1_000,
+};
+
+/**
+ * Controller of a failure domain: contends for the domain's lease and, while it holds the domain,
+ * is the only one to order loads and unloads there.
+ */
+export class Controller implements Waker {
+  private readonly settings: PlacementSettings;
+
+  private readonly random: Random;
+
+  private readonly telemetry: Telemetry;
+
+  private readonly speed: LoadSpeed;
+
+  private readonly lease: DomainLease;
+
+  private readonly stopped = new AbortController();
+
+  private tenure: Tenure | undefined;
+
+  private running: Promise<void> | undefined;
+
+  private constructor(private readonly options: ControllerOptions) {
+    this.settings = { ...defaultPlacementSettings, ...options.settings };
+    this.random = options.random ?? SystemRandom.create();
+    this.telemetry = options.telemetry ?? SilentTelemetry.create();
+    this.speed = LoadSpeed.create(this.settings.bytesPerMs);
+    this.lease = DomainLease.create({
+      store: options.store,
+      clock: options.clock,
+      random: this.random,
+      key: `domain/${options.domain}/lease`,
+      holder: options.daemon.daemon,
+      leaseMs: this.settings.leaseMs,
+      renewMs: this.settings.renewMs,
+    });
+  }
+
+  static create(options: ControllerOptions): Controller {
+    return new Controller(options);
+  }
+
+  get isHolder(): boolean {
+    return this.tenure?.isActive ?? false;
+  }
+
+  /** Contends for the domain until `stop` is called. Never rejects. */
+  run(): Promise<void> {
+    this.running ??= this.contend();
+    return this.running;
+  }
+
+  /** Hands the domain over: ends orders under way, ends the tenure, revokes the lease. */
+  async stop(): Promise<void> {
+    this.stopped.abort();
+    await this.running;
+  }
+
+  async wake(item: string, deadline: number): Promise<Result<string, WakeRefusal>> {
+    const { tenure } = this;
+    if (tenure === undefined || !tenure.isActive) return err(noController);
+    const listed = tenure.domain.catalogue?.find(item);
+    if (listed === undefined) {
+      return err({
+        kind: 'no_allotment',
+        message: `the accepted bundle has no ${item}`,
+        retryAfterMs: retryMs,
+      });
+    }
+    return tenure.wake(listed, deadline);
+  }
+
+  touch(item: string, now: number): void {
+    const name = nameOf(item);
+    this.options.keepWarm.touch(name, now);
+  }
+
+  status(): ControllerStatus {
+    const domain = this.tenure?.domain;
+    return {
+      isHolder: this.isHolder,
+      epoch: domain?.record.epoch ?? 0,
+      isOutage: domain?.parts.ledger.isOutage ?? false,
+      drains: domain?.parts.drains.list() ?? [],
+      record: domain?.record,
+    };
+  }
+
+  /** The catalogue of a bundle, for callers that need limits and allotments. */
+  static catalogue(bundle: Bundle): Catalogue {
+    return Catalogue.create(bundle);
+  }
+
+  private async contend(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) {
+      try {
+        if (await this.lease.acquire(signal)) await this.hold();
+      } catch (error) {
+        this.telemetry.log('controller_failed', { error: String(error) });
+      }
+      if (!signal.aborted) {
+        await this.options.clock.sleep(retryMs * (0.5 + this.random.next()), signal);
+      }
+    }
+  }
+
+  private async hold(): Promise<void> {
+    const ended = new AbortController();
+    const end = () => ended.abort();
+    this.stopped.signal.addEventListener('abort', end, { once: true });
+    // Renewal starts before the takeover, which may take longer than the lease when the store is slow.
+    const renewal = this.lease
+      .keep(ended.signal)
+      .then(() => this.tenure?.domain.parts.ledger.close());
+    try {
+      const taken = await this.takeOver(ended.signal);
+      if (taken !== undefined) {
+        const tenure = this.open(taken.record, taken.revision, end);
+        this.tenure = tenure;
+        this.telemetry.log('domain_held', { epoch: taken.record.epoch });
+        await tenure.run(ended.signal);
+        await this.handOver(tenure);
+      }
+    } finally {
+      this.stopped.signal.removeEventListener('abort', end);
+      end();
+      await renewal;
+      this.tenure = undefined;
+      await this.lease.release();
+    }
+  }
+
+  /** Raises the epoch; undefined if the lease went to another or `signal` aborted. */
+  private async takeOver(
+    signal: AbortSignal,
+  ): Promise<{ record: DomainRecord; revision: number } | undefined> {
+    const { store, clock, daemon } = this.options;
+    const key = this.recordKey();
+    while (!signal.aborted) {
+      const entry = await store.get(key);
+      if (entry.isOk()) {
+        const read = entry.value === undefined ? ok(emptyRecord) : decodeRecord(entry.value.value);
+        if (read.isErr()) {
+          this.telemetry.log('record_invalid', { key, error: read.error });
+        } else {
+          const record = { ...withHolder(read.value, daemon), serial: read.value.serial + 1 };
+          const bytes = encodeRecord(record)._unsafeUnwrap();
+          const swap = await store.compareAndSwap(key, entry.value?.revision ?? 0, bytes);
+          if (swap.isOk() && swap.value.kind === 'swapped') {
+            return { record, revision: swap.value.revision };
+          }
+          // After a lost answer the next round reads what stands and raises the epoch again.
+        }
+      }
+      await clock.sleep(retryMs * this.random.next(), signal);
+    }
+    return undefined;
+  }
+
+  private open(record: DomainRecord, revision: number, onLost: () => void): Tenure {
+    const { options, settings, random, telemetry } = this;
+    const { clock, store, view, keepWarm } = options;
+    const ledger = Ledger.create({
+      store,
+      clock,
+      random,
+      telemetry,
+      key: this.recordKey(),
+      record,
+      revision,
+      onLost,
+    });
+    let tenure: Tenure | undefined;
+    const engines = Engines.create({
+      domain: options.domain,
+      clock,
+      hosts: options.hosts,
+      endpoint: options.endpoint,
+      view,
+      telemetry,
+      settings,
+      isActive: () => tenure?.isActive ?? false,
+      onReport: (report, context) => tenure?.onReport(report, context as ReportContext),
+      contextOf: (engine) => tenure?.contextOf(engine),
+    });
+    if (record.keepWarm !== '') keepWarm.restore(record.keepWarm, clock.now());
+    const domain = Domain.create({
+      name: options.domain,
+      clock,
+      random,
+      telemetry,
+      settings,
+      protections: { ...allProtections, ...options.protections },
+      ledger,
+      engines,
+      drains: Drains.create(options.onDrain ?? (() => {})),
+      keepWarm,
+      view,
+      bundle: options.bundle,
+      speed: this.speed,
+      loads: Budget.create(clock, () => this.loadLimits()),
+      transits: Budget.create(clock, () => ({
+        atOnce: this.share(settings.adapterTransits),
+        perSecond: Infinity,
+      })),
+    });
+    tenure = Tenure.create(domain, store);
+    return tenure;
+  }
+
+  private async handOver(tenure: Tenure): Promise<void> {
+    const settled = await tenure.close();
+    const { ledger, engines, drains } = tenure.domain.parts;
+    if (!ledger.isLost) {
+      const { epoch } = ledger.record;
+      const copy = this.options.keepWarm.snapshot(this.options.clock.now());
+      await ledger.commit({
+        apply: (record) => {
+          const standing = record.intents
+            .filter((intent) => intent.kind === 'standing' && intent.epoch === epoch)
+            .map(({ id }) => id);
+          const base = withoutIntents(record, new Set(standing));
+          const isUnrecorded = record.unrecorded && !tenure.hasHeardAll();
+          return { ...withoutHolder(base, settled, isUnrecorded), keepWarm: copy };
+        },
+        undo: (record) => record,
+      });
+    }
+    ledger.close();
+    drains.clear();
+    this.acknowledge(ledger.record.epoch, engines).catch(() => {});
+  }
+
+  /** Tells successors that no more orders of the epoch are sent, once none is under way. */
+  private async acknowledge(epoch: number, engines: Engines): Promise<void> {
+    const { store, clock, domain, daemon } = this.options;
+    while (engines.callsUnderWay > 0) await clock.sleep(retryMs);
+    const unsettled = [...engines.doubtful];
+    for (let tries = 0; tries < acknowledgeTries; tries += 1) {
+      const { incarnation } = daemon;
+      const value = { incarnation, epoch, unsettled };
+      if (await writeAcknowledgement(store, domain, daemon.daemon, value)) return;
+      await clock.sleep(retryMs);
+    }
+  }
+
+  private recordKey(): string {
+    return `domain/${this.options.domain}/record`;
+  }
+
+  private share(limit: number): number {
+    const fleet = this.options.fleet?.();
+    return fleet === undefined ? limit : domainShare(limit, fleet.engines, fleet.allEngines);
+  }
+
+  private loadLimits(): { atOnce: number; perSecond: number } {
+    const { loadsAtOnce, loadsPerSecond } = this.settings;
+    const fleet = this.options.fleet?.();
+    const part = fleet === undefined ? 1 : fleet.engines / Math.max(1, fleet.allEngines);
+    const spare = fleet?.spareLoads ?? 0;
+    return {
+      atOnce: this.share(loadsAtOnce) + spare,
+      perSecond: Math.min(loadsPerSecond, loadsPerSecond * part + spare),
+    };
+  }
+}
--- /dev/null
+++ b/packages/version/placement/src/fixed-ttl.ts
@@ -0,0 +1,41 @@
+import type { KeepWarm } from './keep-warm';
+
+/** Keeps every item for a fixed time after its last request. */
+export class FixedTtl implements KeepWarm {
+  private readonly last = new Map<string, number>();
+
+  private constructor(private readonly ttlMs: number) {}
+
+  static create(ttlMs: number): FixedTtl {
+    return new FixedTtl(ttlMs);
+  }
+
+  touch(item: string, now: number): void {
+    this.last.set(item, now);
+  }
+
+  keepUntil(item: string, now: number): number {
+    return (this.last.get(item) ?? now) + this.ttlMs;
+  }
+
+  warmAt(): number | undefined {
+    return undefined;
+  }
+
+  /** Recently used items are worth more; the scale has no unit. */
+  value(item: string, now: number): number {
+    return 1 / (1 + now - (this.last.get(item) ?? 0));
+  }
+
+  snapshot(): string {
+    return JSON.stringify([...this.last]);
+  }
+
+  restore(snapshot: string): void {
+    try {
+      (JSON.parse(snapshot) as [string, number][]).forEach(([item, at]) => this.last.set(item, at));
+    } catch {
+      // The copy is a hint; without it every item counts as not used yet.
+    }
+  }
+}
--- a/packages/version/placement/src/index.ts
+++ b/packages/version/placement/src/index.ts
@@ -1,1 +1,22 @@
-export {};
+export * from './accounting';
+export * from './allotment';
+export * from './budget';
+export * from './catalogue';
+export {
+  Controller,
+  type ControllerOptions,
+  type ControllerStatus,
+  type Fleet,
+} from './controller';
+export type { DrainMark } from './drains';
+export * from './evidence';
+export * from './fixed-ttl';
+export * from './intent';
+export * from './keep-warm';
+export * from './loan';
+export * from './messages';
+export * from './protections';
+export * from './record';
+export * from './record-updates';
+export * from './settings';
+export * from './settle';
--- /dev/null
+++ b/packages/version/placement/src/load-job.ts
@@ -0,0 +1,89 @@
+import type { Clock, WakeRefusal } from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+
+type Answer = Result<string, WakeRefusal>;
+
+interface Waiter {
+  readonly deadline: number;
+  readonly resolve: (answer: Answer) => void;
+}
+
+/** Time, in ms, that a load without an estimate is expected to take at least. */
+const unknownLoadMs = 1_000;
+
+/** A load and the requests that wait for it. */
+export class LoadJob {
+  private waiters: Waiter[] = [];
+
+  private readyAt: number | undefined;
+
+  private answer: Answer | undefined;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): LoadJob {
+    return new LoadJob(clock);
+  }
+
+  /** Latest deadline of the requests that wait; `Infinity` if none does. */
+  get latestDeadline(): number {
+    const deadlines = this.waiters.map(({ deadline }) => deadline);
+    return deadlines.length === 0 ? Infinity : Math.max(...deadlines);
+  }
+
+  /** Earliest deadline of the requests that wait; `Infinity` if none does. */
+  get earliestDeadline(): number {
+    return Math.min(...this.waiters.map(({ deadline }) => deadline));
+  }
+
+  isWanted(now: number): boolean {
+    return this.waiters.some(({ deadline }) => deadline > now);
+  }
+
+  /** Resolves with the load's result, or refuses once the item cannot be ready by `deadline`. */
+  join(deadline: number): Promise<Answer> {
+    if (this.answer !== undefined) return Promise.resolve(this.answer);
+    const now = this.clock.now();
+    if (deadline <= now || (this.readyAt !== undefined && this.readyAt > deadline)) {
+      return Promise.resolve(this.tooLate(now));
+    }
+    return new Promise((resolve) => {
+      const waiter = { deadline, resolve };
+      this.waiters.push(waiter);
+      if (deadline === Infinity) return;
+      this.clock
+        .sleep(deadline - now)
+        .then(() => this.refuse((candidate) => candidate === waiter))
+        .catch(() => {});
+    });
+  }
+
+  /** Sets the time at which the item is expected to be ready; refuses those that need it earlier. */
+  expect(readyAt: number): void {
+    this.readyAt = readyAt;
+    this.refuse(({ deadline }) => deadline < readyAt);
+  }
+
+  finish(answer: Answer): void {
+    this.answer ??= answer;
+    const { waiters } = this;
+    this.waiters = [];
+    waiters.forEach(({ resolve }) => resolve(answer));
+  }
+
+  private refuse(isLate: (waiter: Waiter) => boolean): void {
+    const late = this.waiters.filter(isLate);
+    this.waiters = this.waiters.filter((waiter) => !late.includes(waiter));
+    const now = this.clock.now();
+    late.forEach(({ resolve }) => resolve(this.tooLate(now)));
+  }
+
+  private tooLate(now: number): Answer {
+    const left = (this.readyAt ?? 0) - now;
+    return err({
+      kind: 'too_late',
+      message: 'the item cannot be loaded before the deadline',
+      retryAfterMs: left > 0 ? Math.ceil(left) : unknownLoadMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/version/placement/src/loader.ts
@@ -0,0 +1,309 @@
+import { CacheTier, OrderKind, type WakeRefusal } from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { isRoutable } from './accounting';
+import type { Budget } from './budget';
+import type { Listed } from './catalogue';
+import { type Placement, placementsFor } from './choice';
+import type { Domain } from './domain';
+import { type Intent, nameOf } from './intent';
+import { LoadJob } from './load-job';
+import { withAnswer, withoutIntents } from './record-updates';
+import type { Unloader } from './unloader';
+
+/** Rounds of choosing, evicting and loading before a wake-up is given up. */
+const maxRounds = 8;
+
+/** Pause, in ms, before a wake-up that nothing can be done for now looks again. */
+const pauseMs = 500;
+
+/** Time, in ms, that an unload takes beside its drain, for estimates. */
+const unloadMs = 1_000;
+
+/** Time, in ms, after which a request that found no room or allotment may try again. */
+const noRoomRetryMs = 5_000;
+
+type Step = Result<Placement, WakeRefusal>;
+
+const refusal = (
+  kind: WakeRefusal['kind'],
+  message: string,
+  retryAfterMs: number,
+): WakeRefusal => ({
+  kind,
+  message,
+  retryAfterMs: Math.max(1, Math.ceil(retryAfterMs)),
+});
+
+/** Loads items; all wake-ups of one item join one load. */
+export class Loader {
+  private readonly jobs = new Map<string, LoadJob>();
+
+  private constructor(
+    private readonly domain: Domain,
+    private readonly unloader: Unloader,
+  ) {}
+
+  static create(domain: Domain, unloader: Unloader): Loader {
+    return new Loader(domain, unloader);
+  }
+
+  isLoading(item: string): boolean {
+    return this.jobs.has(item);
+  }
+
+  /** Gets an item loaded; see `Waker.wake`. */
+  async wake(listed: Listed, deadline: number): Promise<Result<string, WakeRefusal>> {
+    const [ready] = this.readyEngines(listed.key);
+    return ready === undefined ? this.start(listed).join(deadline) : ok(ready);
+  }
+
+  /** Starts a load ahead of use, or joins one. */
+  warm(listed: Listed): void {
+    if (this.domain.routable(listed.key).length === 0) this.start(listed);
+  }
+
+  /** Starts a load of one more replica. */
+  add(listed: Listed): void {
+    this.start(listed);
+  }
+
+  /** Ends all wake-ups; their loads go on or are left to the next holder. */
+  close(): void {
+    this.jobs.forEach((job) =>
+      job.finish(err(refusal('no_controller', 'the domain is changing its controller', 1_000))),
+    );
+    this.jobs.clear();
+  }
+
+  private readyEngines(item: string): string[] {
+    const ready = this.domain.routable(item).map(({ engine }) => engine);
+    if (ready.length > 0) {
+      const level = (engine: string) => this.domain.parts.view.endpoint(engine)?.level ?? 0;
+      return ready.sort((a, b) => level(a) - level(b));
+    }
+    return [...this.domain.claims().values()]
+      .filter((claim) => claim.item === item && isRoutable(claim))
+      .filter(({ engine }) => this.domain.parts.drains.cancel(engine, item))
+      .map(({ engine }) => engine);
+  }
+
+  private start(listed: Listed): LoadJob {
+    const known = this.jobs.get(listed.key);
+    if (known !== undefined) return known;
+    const job = LoadJob.create(this.domain.parts.clock);
+    this.jobs.set(listed.key, job);
+    this.run(listed, job)
+      .then((result) => job.finish(result))
+      .catch((error: unknown) => {
+        this.domain.parts.telemetry.log('wake_failed', { item: listed.key, error: String(error) });
+        job.finish(err(refusal('failed', 'the load failed', noRoomRetryMs)));
+      })
+      .finally(() => {
+        if (this.jobs.get(listed.key) === job) this.jobs.delete(listed.key);
+      });
+    return job;
+  }
+
+  private async run(listed: Listed, job: LoadJob): Promise<Result<string, WakeRefusal>> {
+    const { clock, telemetry } = this.domain.parts;
+    const avoided = new Set<string>();
+    const before = this.domain.routable(listed.key).map(({ engine }) => engine);
+    for (let round = 0; round < maxRounds && this.domain.isActive; round += 1) {
+      const added = this.domain.routable(listed.key).find(({ engine }) => !before.includes(engine));
+      if (added !== undefined) return ok(added.engine);
+      const step = await this.prepare(listed, job, avoided);
+      if (step.isErr()) return err(step.error);
+      const placement = step.value;
+      if (placement === undefined) continue;
+      const intent = await this.domain.reserve(listed, placement);
+      if (typeof intent === 'string') {
+        if (intent === 'outage') avoided.add(placement.engine);
+        await clock.sleep(pauseMs);
+        continue;
+      }
+      if (await this.load(listed, placement, intent, job)) return ok(placement.engine);
+      telemetry.log('load_not_done', { peer: placement.engine, item: listed.key });
+      avoided.add(placement.engine);
+    }
+    return err(refusal('failed', `${listed.name} could not be loaded`, noRoomRetryMs));
+  }
+
+  /** One round: makes sure of the model, the allotment and the memory. Undefined: look again. */
+  private async prepare(
+    listed: Listed,
+    job: LoadJob,
+    avoided: ReadonlySet<string>,
+  ): Promise<Result<Placement | undefined, WakeRefusal>> {
+    const { clock } = this.domain.parts;
+    const current = this.domain.catalogue?.find(listed.key);
+    const allotted = this.domain.allotted(listed.name);
+    if (current === undefined || allotted === 0) {
+      return err(refusal('no_allotment', `${listed.name} has no replicas here`, noRoomRetryMs));
+    }
+    if (listed.model !== undefined && this.domain.routable(listed.model).length === 0) {
+      const model = this.domain.catalogue?.find(listed.model);
+      if (model === undefined)
+        return err(refusal('no_allotment', 'its model is unknown', noRoomRetryMs));
+      const woken = await this.start(model).join(job.latestDeadline);
+      if (woken.isErr()) return err(woken.error);
+    }
+    if (this.replicas(listed.name) >= allotted) return this.freeAllotment(listed, job);
+    const placed = this.choose(listed, avoided);
+    if (placed.isErr()) return err(placed.error);
+    const placement = placed.value;
+    job.expect(clock.now() + placement.estimateMs);
+    if (placement.evictions.length === 0) return ok(placement);
+    await Promise.all(
+      placement.evictions.map(({ engine, item }) => this.unloader.retire(engine, item, false)),
+    );
+    return ok(undefined);
+  }
+
+  /** Replicas that stay counted when the item's standing intents give way. */
+  private replicas(name: string): number {
+    const standing = [...this.domain.claims().values()].filter(
+      (claim) =>
+        nameOf(claim.item) === name &&
+        claim.reported === undefined &&
+        claim.intents.every(
+          ({ kind, epoch }) => kind === 'standing' && epoch === this.domain.record.epoch,
+        ),
+    );
+    return this.domain.count(name) - standing.length;
+  }
+
+  /** Unloads another version, or waits for a replica that is coming or going. */
+  private async freeAllotment(
+    listed: Listed,
+    job: LoadJob,
+  ): Promise<Result<undefined, WakeRefusal>> {
+    const { clock, engines, settings } = this.domain.parts;
+    const claims = [...this.domain.claims().values()].filter(
+      ({ item }) => nameOf(item) === listed.name,
+    );
+    const other = claims.find(({ item }) => item !== listed.key);
+    if (other !== undefined && other.reported !== undefined) {
+      const load = this.domain.parts.speed.estimate(listed.bytes, CacheTier.remote);
+      job.expect(clock.now() + settings.drainMs + unloadMs + load);
+      await this.unloader.retire(other.engine, other.item, false);
+      return ok(undefined);
+    }
+    const moving = claims.filter(
+      ({ engine, item, reported }) =>
+        reported?.state === 'loading' || this.unloader.isRetiring(engine, item),
+    );
+    if (moving.length === 0 || !job.isWanted(clock.now())) {
+      return err(
+        refusal('no_allotment', `all replicas of ${listed.name} are in use or in doubt`, 2_000),
+      );
+    }
+    await clock.sleep(pauseMs);
+    await Promise.all(moving.map(({ engine }) => engines.fetchFresh(engine)));
+    return ok(undefined);
+  }
+
+  private choose(listed: Listed, avoided: ReadonlySet<string>): Step {
+    const { view, keepWarm, speed, drains, settings, clock, loads, transits } = this.domain.parts;
+    const now = clock.now();
+    const remoteMs = speed.estimate(listed.bytes, CacheTier.remote);
+    const budget = listed.model === undefined ? loads : transits;
+    const [best] = placementsFor(
+      {
+        item: listed.key,
+        bytes: listed.bytes,
+        pool: listed.pool,
+        ...(listed.model === undefined ? {} : { model: listed.model }),
+      },
+      {
+        account: this.domain.account(),
+        claims: this.domain.claims(),
+        draining: drains.pairs,
+        avoided,
+        level: (engine) => view.endpoint(engine)?.level ?? 0,
+        value: (name) => keepWarm.value(name, now),
+        loadMs: (bytes, tier) => speed.estimate(bytes, tier),
+        queueMs: (tier) => (tier === CacheTier.remote ? budget.waitMs(remoteMs) : 0),
+        evictMs: settings.drainMs + unloadMs,
+        permits: (engine, item) => this.domain.permits(engine, item),
+      },
+    );
+    return best === undefined
+      ? err(refusal('no_memory', `no engine has room for ${listed.name}`, noRoomRetryMs))
+      : ok(best);
+  }
+
+  /** Sends the load order of a confirmed intent; true once the item is ready. */
+  private async load(
+    listed: Listed,
+    placement: Placement,
+    intent: Intent,
+    job: LoadJob,
+  ): Promise<boolean> {
+    const { clock, engines, loads, transits, speed } = this.domain.parts;
+    const budget = this.budgetOf(listed, placement, loads, transits);
+    const release = await budget?.acquire(job.earliestDeadline);
+    const { estimateMs } = placement;
+    const start = clock.now();
+    job.expect(start + Math.min(estimateMs, speed.estimate(listed.bytes, placement.tier)));
+    if (!this.isCurrent(intent)) {
+      release?.();
+      await this.domain.forget(intent.id);
+      return false;
+    }
+    const end = await engines.carryOut(intent.engine, {
+      id: intent.id,
+      epoch: intent.epoch,
+      kind: OrderKind.load,
+      item: listed.key,
+      bytes: listed.bytes,
+    });
+    release?.();
+    if (end === 'abandoned') return false;
+    if (end !== 'done') {
+      await this.domain.forget(intent.id);
+      return false;
+    }
+    speed.learn(listed.bytes, placement.tier, clock.now() - start);
+    const report = await engines.fetchFresh(intent.engine);
+    this.settle(intent, report?.bootId).catch(() => {});
+    return true;
+  }
+
+  /** Notes the answer of a load, once the engine has said which boot carried it out. */
+  private async settle(intent: Intent, bootId: string | undefined): Promise<void> {
+    const { engines, ledger, clock } = this.domain.parts;
+    let boot = bootId;
+    while (boot === undefined && this.domain.isActive && engines.evidence.has(intent.engine)) {
+      await clock.sleep(pauseMs);
+      boot = (await engines.fetchFresh(intent.engine))?.bootId;
+    }
+    if (!this.domain.isActive) return;
+    await ledger.commit({
+      apply: (record) =>
+        boot === undefined
+          ? withoutIntents(record, new Set([intent.id]))
+          : withAnswer(record, intent.id, boot),
+    });
+    engines.release(intent.id);
+  }
+
+  private budgetOf(
+    listed: Listed,
+    { tier }: Placement,
+    loads: Budget,
+    transits: Budget,
+  ): Budget | undefined {
+    if (tier !== CacheTier.remote) return undefined;
+    return listed.model === undefined ? loads : transits;
+  }
+
+  /** Tells whether the engine still runs the boot and the record still has the intent. */
+  private isCurrent(intent: Intent): boolean {
+    if (!this.domain.isActive) return false;
+    const report = this.domain.parts.engines.evidence.get(intent.engine)?.report;
+    return (
+      report?.bootId === intent.bootId &&
+      this.domain.record.intents.some(({ id }) => id === intent.id)
+    );
+  }
+}
--- /dev/null
+++ b/packages/version/placement/src/record.ts
@@ -0,0 +1,149 @@
+import { maxValueBytes } from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { type Intent, IntentKind } from './intent';
+import { type Loan, loanSchema } from './loan';
+
+/** A daemon process that holds or held a domain. */
+export interface Holder {
+  readonly daemon: string;
+  /** Incarnation of its host in the platform's host list. */
+  readonly incarnation: number;
+}
+
+/** An earlier holder that may still send orders. */
+export interface Tenure {
+  readonly epoch: number;
+  readonly holder: Holder;
+}
+
+/** State of a domain that must outlive its controllers, kept under `domain/<name>/record`. */
+export interface DomainRecord {
+  /** Fencing token; raised by each new holder. */
+  readonly epoch: number;
+  /** Number of the write, so that a lost answer can be resolved by reading again. */
+  readonly serial: number;
+  /** Null after a holder has handed over. */
+  readonly holder: Holder | null;
+  readonly tenures: readonly Tenure[];
+  /**
+   * True if an earlier holder ended without handing over: engines that enforce fencing may then
+   * hold loads that it ordered during a store outage and could not record.
+   */
+  readonly unrecorded: boolean;
+  readonly intents: readonly Intent[];
+  readonly loans: readonly Loan[];
+  /** Compact copy of the keep-warm policy's state; its format belongs to the policy. */
+  readonly keepWarm: string;
+}
+
+export const emptyRecord: DomainRecord = {
+  epoch: 0,
+  serial: 0,
+  holder: null,
+  tenures: [],
+  unrecorded: false,
+  intents: [],
+  loans: [],
+  keepWarm: '',
+};
+
+const kinds = [IntentKind.load, IntentKind.unload, IntentKind.standing] as const;
+
+const count = z.number().int().nonnegative();
+const holderSchema = z.object({ daemon: z.string().min(1), incarnation: count });
+
+/** Engines are numbered and intents are tuples, to stay far below the largest store value. */
+const wireSchema = z.object({
+  format: z.literal(1),
+  epoch: count,
+  serial: count,
+  holder: holderSchema.nullable(),
+  tenures: z.array(z.object({ epoch: count, holder: holderSchema })),
+  unrecorded: z.boolean(),
+  engines: z.array(z.tuple([z.string().min(1), z.string()])),
+  intents: z.array(
+    z.tuple([
+      z.string().min(1),
+      count,
+      z.string().min(1),
+      z.number().nonnegative(),
+      count.max(kinds.length - 1),
+      count,
+      z.union([z.literal(0), z.literal(1)]),
+    ]),
+  ),
+  loans: z.array(loanSchema),
+  keepWarm: z.string(),
+});
+
+/** Bytes of a record for the store; fails if they exceed the largest store value. */
+export const encodeRecord = (record: DomainRecord): Result<Uint8Array, string> => {
+  const numbers = new Map<string, number>();
+  const engines: [string, string][] = [];
+  const numberOf = ({ engine, bootId }: Intent): number => {
+    const key = `${engine}\u0000${bootId}`;
+    const known = numbers.get(key);
+    if (known !== undefined) return known;
+    numbers.set(key, engines.length);
+    engines.push([engine, bootId]);
+    return engines.length - 1;
+  };
+  const intents = record.intents.map((intent) => [
+    intent.id,
+    numberOf(intent),
+    intent.item,
+    intent.bytes,
+    kinds.indexOf(intent.kind),
+    intent.epoch,
+    intent.answered ? 1 : 0,
+  ]);
+  const bytes = new TextEncoder().encode(
+    JSON.stringify({ format: 1, ...record, engines, intents }),
+  );
+  return bytes.length > maxValueBytes
+    ? err(`the domain record has ${bytes.length} bytes; the store takes ${maxValueBytes}`)
+    : ok(bytes);
+};
+
+const parseJson = (bytes: Uint8Array): Result<unknown, string> => {
+  try {
+    return ok(JSON.parse(new TextDecoder().decode(bytes)));
+  } catch {
+    return err('the domain record is not JSON');
+  }
+};
+
+/** Reads the bytes of `encodeRecord`; the error names the first field that is wrong. */
+export const decodeRecord = (bytes: Uint8Array): Result<DomainRecord, string> =>
+  parseJson(bytes).andThen((json) => {
+    const parsed = wireSchema.safeParse(json);
+    if (!parsed.success) {
+      const [issue] = parsed.error.issues;
+      return err(`the domain record is invalid at ${issue.path.join('.')}: ${issue.message}`);
+    }
+    const { engines, intents, epoch, serial, holder, tenures, unrecorded, loans, keepWarm } =
+      parsed.data;
+    if (intents.some(([, engine]) => engine >= engines.length)) {
+      return err('the domain record is invalid at intents: unknown engine number');
+    }
+    return ok({
+      epoch,
+      serial,
+      holder,
+      tenures,
+      unrecorded,
+      loans,
+      keepWarm,
+      intents: intents.map(([id, engine, item, size, kind, orderEpoch, answered]) => ({
+        id,
+        engine: engines[engine][0],
+        bootId: engines[engine][1],
+        item,
+        bytes: size,
+        kind: kinds[kind],
+        epoch: orderEpoch,
+        answered: answered === 1,
+      })),
+    });
+  });
--- /dev/null
+++ b/packages/version/placement/src/standing.ts
@@ -0,0 +1,69 @@
+import { HostState } from '@currantdrift/core';
+import { acceptsOrders, committedBytes } from './accounting';
+import type { Catalogue } from './catalogue';
+import type { Domain } from './domain';
+import { type Intent, IntentKind, nameOf } from './intent';
+
+/** Changes of the standing intents of the present holder. */
+export interface StandingChange {
+  readonly added: readonly Intent[];
+  readonly removed: ReadonlySet<string>;
+}
+
+/**
+ * Standing intents for the models most likely to wake next, in memory that is free now, on
+ * engines that ignore fencing. Those that still fit stay as they are.
+ */
+export const standingChange = (
+  domain: Domain,
+  catalogue: Catalogue,
+  now: number,
+): StandingChange => {
+  const { engines, settings, keepWarm } = domain.parts;
+  const { epoch, intents } = domain.record;
+  const own = intents.filter(
+    (intent) => intent.kind === IntentKind.standing && intent.epoch === epoch,
+  );
+  const isObsolete = ({ engine, bootId, item }: Intent) =>
+    engines.evidence.get(engine)?.report?.bootId !== bootId ||
+    catalogue.find(item)?.key !== item ||
+    domain.count(nameOf(item)) > domain.allotted(nameOf(item));
+  const removed = new Set(own.filter(isObsolete).map(({ id }) => id));
+  const room = settings.standingIntents - (own.length - removed.size);
+  const claims = domain.claims();
+  const free = new Map(
+    [...engines.evidence.values()]
+      .filter((engine) => !engine.fencing && engine.state === HostState.live)
+      .filter((engine) => acceptsOrders(engine, epoch))
+      .map(({ id, report }) => [id, (report?.memoryBytes ?? 0) - committedBytes(claims, id)]),
+  );
+  const added: Intent[] = [];
+  if (free.size === 0 || room <= 0) return { added, removed };
+  catalogue
+    .all()
+    .filter(({ name, model }) => model === undefined && domain.count(name) === 0)
+    .filter(({ name }) => domain.allotted(name) > 0)
+    .map((listed) => ({ listed, value: keepWarm.value(listed.name, now) }))
+    .sort((a, b) => b.value - a.value)
+    .forEach(({ listed }) => {
+      if (added.length >= room) return;
+      const [best] = [...free]
+        .filter(([id]) => engines.evidence.get(id)?.pool === listed.pool)
+        .filter(([, bytes]) => bytes >= listed.bytes)
+        .sort(([, a], [, b]) => b - a);
+      if (best === undefined) return;
+      const [engine, bytes] = best;
+      free.set(engine, bytes - listed.bytes);
+      added.push({
+        id: domain.newId(),
+        engine,
+        bootId: engines.evidence.get(engine)?.report?.bootId ?? '',
+        item: listed.key,
+        bytes: listed.bytes,
+        kind: IntentKind.standing,
+        epoch,
+        answered: false,
+      });
+    });
+  return { added, removed };
+};
--- /dev/null
+++ b/packages/version/placement/src/tenure.ts
@@ -0,0 +1,363 @@
+import { type EndpointReport, OrderKind, type Store, type WakeRefusal } from '@currantdrift/core';
+import { err, type Result } from 'neverthrow';
+import { acceptsOrders, type Claim, isForeign, isRoutable } from './accounting';
+import type { Listed } from './catalogue';
+import type { Domain } from './domain';
+import { FormerHolders } from './former-holders';
+import { nameOf, occupies, pairKey } from './intent';
+import { Loader } from './loader';
+import { withKeepWarm, withoutEngines, withoutIntents, withoutTenures } from './record-updates';
+import { type ReportContext, settleReport } from './settle';
+import { standingChange } from './standing';
+import { Unloader } from './unloader';
+
+/** Ticks between two passes over the items that are not loaded. */
+const slowTicks = 5;
+
+/** Ticks between two reads of the host list. */
+const hostTicks = 2;
+
+/** Time, in ms, that a recorded item may be missing from reports before it is cleared up. */
+const missingMs = 10_000;
+
+/** Work of the domain's holder in one epoch. */
+export class Tenure {
+  readonly loader: Loader;
+
+  readonly unloader: Unloader;
+
+  private readonly formers: FormerHolders;
+
+  private readonly raising = new Set<string>();
+
+  private readonly readySince = new Map<string, number>();
+
+  private readonly missingSince = new Map<string, number>();
+
+  private copiedAt: number;
+
+  private stopping = false;
+
+  private constructor(
+    readonly domain: Domain,
+    store: Store,
+  ) {
+    this.unloader = Unloader.create(domain);
+    this.loader = Loader.create(domain, this.unloader);
+    const { name, settings, clock } = domain.parts;
+    this.formers = FormerHolders.create(store, name, settings.transitMs);
+    this.copiedAt = clock.now();
+  }
+
+  static create(domain: Domain, store: Store): Tenure {
+    return new Tenure(domain, store);
+  }
+
+  /** False once no more orders may be sent. */
+  get isActive(): boolean {
+    return this.domain.isActive && !this.stopping;
+  }
+
+  /** Runs until the domain is lost or handed over. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, settings, telemetry } = this.domain.parts;
+    for (let tick = 0; this.isActive && !signal.aborted; tick += 1) {
+      try {
+        await this.step(tick, clock.now());
+      } catch (error) {
+        telemetry.log('controller_step_failed', { error: String(error) });
+      }
+      await clock.sleep(settings.tickMs, signal);
+    }
+  }
+
+  async wake(listed: Listed, deadline: number): Promise<Result<string, WakeRefusal>> {
+    if (!this.isActive) {
+      return err({
+        kind: 'no_controller',
+        message: 'the domain is changing its controller',
+        retryAfterMs: 1_000,
+      });
+    }
+    return this.loader.wake(listed, deadline);
+  }
+
+  /** Context of a report of `engine` that is asked for now. */
+  contextOf(engine: string): ReportContext {
+    const { engines, protections, clock } = this.domain.parts;
+    const { record } = this.domain;
+    const ended = protections.pairExclusion
+      ? this.formers.ended(record, clock.now())
+      : new Set(record.intents.map(({ epoch }) => epoch));
+    return {
+      fencing: engines.evidence.get(engine)?.fencing ?? false,
+      answeredBefore: new Set(
+        record.intents
+          .filter((intent) => intent.engine === engine && intent.answered && !occupies(intent))
+          .map(({ id }) => id),
+      ),
+      endedEpochs: ended,
+      unsettled: protections.pairExclusion
+        ? new Set(
+            record.intents
+              .filter(
+                ({ id, epoch }) =>
+                  this.formers.unsettled.has(id) && !this.formers.isGone(epoch, clock.now()),
+              )
+              .map(({ id }) => id),
+          )
+        : new Set(),
+      pending: engines.pending,
+    };
+  }
+
+  onReport(report: EndpointReport, context: ReportContext): void {
+    const { engines, ledger } = this.domain.parts;
+    const pending = new Set([...context.pending, ...engines.pending]);
+    ledger
+      .commit({ apply: (record) => settleReport(record, report, { ...context, pending }) })
+      .catch(() => {});
+  }
+
+  /** Tells whether every engine that enforces fencing has reported since this epoch began. */
+  hasHeardAll(): boolean {
+    const { engines } = this.domain.parts;
+    return [...engines.evidence.values()].every(
+      (engine) => !engine.fencing || acceptsOrders(engine, this.domain.record.epoch),
+    );
+  }
+
+  /** Stops sending orders and waits a while for those under way; true if all have ended. */
+  async close(): Promise<boolean> {
+    const { clock, engines, settings } = this.domain.parts;
+    this.stopping = true;
+    this.loader.close();
+    const end = clock.now() + settings.stopMs;
+    while (engines.callsUnderWay > 0 && clock.now() < end) await clock.sleep(50);
+    return engines.callsUnderWay === 0 && engines.doubtful.size === 0;
+  }
+
+  private async step(tick: number, now: number): Promise<void> {
+    const { ledger, engines, clock, settings, keepWarm } = this.domain.parts;
+    ledger.check();
+    if (tick % hostTicks === 0) {
+      await this.readHosts();
+      await this.formers.readAcknowledgements(this.domain.record.tenures);
+      await this.endTenures(now);
+    }
+    await engines.refresh(now);
+    this.raise();
+    this.enforceBundle(now);
+    this.unloadIdle(clock.now());
+    this.clearMissing(now);
+    if (tick % slowTicks === 0) {
+      this.warmAhead(now);
+      await this.recordStanding(now);
+    }
+    if (now - this.copiedAt >= settings.keepWarmCopyMs) {
+      this.copiedAt = now;
+      const copy = keepWarm.snapshot(now);
+      await ledger.commit({ apply: (record) => withKeepWarm(record, copy) });
+    }
+  }
+
+  private async readHosts(): Promise<void> {
+    const { engines, ledger, clock } = this.domain.parts;
+    const before = engines.hostList;
+    engines.expect(new Set(this.domain.record.intents.map(({ engine }) => engine)));
+    const gone = new Set(await engines.readHosts());
+    if (engines.hostList !== undefined && engines.hostList !== before) {
+      this.formers.observe(engines.hostList, this.domain.record.tenures, clock.now());
+    }
+    if (gone.size > 0) await ledger.commit({ apply: (latest) => withoutEngines(latest, gone) });
+  }
+
+  /** Forgets earlier holders that are gone and have no open intents left. */
+  private async endTenures(now: number): Promise<void> {
+    const { ledger, engines } = this.domain.parts;
+    const { record } = this.domain;
+    const ended = this.formers.ended(record, now);
+    const open = record.intents.filter((intent) => isForeign(intent, record));
+    const stuck = open.filter(({ epoch }) => ended.has(epoch));
+    await Promise.all(
+      [...new Set(stuck.map(({ engine }) => engine))].map((id) => engines.fetchFresh(id)),
+    );
+    const finished = record.tenures.filter(
+      ({ epoch }) => ended.has(epoch) && !open.some((intent) => intent.epoch === epoch),
+    );
+    if (finished.length === 0) return;
+    const epochs = new Set(finished.map(({ epoch }) => epoch));
+    await ledger.commit({ apply: (latest) => withoutTenures(latest, epochs) });
+  }
+
+  /** Makes engines that enforce fencing refuse the orders of earlier holders. */
+  private raise(): void {
+    const { engines } = this.domain.parts;
+    const { epoch } = this.domain.record;
+    [...engines.evidence.values()]
+      .filter((engine) => engine.fencing && !this.raising.has(engine.id))
+      .filter((engine) => engine.report !== undefined && !acceptsOrders(engine, epoch))
+      .forEach(({ id, report }) => {
+        this.raising.add(id);
+        engines
+          .carryOut(id, {
+            id: `${epoch}-epoch-${report?.bootId}`,
+            epoch,
+            kind: OrderKind.role,
+            item: '',
+            bytes: 0,
+          })
+          .then(async () => {
+            engines.release(`${epoch}-epoch-${report?.bootId}`);
+            await engines.fetchFresh(id);
+          })
+          .catch(() => {})
+          .finally(() => this.raising.delete(id));
+      });
+  }
+
+  /** Replicas in use by requests, or that may be, by item name. */
+  private replicas(): ReadonlyMap<string, readonly Claim[]> {
+    const byName = new Map<string, Claim[]>();
+    this.domain.claims().forEach((claim) => {
+      const name = nameOf(claim.item);
+      byName.set(name, [...(byName.get(name) ?? []), claim]);
+    });
+    return byName;
+  }
+
+  /** Drains and unloads what the accepted bundle no longer allows. */
+  private enforceBundle(now: number): void {
+    const { catalogue } = this.domain;
+    if (catalogue === undefined) return;
+    const { keepWarm } = this.domain.parts;
+    this.replicas().forEach((claims, name) => {
+      const listed = catalogue.get(name);
+      const allotted = this.domain.allotted(name);
+      const loaded = claims.filter(isRoutable);
+      const outdated = loaded.filter(({ item }) => item !== listed?.key);
+      const hasSpare = claims.length < allotted;
+      const isInUse = keepWarm.keepUntil(name, now) > now;
+      if (listed !== undefined && outdated.length > 0 && hasSpare && isInUse) {
+        // The new version is loaded first where the limit leaves room for both.
+        this.loader.warm(listed);
+      } else {
+        const isReplaced = listed !== undefined && allotted > 0 && isInUse;
+        outdated.forEach((claim) => this.replace(claim, isReplaced ? listed : undefined));
+      }
+      if (listed !== undefined && outdated.length > 0 && hasSpare && this.isWarm(listed)) {
+        outdated.forEach((claim) => this.replace(claim, undefined));
+      }
+      const excess = claims.length - outdated.length - allotted;
+      loaded
+        .filter(({ item }) => item === listed?.key)
+        .sort((a, b) => (a.reported?.running ?? 0) - (b.reported?.running ?? 0))
+        .slice(0, Math.max(0, excess))
+        .forEach((claim) => this.retire(claim, false));
+    });
+  }
+
+  private isWarm({ key }: Listed): boolean {
+    return this.domain.routable(key).length > 0;
+  }
+
+  private replace(claim: Claim, next: Listed | undefined): void {
+    if (this.unloader.isRetiring(claim.engine, claim.item)) return;
+    this.unloader
+      .retire(claim.engine, claim.item, false)
+      .then((gone) => {
+        if (gone && next !== undefined && this.isActive) this.loader.warm(next);
+      })
+      .catch(() => {});
+  }
+
+  private retire({ engine, item }: Claim, cancellable: boolean): void {
+    if (this.unloader.isRetiring(engine, item)) return;
+    this.unloader.retire(engine, item, cancellable).catch(() => {});
+  }
+
+  /** Unloads replicas that the keep-warm policy no longer wants. */
+  private unloadIdle(now: number): void {
+    const { keepWarm, settings } = this.domain.parts;
+    const claims = [...this.domain.claims().values()].filter(isRoutable);
+    const present = new Set(claims.map(({ engine, item }) => pairKey(engine, item)));
+    [...this.readySince.keys()]
+      .filter((key) => !present.has(key))
+      .forEach((key) => this.readySince.delete(key));
+    const wanted = new Set<string>();
+    claims.forEach((claim) => {
+      const key = pairKey(claim.engine, claim.item);
+      if (!this.readySince.has(key)) this.readySince.set(key, now);
+      const isNew = now - (this.readySince.get(key) ?? now) < settings.minWarmMs;
+      const isKept = isNew || keepWarm.keepUntil(nameOf(claim.item), now) > now;
+      if (!isKept && claim.reported?.running === 0) return;
+      wanted.add(key);
+      const listed = this.domain.catalogue?.get(nameOf(claim.item));
+      if (listed?.model !== undefined) wanted.add(pairKey(claim.engine, listed.model));
+    });
+    claims
+      .filter(({ engine, item }) => !wanted.has(pairKey(engine, item)))
+      .filter(({ engine, item }) => !this.isBeingExtended(engine, item))
+      .forEach((claim) => this.retire(claim, true));
+  }
+
+  /** Tells whether an adapter of the model is about to be loaded on the engine. */
+  private isBeingExtended(engine: string, item: string): boolean {
+    return [...this.domain.claims().values()].some((claim) => {
+      const listed = this.domain.catalogue?.get(nameOf(claim.item));
+      return claim.engine === engine && listed?.model === item && !isRoutable(claim);
+    });
+  }
+
+  /** Unloads, for the record, items that the engine no longer has although none was unloaded. */
+  private clearMissing(now: number): void {
+    const { engines } = this.domain.parts;
+    const missing = [...this.domain.claims().values()].filter(
+      ({ engine, reported, intents }) =>
+        reported === undefined &&
+        engines.evidence.get(engine)?.report !== undefined &&
+        intents.every(({ answered }) => answered),
+    );
+    const keys = new Set(missing.map(({ engine, item }) => pairKey(engine, item)));
+    [...this.missingSince.keys()]
+      .filter((key) => !keys.has(key))
+      .forEach((key) => this.missingSince.delete(key));
+    missing.forEach((claim) => {
+      const key = pairKey(claim.engine, claim.item);
+      if (!this.missingSince.has(key)) this.missingSince.set(key, now);
+      if (now - (this.missingSince.get(key) ?? now) >= missingMs) this.retire(claim, false);
+    });
+  }
+
+  /** Loads items ahead of the use that the keep-warm policy expects. */
+  private warmAhead(now: number): void {
+    const { keepWarm } = this.domain.parts;
+    this.domain.catalogue?.all().forEach((listed) => {
+      const at = keepWarm.warmAt(listed.name, now);
+      if (at === undefined || at > now || this.loader.isLoading(listed.key)) return;
+      if (this.domain.allotted(listed.name) > 0) this.loader.warm(listed);
+    });
+  }
+
+  private async recordStanding(now: number): Promise<void> {
+    const { ledger } = this.domain.parts;
+    const { catalogue } = this.domain;
+    if (catalogue === undefined || ledger.isOutage) return;
+    const { added, removed } = standingChange(this.domain, catalogue, now);
+    if (added.length === 0 && removed.size === 0) return;
+    const undo = (record: typeof ledger.record) =>
+      withoutIntents(record, new Set(added.map(({ id }) => id)));
+    await ledger.commit({
+      apply: (record) => {
+        const base = withoutIntents(record, removed);
+        return added.reduce((next, intent) => {
+          const listed = catalogue.get(nameOf(intent.item));
+          return listed !== undefined && this.domain.admits(next, intent, listed)
+            ? { ...next, intents: [...next.intents, intent] }
+            : next;
+        }, base);
+      },
+      undo,
+    });
+  }
+}
