Test the runners against a sequential reference

A refusal inside a stream counted as "not run" although duplicates of the same attempt had arrived before it. Change: any part of the attempt shows that it ran; repeatable service calls have a time limit for each attempt; differential and unit tests.

--- a/packages/request/attempt/src/call-service.ts
+++ b/packages/request/attempt/src/call-service.ts
@@ -1,4 +1,5 @@
 import {
+  type Clock,
   describeFailure,
   type Failure,
   FailureKind,
@@ -23,22 +24,31 @@
   readonly deadline: number;
 }
 
-/** Waits for the answer of a dispatched call; a request that is stopped does not wait for it. */
-const dispatch = (
+/** Waits for the answer of a dispatched call, not longer than `timeoutMs` or until `stop`. */
+const dispatch = async (
   target: Target,
   call: PlainCall,
   stop: Stop,
-): Promise<Result<PlainAnswer, Failure>> =>
-  new Promise((resolve) => {
+  clock: Clock,
+  timeoutMs: number,
+): Promise<Result<PlainAnswer, Failure>> => {
+  const over = new AbortController();
+  const undo = stop.onEnd(() => over.abort());
+  const fail = (message: string) => {
     const peer = target.endpoint.id;
-    const fail = (message: string) =>
-      resolve(err({ kind: FailureKind.unknown, step: 'attempt.call', peer, message }));
-    const undo = stop.onEnd(() => fail(stop.reason?.message ?? 'the request has ended'));
-    target.endpoint
-      .call(call, stop.signal)
-      .then(resolve, (error: unknown) => fail(String(error)))
-      .finally(undo);
-  });
+    return err({ kind: FailureKind.unknown, step: 'attempt.call', peer, message });
+  };
+  const answer = target.endpoint
+    .call(call, over.signal)
+    .catch((error: unknown) => fail(String(error)));
+  const silence = clock
+    .sleep(timeoutMs, over.signal)
+    .then(() => fail(stop.reason?.message ?? `no answer for ${timeoutMs} ms`));
+  const result = await Promise.race([answer, silence]);
+  undo();
+  over.abort();
+  return result;
+};
 
 /**
  * Calls a plain service. A repeatable call is retried on other endpoints while the deadline and
@@ -72,7 +82,8 @@
     const news = { attempt: sent.attempt, endpoint: endpoint.id, cause } as const;
     observer?.({ kind: 'started', ...news });
     const startedAt = clock.now();
-    const result = await dispatch(chosen.value, call, stop);
+    const timeoutMs = repeatable ? settings.callTimeoutMs : Math.max(0, deadline - startedAt);
+    const result = await dispatch(chosen.value, call, stop, clock, timeoutMs);
     const now = clock.now();
     if (result.isOk()) {
       stop.end();
--- a/packages/request/attempt/src/settings.ts
+++ b/packages/request/attempt/src/settings.ts
@@ -8,6 +8,8 @@
   readonly firstTokenTimeoutMs: number;
   /** Longest time without a token after the first, in ms. */
   readonly progressTimeoutMs: number;
+  /** Longest time of one attempt at a repeatable service call, in ms; others have the deadline. */
+  readonly callTimeoutMs: number;
   /** Time without a first token after which a second attempt starts, in ms; undefined: never. */
   readonly hedgeAfterMs: number | undefined;
   /** Tokens that are held for a slow caller before its stream is held back. */
@@ -22,6 +24,7 @@
   maxAttempts: 6,
   firstTokenTimeoutMs: 5_000,
   progressTimeoutMs: 2_000,
+  callTimeoutMs: 5_000,
   hedgeAfterMs: undefined,
   maxBufferedTokens: 256,
   defaultRetryAfterMs: 1_000,
--- a/packages/request/attempt/src/stream-attempt.ts
+++ b/packages/request/attempt/src/stream-attempt.ts
@@ -48,6 +48,9 @@
 
   private accepted = 0;
 
+  /** A part of this attempt arrived, so that the endpoint has run it. */
+  private heard = false;
+
   private settle: (end: AttemptEnd) => void = () => {};
 
   private over = false;
@@ -131,14 +134,15 @@
   private take(received: Result<StreamPart, Failure>): boolean {
     if (received.isErr()) {
       const failure = received.error;
-      // Only a refusal before the first token says that nothing ran.
-      const refused = failure.kind === FailureKind.refused && this.accepted === 0;
+      // Only a refusal before the first part says that nothing ran.
+      const refused = failure.kind === FailureKind.refused && !this.heard;
       this.end({ kind: refused ? 'refused' : 'broken', failure });
       return false;
     }
     const { requestId, attempt } = this.generation;
     const { checks } = this.limits;
     const verdict = checkPart(received.value, requestId, attempt, this.offset, checks);
+    if (verdict.kind !== 'drop' || verdict.why === 'duplicate') this.heard = true;
     switch (verdict.kind) {
       case 'deliver':
         return this.deliver(verdict.tokens);
--- /dev/null
+++ b/packages/request/attempt/test/call-service.test.ts
@@ -0,0 +1,73 @@
+import { type Endpoint, type Failure, FailureKind, type PlainAnswer } from '@currantdrift/core';
+import { VirtualClock } from '@currantdrift/fakes';
+import { err, ok, type Result } from 'neverthrow';
+import { callService, NotRun, RetryBudget, Unsent } from '@currantdrift/attempt';
+import { failure } from './scripted';
+
+const answer: PlainAnswer = { status: 200, contentType: 'text/plain', body: new Uint8Array() };
+
+/** Calls endpoints that reply as listed, one reply each; `silent` never replies. */
+const callThrough = async (repeatable: boolean, replies: ('ok' | 'silent' | FailureKind)[]) => {
+  const clock = VirtualClock.create();
+  const used: string[] = [];
+  const reply = (kind: (typeof replies)[number]): Promise<Result<PlainAnswer, Failure>> => {
+    if (kind === 'silent') return new Promise(() => {});
+    return Promise.resolve(kind === 'ok' ? ok(answer) : err(failure(kind)));
+  };
+  const call = { requestId: 'r', service: 'stock', call: 'list', method: 'GET', query: '' };
+  const outcome = callService(
+    { call: { ...call, contentType: '', body: new Uint8Array() }, repeatable, deadline: 8_000 },
+    {
+      clock,
+      budget: RetryBudget.create(),
+      choose: (tried) => {
+        const kind = replies[tried.length];
+        if (kind === undefined) return err({ step: 'choose', peer: 'self', message: 'none' });
+        const endpoint = { id: `${tried.length}`, call: () => reply(kind) } as unknown as Endpoint;
+        const release = (result: string) => used.push(`${kind}: ${result}`);
+        return ok({ endpoint, place: { observe() {}, release } });
+      },
+    },
+  );
+  const { kind } = await clock.settle(outcome);
+  return { kind, used };
+};
+
+// Guards against a second run of what must run once, and against "not run" of what may have run.
+test.each([
+  [true, ['refused', 'unknown', 'ok']],
+  [true, ['refused', 'unreachable']],
+  [true, ['unknown', 'refused']],
+  [true, ['silent', 'ok']],
+  [false, ['unreachable', 'ok']],
+  [false, ['refused', 'ok']],
+  [false, ['unknown', 'ok']],
+  [false, ['invalid', 'ok']],
+  [false, ['silent', 'ok']],
+] as const)('repeatable %s, replies %j', async (repeatable, replies) => {
+  expect(await callThrough(repeatable, [...replies])).toMatchSnapshot();
+});
+
+// Guards against a "not run" that is built from anything but an unsent attempt or a refusal.
+test('only an unsent attempt or a refusal gives a NotRun', () => {
+  const reason = { step: 's', peer: 'p', message: 'm' };
+  const unsent = Unsent.create('r');
+  expect(NotRun.is(Unsent.create('r').giveUp(reason))).toBe(true);
+  const sent = unsent.dispatch();
+  expect(unsent.dispatch()).toBeUndefined();
+  expect(unsent.giveUp(reason).kind).toBe('unknown');
+  const kinds = Object.values(FailureKind).map((kind) => [kind, sent?.fail(failure(kind)).kind]);
+  expect(Object.fromEntries(kinds)).toMatchInlineSnapshot(`
+   {
+     "invalid": "unknown",
+     "refused": "notRun",
+     "unknown": "unknown",
+     "unreachable": "notRun",
+   }
+  `);
+  // @ts-expect-error -- the constructor is private
+  const forge = () => new NotRun(reason);
+  // @ts-expect-error -- the class has a private field, so an object literal does not match
+  const copy: NotRun = { kind: 'notRun', reason };
+  expect([typeof forge, NotRun.is(copy)]).toEqual(['function', false]);
+});
--- /dev/null
+++ b/packages/request/attempt/test/differential.test.ts
@@ -0,0 +1,101 @@
+import fc from 'fast-check';
+import { allPartChecks, type AttemptSettings } from '@currantdrift/attempt';
+import { play, type Script, truth } from './scripted';
+
+const tokens = fc.record({
+  kind: fc.constant('tokens' as const),
+  count: fc.integer({ min: 0, max: 5 }),
+  // No sum of these is equal to a timeout of `play`.
+  delayMs: fc.constantFrom(0, 0, 11, 46, 127),
+});
+
+const fault = fc.record({
+  kind: fc.constantFrom('repeat', 'late', 'crossed', 'gap', 'cut', 'refuse', 'stall', 'end'),
+}) as fc.Arbitrary<Script['steps'][number]>;
+
+const scripts: fc.Arbitrary<Script[]> = fc.array(
+  fc.record({
+    open: fc.constantFrom('ok', 'ok', 'ok', 'refused', 'unreachable', 'unknown', 'invalid'),
+    steps: fc.array(fc.oneof(tokens, fault), { maxLength: 7 }),
+  }),
+  { maxLength: 6 },
+);
+
+/** Naive sequential reference: tokens delivered and outcome when one attempt follows another. */
+const reference = (attempts: readonly Script[]) => {
+  let offset = 0;
+  let kind = 'notRun';
+  for (const { open, steps } of attempts) {
+    if (open === 'refused' || open === 'unreachable') continue;
+    let silentMs = 0;
+    let limitMs = 100;
+    let heard = false;
+    let end = open === 'ok' ? '' : 'failed';
+    for (const step of steps) {
+      if (end !== '') break;
+      if (step.kind === 'tokens') {
+        silentMs += step.delayMs;
+        if (silentMs > limitMs) end = 'failed';
+        const next = end === '' ? Math.min(truth.length, offset + step.count) : offset;
+        if (next > offset) [silentMs, limitMs, offset] = [0, 50, next];
+      } else if (step.kind === 'end') return { offset: truth.length, kind: 'answered' };
+      else if (step.kind === 'refuse' && !heard) end = 'refused';
+      else if (!['repeat', 'late', 'crossed'].includes(step.kind)) end = 'failed';
+      heard ||= step.kind === 'tokens' || step.kind === 'repeat';
+    }
+    if (end !== 'refused') kind = 'unknown';
+  }
+  return { offset, kind };
+};
+
+const replay = async (
+  attempts: readonly Script[],
+  settings: Partial<AttemptSettings>,
+  deadline: number,
+) => {
+  const { clock, seen, groups, finish } = play(attempts, settings, { deadline });
+  const outcome = await clock.settle(finish(), 25);
+  const got = groups.flat();
+  expect(got).toEqual(truth.slice(0, got.length));
+  if (outcome.kind === 'answered') expect([got, outcome.answer.tokens]).toEqual([truth, truth]);
+  else expect(outcome.reason.retryAfterMs).toBeGreaterThan(0);
+  if (outcome.kind === 'notRun') expect([seen.ran, got]).toEqual([0, []]);
+  // Losers and late targets settle after the outcome.
+  await clock.advance(1_000);
+  expect(seen.released).toHaveLength(seen.opened);
+  return { offset: got.length, kind: outcome.kind };
+};
+
+const likeReference = (settings: Partial<AttemptSettings> = {}) =>
+  fc.asyncProperty(scripts, async (attempts) => {
+    expect(await replay(attempts, settings, 60_000)).toEqual(reference(attempts));
+  });
+
+// Guards against answers that are cut, mixed with others or wrongly reported, whatever arrives.
+test('random histories end as in the sequential reference', async () => {
+  await fc.assert(likeReference(), { seed: 20261204, numRuns: 300 });
+});
+
+// Guards against the same under a deadline and with hedges, where the order of attempts is open.
+test('deadlines and hedges keep the text exact and the outcome honest', async () => {
+  const property = fc.asyncProperty(
+    scripts,
+    fc.constantFrom(undefined, 5, 40),
+    fc.constantFrom(3, 60, 150, 60_000),
+    async (attempts, hedgeAfterMs, deadline) => {
+      await replay(attempts, { hedgeAfterMs }, deadline);
+    },
+  );
+  await fc.assert(property, { seed: 20261204, numRuns: 300 });
+});
+
+// Guards against a test that would pass without the checks it is meant for.
+test.each([{ identity: false }, { offset: false }])('fails without the check %j', async (off) => {
+  const checks = { ...allPartChecks, ...off };
+  const details = await fc.check(likeReference({ checks }), {
+    seed: 20261204,
+    numRuns: 300,
+    endOnFailure: true,
+  });
+  expect(details.failed).toBe(true);
+});
--- a/packages/request/attempt/test/generate.test.ts
+++ b/packages/request/attempt/test/generate.test.ts
@@ -1,60 +1,115 @@
-import type { Endpoint, Failure, Generation, StreamPart } from '@currantdrift/core';
-import { VirtualClock } from '@currantdrift/fakes';
-import { err, ok, type Result } from 'neverthrow';
-import { generate, RetryBudget } from '@currantdrift/attempt';
-
-const parts = (
-  generation: Generation,
-  tokens: readonly string[],
-): Result<StreamPart, Failure>[] => {
-  const { requestId, attempt } = generation;
-  return [
-    ok({ kind: 'tokens', requestId, attempt, offset: 0, tokens }),
-    ok({ kind: 'end', requestId, attempt, offset: tokens.length, finishReason: 'stop' }),
-  ];
-};
+import { RetryBudget } from '@currantdrift/attempt';
+import { play, type Script, type Step } from './scripted';
+
+const tokens = (count: number, delayMs = 0): Step => ({ kind: 'tokens', count, delayMs });
+const stream = (...steps: Step[]): Script => ({ open: 'ok', steps });
+const whole = stream(tokens(5), { kind: 'end' });
 
-// Guards against a runner that loses tokens or the end of an undisturbed stream.
-test('an undisturbed stream is delivered whole', async () => {
-  const clock = VirtualClock.create();
-  const released: string[] = [];
-  const endpoint = {
-    id: 'engine-1',
-    generate: async (generation: Generation) =>
-      ok(
-        (async function* stream() {
-          yield* parts(generation, ['a', 'b']);
-        })(),
-      ),
-    cancel: async () => {},
-  } as unknown as Endpoint;
-  const run = generate(
-    {
-      requestId: 'r',
-      item: 'm@1',
-      messages: [],
-      maxTokens: 10,
-      priority: 5,
-      deadline: 1000,
-    },
-    {
-      clock,
-      budget: RetryBudget.create(),
-      choose: (tried) =>
-        tried.length === 0
-          ? ok({ endpoint, place: { observe() {}, release: (result) => released.push(result) } })
-          : err({ step: 'choose', peer: 'self', message: 'none' }),
-    },
-  );
-  const got: string[] = [];
-  const read = async () => {
-    for await (const tokens of run.deltas) got.push(...tokens);
-    return run.outcome;
-  };
-  const outcome = await clock.settle(read());
-  expect({ outcome, got, released }).toMatchObject({
-    outcome: { kind: 'answered', answer: { tokens: ['a', 'b'], finishReason: 'stop' } },
-    got: ['a', 'b'],
-    released: ['succeeded'],
+// Guards against a cut or silent stream that is not resumed at its offset on another replica.
+test('resumes after a cut and after silence', async () => {
+  const { clock, seen, groups, finish } = play([
+    stream(tokens(3), { kind: 'cut' }),
+    stream(tokens(2, 10), { kind: 'stall' }),
+    whole,
+  ]);
+  const outcome = await clock.settle(finish());
+  expect({ outcome, groups, seen }).toMatchSnapshot();
+});
+
+// Guards against hedges that delay the answer, leave the loser running or mix two answers.
+test('a late first token starts a hedge, and the loser is cancelled', async () => {
+  const { clock, seen, finish } = play([stream(tokens(3, 90), { kind: 'end' }), whole], {
+    hedgeAfterMs: 20,
   });
+  const outcome = await clock.settle(finish());
+  expect(outcome.kind).toBe('answered');
+  expect(clock.now()).toBeLessThan(40);
+  expect(seen).toMatchObject({ cancelled: [1], released: ['overloaded', 'succeeded'] });
+});
+
+// Guards against hedges of what must not run twice, and against hedges beyond the retry budget.
+test.each([
+  ['not repeatable', { repeatable: false }, RetryBudget.create()],
+  ['no budget', {}, RetryBudget.create({ floor: 0, floorPerSecond: 0 })],
+])('does not hedge or retry: %s', async (_, change, budget) => {
+  const late = stream(tokens(3, 90), { kind: 'cut' });
+  const { clock, seen, finish } = play([late, whole], { hedgeAfterMs: 20 }, change, budget);
+  expect((await clock.settle(finish())).kind).toBe('unknown');
+  expect(seen.opened).toBe(1);
+});
+
+// Guards against a slow caller that fills the memory or is taken for a silent endpoint.
+test('a slow caller holds back its own stream only', async () => {
+  const steps = [1, 2, 3, 4, 5, 6].map(() => tokens(2));
+  const { clock, run, seen } = play([stream(...steps, { kind: 'end' })], { maxBufferedTokens: 4 });
+  const reader = run.deltas[Symbol.asyncIterator]();
+  await clock.advance(5_000);
+  expect(seen.sent).toBeLessThanOrEqual(6);
+  const groups: (readonly string[])[] = [];
+  for (let next = await reader.next(); !next.done; next = await reader.next()) {
+    groups.push(next.value);
+    await clock.advance(500);
+  }
+  expect(groups.map((group) => group.length)).toEqual([4, 4, 4]);
+  expect(seen.opened).toBe(1);
+  expect((await run.outcome).kind).toBe('answered');
+});
+
+// Guards against an answer that is held until a slow endpoint reacts, and against a false claim.
+test.each([
+  ['before any endpoint was found', [], 'notRun'],
+  ['while an endpoint is silent', [stream({ kind: 'stall' })], 'unknown'],
+])('ends at the deadline: %s', async (_, scripts, kind) => {
+  const { clock, finish } = play(scripts, { firstTokenTimeoutMs: 5_000 }, { deadline: 100 });
+  const outcome = await clock.settle(finish(), 1);
+  expect(clock.now()).toBeLessThanOrEqual(100);
+  expect(outcome).toMatchObject({ kind, reason: { retryAfterMs: 1_000 } });
+});
+
+// Guards against endpoints that go on generating for a caller that has gone.
+test('a reader that leaves cancels the attempt', async () => {
+  const { clock, run, seen } = play([stream(tokens(2), tokens(2, 20), { kind: 'end' })]);
+  for await (const group of run.deltas) if (group.length > 0) break;
+  const outcome = await clock.settle(run.outcome);
+  expect(outcome).toMatchObject({ kind: 'unknown', reason: { peer: 'caller' } });
+  expect(seen).toMatchObject({ cancelled: [1], released: ['neutral'] });
+});
+
+/** Endpoints all fail: attempts for each request after `requests` requests. */
+const attemptsWhenAllFail = async (budget: RetryBudget) => {
+  const requests = 200;
+  let opened = 0;
+  for (let index = 0; index < requests; index += 1) {
+    const { clock, seen, finish } = play(
+      Array.from({ length: 6 }, () => stream({ kind: 'cut' })),
+      { maxAttempts: 6 },
+      {},
+      budget,
+    );
+    await clock.settle(finish());
+    opened += seen.opened;
+  }
+  return opened / requests;
+};
+
+// Guards against retries that multiply the load on failing endpoints; without the budget each
+// request makes all of its attempts.
+test('the retry budget bounds the attempts when all endpoints fail', async () => {
+  const bounded = await attemptsWhenAllFail(RetryBudget.create());
+  const unbounded = await attemptsWhenAllFail(RetryBudget.create({ floor: 1e6, max: 1e6 }));
+  expect({ bounded, unbounded }).toEqual({ bounded: 1.05, unbounded: 6 });
+});
+
+// Guards against a budget that grows by more than its share of the successes or without bound.
+test('the retry budget earns a tenth of the successes and a small floor', () => {
+  const budget = RetryBudget.create({ floor: 2, floorPerSecond: 1, max: 5 });
+  const available = [budget.available(0)];
+  while (budget.withdraw(0));
+  for (let index = 0; index < 20; index += 1) budget.deposit(0);
+  available.push(budget.available(0));
+  while (budget.withdraw(0));
+  available.push(budget.available(60_000));
+  for (let index = 0; index < 200; index += 1) budget.deposit(60_000);
+  available.push(budget.available(60_000));
+  expect(available).toEqual([2, 2, 2, 5]);
 });
--- /dev/null
+++ b/packages/request/attempt/test/scripted.ts
@@ -0,0 +1,124 @@
+import {
+  type Endpoint,
+  type Failure,
+  type FailureKind,
+  type Generation,
+  type StreamPart,
+} from '@currantdrift/core';
+import { VirtualClock } from '@currantdrift/fakes';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  type AttemptEvent,
+  generate,
+  type GenerateRequest,
+  RetryBudget,
+  type RunnerOptions,
+} from '@currantdrift/attempt';
+
+/** What an endpoint does next in a stream. Wrong tokens carry the offset that is due. */
+export type Step =
+  | { readonly kind: 'tokens'; readonly count: number; readonly delayMs: number }
+  | { readonly kind: 'repeat' | 'late' | 'crossed' | 'gap' | 'cut' | 'refuse' | 'stall' | 'end' };
+
+/** One attempt: how it opens, and its stream. */
+export interface Script {
+  readonly open: 'ok' | FailureKind;
+  readonly steps: readonly Step[];
+}
+
+export const truth = Array.from({ length: 12 }, (_, index) => `t${index}`);
+
+export const failure = (kind: FailureKind): Failure => ({
+  kind,
+  step: 'test',
+  peer: 'engine',
+  message: kind,
+});
+
+/** Plays one script for each attempt and keeps account of what ran and what was released. */
+export const play = (
+  scripts: readonly Script[],
+  settings: RunnerOptions['settings'] = {},
+  change: Partial<GenerateRequest> = {},
+  budget = RetryBudget.create({ floor: 100 }),
+) => {
+  const clock = VirtualClock.create();
+  const seen = {
+    ran: 0,
+    sent: 0,
+    released: [] as string[],
+    opened: 0,
+    cancelled: [] as number[],
+    dropped: [] as string[],
+    events: [] as AttemptEvent[],
+  };
+  async function* stream(
+    generation: Generation,
+    steps: readonly Step[],
+  ): AsyncGenerator<Result<StreamPart, Failure>> {
+    const { requestId, attempt } = generation;
+    let cursor = generation.resume.length;
+    const part = (offset: number, tokens: readonly string[], ids = {}) =>
+      ok<StreamPart>({ kind: 'tokens', requestId, attempt, offset, tokens, ...ids });
+    for (const step of steps) {
+      if (step.kind === 'tokens') {
+        if (step.delayMs > 0) await clock.sleep(step.delayMs);
+        yield part(cursor, truth.slice(cursor, cursor + step.count));
+        cursor = Math.min(truth.length, cursor + step.count);
+        seen.sent = cursor;
+      } else if (step.kind === 'repeat') yield part(0, truth.slice(0, cursor));
+      else if (step.kind === 'late') yield part(cursor, ['late'], { attempt: attempt - 1 });
+      else if (step.kind === 'crossed') yield part(cursor, ['crossed'], { requestId: 'other' });
+      else if (step.kind === 'gap') yield part(cursor + 1, ['gap']);
+      else if (step.kind === 'cut') yield err(failure('unknown'));
+      else if (step.kind === 'refuse') yield err(failure('refused'));
+      else if (step.kind === 'stall') await new Promise(() => {});
+      else {
+        yield part(cursor, truth.slice(cursor));
+        yield ok({ kind: 'end', requestId, attempt, offset: truth.length, finishReason: 'stop' });
+      }
+    }
+  }
+  const endpoint = (index: number) =>
+    ({
+      id: `engine-${index}`,
+      generate: async (generation: Generation) => {
+        const { open, steps } = scripts[index];
+        const own = steps.find(({ kind }) => kind !== 'late' && kind !== 'crossed');
+        if (open !== 'refused' && open !== 'unreachable' && own?.kind !== 'refuse') seen.ran += 1;
+        return open === 'ok' ? ok(stream(generation, steps)) : err(failure(open));
+      },
+      cancel: async (_: string, attempt: number) => {
+        seen.cancelled.push(attempt);
+      },
+    }) as unknown as Endpoint;
+  const request: GenerateRequest = {
+    requestId: 'mine',
+    item: 'm@1',
+    messages: [],
+    maxTokens: truth.length,
+    priority: 5,
+    deadline: 60_000,
+    ...change,
+  };
+  const run = generate(request, {
+    clock,
+    budget,
+    settings: { progressTimeoutMs: 50, firstTokenTimeoutMs: 100, maxAttempts: 100, ...settings },
+    observer: (event) => seen.events.push(event),
+    onDropped: (why) => seen.dropped.push(why),
+    choose: () => {
+      const index = seen.opened;
+      if (index >= scripts.length) return err({ step: 'choose', peer: 'self', message: 'none' });
+      seen.opened += 1;
+      const release = (result: string) => seen.released.push(result);
+      return ok({ endpoint: endpoint(index), place: { observe() {}, release } });
+    },
+  });
+  const groups: (readonly string[])[] = [];
+  const finish = async () => {
+    for await (const tokens of run.deltas) groups.push(tokens);
+    return run.outcome;
+  };
+  return { clock, run, seen, groups, finish };
+};
