Wire a daemon from its parts

Cause: the roles of a daemon need one place that connects membership, bundles, placement and the request path. Change: process/node runs every role from interfaces; process/daemon adds HTTP servers, adapters and signals. A relay announces itself in its member state.

--- a/packages/process/daemon/src/index.ts
+++ b/packages/process/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './process/daemon';
+export * from './process/main';
--- /dev/null
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -0,0 +1,149 @@
+import { HttpEndpointConnector } from '@currantdrift/endpoint';
+import { type Clock, SystemClock, SystemRandom } from '@currantdrift/core';
+import { TrustedKeys } from '@currantdrift/bundle';
+import { Node } from '@currantdrift/node';
+import { WebSocketNetwork } from '@currantdrift/peer';
+import { HttpHostList, HttpStore } from '@currantdrift/platform';
+import type { Settings } from '@currantdrift/settings';
+import { enableLogs, ProcessTelemetry } from '@currantdrift/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import { CallersInterface } from '../request/callers';
+import { HttpServer, type ListenFailure } from './http-server';
+import { OperatorsInterface } from './operators';
+
+interface Parts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly telemetry: ProcessTelemetry;
+  readonly node: Node;
+  readonly callers: HttpServer;
+  readonly operators: HttpServer;
+}
+
+/** Time between two readings of gauges, in ms. */
+const gaugePeriodMs = 1_000;
+
+const createNode = (
+  settings: Settings,
+  trusted: TrustedKeys,
+  clock: Clock,
+  telemetry: ProcessTelemetry,
+): Node =>
+  Node.create({
+    name: settings.name,
+    domain: settings.domain,
+    region: settings.region,
+    address: settings.peers.address,
+    operatorAddress: settings.operators.address,
+    seeds: settings.peers.seeds,
+    trusted,
+    trustedKeys: settings.trustedKeys,
+    prices: settings.prices,
+    weights: settings.weights,
+    queue: settings.queue,
+    clock,
+    telemetry,
+    random: SystemRandom.create(),
+    store: HttpStore.create({
+      address: settings.platform.store,
+      timeoutMs: settings.platform.timeoutMs,
+    }),
+    hostList: HttpHostList.create({
+      address: settings.platform.hosts,
+      timeoutMs: settings.platform.timeoutMs,
+    }),
+    connector: HttpEndpointConnector.create(),
+    network: WebSocketNetwork.create(),
+  });
+
+/** A daemon process: the decision code behind its HTTP servers. */
+export class Daemon {
+  private readonly stopping = new AbortController();
+
+  private constructor(private readonly parts: Parts) {}
+
+  /** The failure is a line for the operator. */
+  static create(settings: Settings): Result<Daemon, string> {
+    const trusted = TrustedKeys.create(settings.trustedKeys);
+    if (trusted.isErr()) {
+      return err(
+        trusted.error.map(({ path, expected }) => `${path}: expected ${expected}`).join('\n'),
+      );
+    }
+    enableLogs(settings.telemetry.logs);
+    const clock = SystemClock.create();
+    const telemetry = ProcessTelemetry.create({
+      clock,
+      common: { host: settings.name, domain: settings.domain },
+      traces: settings.telemetry.traces,
+    });
+    const node = createNode(settings, trusted.value, clock, telemetry);
+    const callers = CallersInterface.create({
+      entry: node.entry,
+      clock,
+      telemetry,
+      body: { maxBytes: settings.callers.maxBodyBytes, timeoutMs: settings.callers.bodyTimeoutMs },
+      deadlines: settings.callers,
+    });
+    const operators = OperatorsInterface.create({
+      operations: node,
+      metrics: telemetry.metrics,
+      telemetry,
+      tokenHashes: settings.operators.tokenHashes,
+    });
+    return ok(
+      new Daemon({
+        settings,
+        clock,
+        telemetry,
+        node,
+        callers: HttpServer.create(callers.routes().fetch, settings.callers.address),
+        operators: HttpServer.create(operators.routes().fetch, settings.operators.address),
+      }),
+    );
+  }
+
+  /** Opens the ports and joins the other daemons. */
+  async start(): Promise<Result<void, ListenFailure>> {
+    const { callers, operators, node, telemetry, settings } = this.parts;
+    const listening = await operators.listen();
+    if (listening.isErr()) return err(listening.error);
+    const started = await node.start();
+    if (started.isErr()) {
+      return err({ address: settings.peers.address, message: started.error.message });
+    }
+    const open = await callers.listen();
+    if (open.isErr()) return err(open.error);
+    this.readGauges().catch((error: unknown) => {
+      telemetry.log('gauges failed', { message: String(error) });
+    });
+    telemetry.log('started', { callers: settings.callers.address });
+    return ok(undefined);
+  }
+
+  /** Stops without cutting requests, within the time of the settings. */
+  async stop(): Promise<void> {
+    const { callers, operators, node, telemetry, settings, clock } = this.parts;
+    const end = clock.now() + settings.stopping.timeoutMs;
+    telemetry.log('stopping');
+    node.failReadiness();
+    // The balancer learns of the failed readiness check with a lag; late connections are served.
+    await clock.sleep(settings.stopping.drainDelayMs);
+    await node.leave();
+    const cut = await callers.close(clock, Math.max(0, end - clock.now()));
+    const open = await node.stop(Math.max(0, end - clock.now()));
+    await operators.close(clock, 0);
+    this.stopping.abort();
+    telemetry.log('stopped', { cutConnections: cut, openRequests: open });
+    await telemetry.close();
+  }
+
+  private async readGauges(): Promise<void> {
+    const { clock, node } = this.parts;
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      node.report();
+      await clock.sleep(gaugePeriodMs, signal);
+    }
+  }
+}
--- a/packages/process/daemon/src/request/callers.ts
+++ b/packages/process/daemon/src/request/callers.ts
@@ -74,6 +74,18 @@
     app.post('/v1/chat/completions', (context) => this.chat(context));
     app.get('/v1/models', (context) => this.models(context));
     app.all('/v1/services/:service/:call', (context) => this.service(context));
+    app.onError((error, context) => {
+      this.options.telemetry.log('request failed', {
+        requestId: context.get('requestId'),
+        message: error.stack ?? error.message,
+      });
+      return this.refuse(context, {
+        status: 500,
+        code: 'internal_error',
+        message: 'the daemon failed; the request may have run',
+        outcome: 'unknown',
+      });
+    });
     app.notFound((context) =>
       this.refuse(context, badRequest(404, 'unknown_path', `no such path: ${context.req.path}`)),
     );
--- a/packages/process/membership/src/domain-summaries.ts
+++ b/packages/process/membership/src/domain-summaries.ts
@@ -88,6 +88,12 @@
     return known?.isWarm === true && known.epoch >= (this.completeEpochs.get(domain) ?? 0);
   }
 
+  /** Items that are warm in a domain. */
+  warmItems(domain: string): readonly string[] {
+    const known = [...(this.warm.get(domain)?.keys() ?? [])];
+    return known.filter((item) => this.isWarm(domain, item));
+  }
+
   /** Domains in which the item is warm, stale ones left out. */
   domainsWith(item: string): readonly string[] {
     return this.domains().filter((domain) => this.isFresh(domain) && this.isWarm(domain, item));
--- /dev/null
+++ b/packages/process/node/src/process/known-domains.ts
@@ -0,0 +1,53 @@
+import type { BundleHolder } from '@currantdrift/bundle';
+import type { DomainView, Random } from '@currantdrift/core';
+import type { DomainSummaries } from '@currantdrift/membership';
+import { allotment } from '@currantdrift/placement';
+import type { DomainOption } from '@currantdrift/routing';
+import type { DomainDirectory } from './domain-directory';
+
+export interface KnownDomainsOptions {
+  readonly own: { readonly name: string; readonly region: string };
+  readonly holder: BundleHolder;
+  readonly summaries: DomainSummaries;
+  readonly view: DomainView;
+  readonly random: Random;
+}
+
+/** The failure domains of the bundle, with what the relays have heard of them. */
+export class KnownDomains implements DomainDirectory {
+  private constructor(private readonly parts: KnownDomainsOptions) {}
+
+  static create(parts: KnownDomainsOptions): KnownDomains {
+    return new KnownDomains(parts);
+  }
+
+  options(itemName: string, itemKey: string): readonly DomainOption[] {
+    const { holder, own, summaries, view } = this.parts;
+    const bundle = holder.current;
+    const limit = bundle?.item(itemName)?.replicas ?? 0;
+    const domains = bundle?.bundle.domains ?? [];
+    return domains.map(({ name, region }) => {
+      const isOwn = name === own.name;
+      return {
+        name,
+        region,
+        warm: isOwn ? view.replicas(itemKey).length > 0 : summaries.isWarm(name, itemKey),
+        allotment: allotment(itemName, limit, name, domains),
+        reachable: isOwn || summaries.summary(name)?.isFresh === true,
+      };
+    });
+  }
+
+  others(): readonly string[] {
+    const { holder, own, summaries } = this.parts;
+    return (holder.current?.bundle.domains ?? [])
+      .filter(({ name }) => name !== own.name && summaries.summary(name)?.isFresh === true)
+      .sort((a, b) => Number(b.region === own.region) - Number(a.region === own.region))
+      .map(({ name }) => name);
+  }
+
+  entryAddress(domain: string): string | undefined {
+    const entries = this.parts.summaries.summary(domain)?.entries ?? [];
+    return entries[Math.floor(this.parts.random.next() * entries.length)];
+  }
+}
--- /dev/null
+++ b/packages/process/node/src/process/node.ts
@@ -0,0 +1,163 @@
+import {
+  type Head,
+  type PreparedBundle,
+  readHistory,
+  Rollout,
+  type RolloutOutcome,
+  type SignedBundle,
+} from '@currantdrift/bundle';
+import type { Failure } from '@currantdrift/core';
+import { ok, type Result } from 'neverthrow';
+import type { CallerEntry } from '../request/caller-entry';
+import type { NodeOptions } from './node-options';
+import type { Explanation, Operations, StatusReport } from './operations';
+import { explainItem, reportStatus, type ReportContext } from './report';
+import { wire, type Wiring } from './wiring';
+
+/** Time between two looks at open requests while stopping, in ms. */
+const stopPollMs = 50;
+
+/** One daemon's decision code, wired together. It has no HTTP servers and reads no files. */
+export class Node implements Operations {
+  readonly entry: CallerEntry;
+
+  private readonly tasks = new AbortController();
+
+  private started = false;
+
+  private stopping = false;
+
+  private constructor(
+    private readonly options: NodeOptions,
+    private readonly parts: Wiring,
+  ) {
+    this.entry = parts.entry;
+  }
+
+  static create(options: NodeOptions): Node {
+    return new Node(options, wire(options));
+  }
+
+  /** Listens for peers, joins the domain and takes the newest bundle that it can find. */
+  async start(): Promise<Result<void, Failure>> {
+    const { peers, hosts, membership, watchers, links, exchange } = this.parts;
+    const listening = await peers.listen();
+    if (listening.isErr()) return listening;
+    await hosts.read();
+    await membership.start();
+    watchers.start();
+    links.start();
+    const contacts = [...hosts.contacts(), ...hosts.others().map(({ address }) => address)];
+    const found = await exchange.findNewest(contacts);
+    if (found.isErr()) {
+      const { step, message } = found.error;
+      this.options.telemetry.log('no bundle found', { step, message });
+    }
+    this.started = true;
+    this.runTasks();
+    return ok(undefined);
+  }
+
+  /** Makes the readiness check fail, so that the balancer sends no new callers. */
+  failReadiness(): void {
+    this.stopping = true;
+  }
+
+  /** Hands roles over and leaves the domain; requests go on. */
+  async leave(): Promise<void> {
+    const { controllers, links, watchers, membership } = this.parts;
+    this.tasks.abort();
+    await controllers.stop();
+    links.stop();
+    watchers.stop();
+    await membership.leave();
+  }
+
+  /** Waits for open requests up to `limitMs`, then closes. Gives the number still open. */
+  async stop(limitMs: number): Promise<number> {
+    const { clock } = this.options;
+    const { admission, peers, entry, pump } = this.parts;
+    const end = clock.now() + limitMs;
+    while (entry.openRequests > 0 && clock.now() < end) await clock.sleep(stopPollMs);
+    admission.close(clock.now());
+    pump.abort();
+    await peers.close(Math.max(0, end - clock.now()));
+    return entry.openRequests;
+  }
+
+  status(): StatusReport {
+    return reportStatus(this.reportContext());
+  }
+
+  explain(item: string): Explanation | undefined {
+    return explainItem(this.reportContext(), item);
+  }
+
+  drain(target: string, isDrained: boolean): boolean {
+    const { directory, watchers } = this.parts;
+    const [ip] = target.split(':');
+    const found = directory
+      .endpoints()
+      .filter(({ host }) => host.name === target || host.address.split(':')[0] === ip);
+    found.forEach(({ host }) => watchers.drain(host.name, isDrained));
+    return found.length > 0;
+  }
+
+  bundle(): PreparedBundle | undefined {
+    return this.parts.holder.current;
+  }
+
+  history(): Promise<Result<readonly Head[], Failure>> {
+    return readHistory(this.parts.store);
+  }
+
+  async rollout(signed: SignedBundle, operator: string): Promise<RolloutOutcome> {
+    const { clock, random, trusted } = this.options;
+    const { store, reader } = this.parts;
+    const outcome = await Rollout.create({ store, clock, random, trusted }).run(signed, operator);
+    if (outcome.kind === 'done') await reader.load();
+    return outcome;
+  }
+
+  trustedKeys(): Readonly<Record<string, string>> {
+    return this.options.trustedKeys;
+  }
+
+  /** Sets the gauges; to be called from time to time. */
+  report(): void {
+    const { telemetry } = this.options;
+    const { admission, controllers, entry, holder } = this.parts;
+    telemetry.gauge('currantdrift_queue_length', admission.waiting);
+    telemetry.gauge('currantdrift_open_requests', entry.openRequests);
+    telemetry.gauge('currantdrift_bundle_version', holder.version);
+    telemetry.gauge('currantdrift_controller', controllers.controller?.isHolder ? 1 : 0);
+    telemetry.gauge('currantdrift_in_doubt_orders', this.status().inDoubt.length);
+  }
+
+  private runTasks(): void {
+    const { signal } = this.tasks;
+    const { admission, controllers, exchange, hosts, pump, relay, wakes } = this.parts;
+    const tasks: readonly [string, Promise<void>][] = [
+      ['admission', admission.run(this.options.clock, pump.signal)],
+      ['hosts', hosts.run(signal)],
+      ['wakes', wakes.run(signal)],
+      ['controller', controllers.run(signal)],
+      ['bundles', exchange.run(signal)],
+      ['relay', relay.run(signal)],
+    ];
+    tasks.forEach(([task, running]) =>
+      running.catch((error: unknown) => {
+        this.options.telemetry.log('task failed', { task, message: String(error) });
+      }),
+    );
+  }
+
+  private reportContext(): ReportContext {
+    return {
+      ...this.parts,
+      options: this.options,
+      ready: this.started && !this.stopping && this.parts.holder.current !== undefined,
+      stopping: this.stopping,
+    };
+  }
+}
--- a/packages/process/node/src/process/ready-view.ts
+++ b/packages/process/node/src/process/routable-view.ts
@@ -1,13 +1,18 @@
 import { type Clock, type DomainView, type EndpointState, HostState } from '@currantdrift/core';
+import type { DrainMark } from '@currantdrift/placement';
 
 /** Time for which a wake-up's word stands without the watcher's, in ms; polls take up to 1 s. */
 const noticeMs = 3_000;
 
 /**
- * The domain's view with the replicas that wake-ups have just given. A watcher's report follows
- * up to a poll period later, and a waiting request need not wait for it.
+ * The domain's view for routing. Replicas that a wake-up has just given are added: a watcher's
+ * report follows up to a poll period later, and a waiting request need not wait for it. Replicas
+ * that the controller drains are left out.
  */
-export class ReadyView implements DomainView {
+export class RoutableView implements DomainView {
+  /** Draining replicas as `endpoint item`. */
+  private draining: ReadonlySet<string> = new Set();
+
   /** Time at which a notice ends, by item and endpoint. */
   private readonly notices = new Map<string, Map<string, number>>();
 
@@ -16,8 +21,8 @@
     private readonly clock: Clock,
   ) {}
 
-  static create(view: DomainView, clock: Clock): ReadyView {
-    return new ReadyView(view, clock);
+  static create(view: DomainView, clock: Clock): RoutableView {
+    return new RoutableView(view, clock);
   }
 
   /** Notes that `endpoint` holds the item. */
@@ -27,6 +32,12 @@
     this.notices.set(item, noted);
   }
 
+  /** Replaces the replicas that get no new requests. */
+  setDraining(marks: readonly DrainMark[]): void {
+    this.draining = new Set(marks.map(({ engine, item }) => `${engine} ${item}`));
+    marks.forEach(({ engine, item }) => this.notices.get(item)?.delete(engine));
+  }
+
   endpoint(id: string): EndpointState | undefined {
     return this.view.endpoint(id);
   }
@@ -40,7 +51,9 @@
   }
 
   replicas(item: string): readonly EndpointState[] {
-    const known = this.view.replicas(item);
+    const known = this.view
+      .replicas(item)
+      .filter(({ host }) => !this.draining.has(`${host.name} ${item}`));
     const noted = this.notices.get(item);
     if (noted === undefined) return known;
     const now = this.clock.now();
--- a/packages/process/node/src/process/wake-client.ts
+++ b/packages/process/node/src/process/wake-client.ts
@@ -1,24 +1,23 @@
+import { type Clock, type Peers, type WakeRefusal, type Waker } from '@currantdrift/core';
 import {
-  type Clock,
-  FailureKind,
-  type Message,
-  type Peers,
-  type WakeRefusal,
-  type Waker,
-} from '@currantdrift/core';
-import { err, ok, type Result } from 'neverthrow';
+  touchNoticeSchema,
+  wakeRequest,
+  wakeRequestSchema,
+  wakeResponse,
+  wakeResult,
+} from '@currantdrift/placement';
+import { err, type Result } from 'neverthrow';
 
 /** Kinds of messages to the domain controller. */
-export const WakeMessage = {
-  wake: 'placement.wake',
-  touch: 'placement.touch',
-} as const;
+const WakeMessage = { wake: 'placement.wake', touch: 'placement.touch' } as const;
 
 export interface WakeClientOptions {
   readonly peers: Peers;
   readonly clock: Clock;
   /** Controller of the own domain: itself, the peer address of another daemon, or unknown. */
   readonly controller: () => Waker | string | undefined;
+  /** Called when an endpoint holds an item that was asked for. */
+  readonly onReady: (item: string, endpoint: string) => void;
 }
 
 /** A wake-up that this daemon waits for. */
@@ -50,8 +49,8 @@
 export class WakeClient implements Waker {
   private readonly pending = new Map<string, Pending>();
 
-  /** Number of requests by item since the last message to the controller. */
-  private touched = new Map<string, number>();
+  /** Items asked for since the last message to the controller. */
+  private touched = new Set<string>();
 
   private constructor(private readonly options: WakeClientOptions) {}
 
@@ -70,12 +69,13 @@
     const own = { deadline, result };
     this.pending.set(item, own);
     const answer = await result;
+    if (answer.isOk()) this.options.onReady(item, answer.value);
     if (this.pending.get(item) === own) this.pending.delete(item);
     return answer;
   }
 
   touch(item: string): void {
-    this.touched.set(item, (this.touched.get(item) ?? 0) + 1);
+    this.touched.add(item);
   }
 
   /** Sends the items in use to the controller, in one message a period. */
@@ -91,15 +91,13 @@
     const controller = this.options.controller();
     if (controller === undefined || this.touched.size === 0) return;
     const items = [...this.touched];
-    this.touched = new Map();
+    this.touched = new Set();
     if (typeof controller === 'string') {
       this.options.peers.notify(controller, { kind: WakeMessage.touch, items });
       return;
     }
     const now = this.options.clock.now();
-    items.forEach(([item, count]) => {
-      for (let index = 0; index < count; index += 1) controller.touch(item, now);
-    });
+    items.forEach((item) => controller.touch(item, now));
   }
 
   private async ask(item: string, deadline: number): Promise<Result<string, WakeRefusal>> {
@@ -128,18 +126,12 @@
     item: string,
     left: number,
   ): Promise<Result<string, WakeRefusal> | undefined> {
-    const message: Message = { kind: WakeMessage.wake, item, deadlineMs: left };
-    const reply = await this.options.peers.request(address, message, left);
-    if (reply.isErr()) {
-      const { kind, retryAfterMs } = reply.error;
-      if (kind === FailureKind.refused) {
-        return err(refusal('failed', reply.error.message, retryAfterMs ?? noControllerRetryMs));
-      }
-      return undefined;
-    }
-    const { endpoint, refused } = reply.value as { endpoint?: string; refused?: WakeRefusal };
-    if (endpoint !== undefined) return ok(endpoint);
-    return refused === undefined || refused.kind === 'no_controller' ? undefined : err(refused);
+    const { clock, peers } = this.options;
+    const message = wakeRequest(item, clock.now() + left, clock.now());
+    const reply = await peers.request(address, message, left);
+    if (reply.isErr()) return undefined;
+    const result = wakeResult(reply.value);
+    return result.isErr() && result.error.kind === 'no_controller' ? undefined : result;
   }
 }
 
@@ -150,24 +142,22 @@
   controller: () => Waker | undefined,
 ): void => {
   peers.onRequest(WakeMessage.wake, async (message) => {
-    const { item, deadlineMs } = message as unknown as { item: string; deadlineMs: number };
+    const parsed = wakeRequestSchema.safeParse(message);
+    if (!parsed.success) {
+      return wakeResponse(err(refusal('failed', 'the wake-up request is malformed', 0)));
+    }
     const own = controller();
-    const answer =
+    const { item, withinMs } = parsed.data;
+    return wakeResponse(
       own === undefined
         ? err(refusal('no_controller', 'this daemon is not the controller', 0))
-        : await own.wake(item, clock.now() + deadlineMs);
-    return answer.match(
-      (endpoint): Message => ({ kind: WakeMessage.wake, endpoint }),
-      (refused): Message => ({ kind: WakeMessage.wake, refused }),
+        : await own.wake(item, clock.now() + withinMs),
     );
   });
   peers.onRequest(WakeMessage.touch, (message) => {
-    const { items } = message as unknown as { items: readonly [string, number][] };
+    const parsed = touchNoticeSchema.safeParse(message);
     const own = controller();
-    const now = clock.now();
-    items.forEach(([item, count]) => {
-      for (let index = 0; index < count; index += 1) own?.touch(item, now);
-    });
+    if (parsed.success) parsed.data.items.forEach((item) => own?.touch(item, clock.now()));
     return { kind: WakeMessage.touch };
   });
 };
--- /dev/null
+++ b/packages/process/node/src/process/wiring.ts
@@ -0,0 +1,243 @@
+import { Admission } from '@currantdrift/admission';
+import { RetryBudget } from '@currantdrift/attempt';
+import { ClaimLedger } from '@currantdrift/booking';
+import { BundleExchange, BundleHolder, BundleReader } from '@currantdrift/bundle';
+import { type Host, HostKind, type Waker } from '@currantdrift/core';
+import {
+  DomainLinks,
+  DomainSummaries,
+  EndpointDirectory,
+  Membership,
+  MemberStatus,
+  Watchers,
+} from '@currantdrift/membership';
+import { PeerConnections } from '@currantdrift/peer';
+import { Controller, FixedTtl } from '@currantdrift/placement';
+import { Balancer, type Lease, PrefixIndex } from '@currantdrift/routing';
+import { CallerEntry } from '../request/caller-entry';
+import { takePlace } from '../request/replica-chooser';
+import { ControllerTask } from './controller-task';
+import { CountedStore } from './counted-store';
+import { DrainMarks } from './drain-marks';
+import { EndpointPool } from './endpoint-pool';
+import { HostTask } from './host-task';
+import { KnownDomains } from './known-domains';
+import { MemberState } from './member-state';
+import type { NodeOptions } from './node-options';
+import { RelayTask } from './relay-task';
+import { RoutableView } from './routable-view';
+import { serveWakes, WakeClient } from './wake-client';
+
+/** Idle time after which a replica is unloaded, in ms. */
+const keepWarmMs = 600_000;
+
+/** Number of eighths in a level of free memory. */
+const spareLevels = 8;
+
+/** Share of accelerator memory of the domain that holds nothing, in eighths. */
+const spareLevel = (directory: EndpointDirectory): number => {
+  const engines = directory.endpoints();
+  const memory = engines.reduce((sum, { memoryBytes }) => sum + memoryBytes, 0);
+  const used = engines.flatMap(({ items }) => items).reduce((sum, { bytes }) => sum + bytes, 0);
+  return memory === 0 ? 0 : Math.floor((spareLevels * Math.max(0, memory - used)) / memory);
+};
+
+const isEngine = ({ kind }: Host): boolean => kind === HostKind.engine;
+
+/** State that the daemon's bundle, its peers and its domain bring. */
+const wireDomain = (options: NodeOptions) => {
+  const { clock, random, telemetry, network, address, domain, name } = options;
+  const store = CountedStore.create(options.store, telemetry);
+  const hosts = HostTask.create({ ...options, clock, random, telemetry });
+  const holder = BundleHolder.create(options.trusted);
+  const reader = BundleReader.create(store, holder);
+  let exchange: BundleExchange | undefined;
+  const peers = PeerConnections.create({
+    network,
+    clock,
+    address,
+    telemetry,
+    stamp: () => ({ bundle: holder.version }),
+    onStamp: ({ bundle }, from) => exchange?.sawVersion(Number(bundle ?? 0), from, clock.now()),
+  });
+  exchange = BundleExchange.create({ holder, reader, peers, clock, random, telemetry });
+  const membership = Membership.create({
+    self: { name, address, operatorAddress: options.operatorAddress, domain },
+    peers,
+    clock,
+    random,
+    telemetry,
+    contacts: async () => hosts.contacts(),
+  });
+  const directory = EndpointDirectory.create({ table: membership.spread.table, domain });
+  const watchers = Watchers.create({
+    membership,
+    directory,
+    connector: options.connector,
+    clock,
+    random,
+    telemetry,
+    hosts: () => hosts.hosts,
+  });
+  const summaries = DomainSummaries.create(membership.spread);
+  const links = DomainLinks.create({
+    membership,
+    directory,
+    summaries,
+    peers,
+    clock,
+    random,
+    telemetry,
+    contacts: () => hosts.others(),
+    status: () => ({ bundleVersion: holder.version, spareLevel: spareLevel(directory) }),
+  });
+  const view = RoutableView.create(directory, clock);
+  const state = MemberState.create(membership);
+  const relay = RelayTask.create({
+    store,
+    holder,
+    reader,
+    exchange,
+    links,
+    membership,
+    state,
+    clock,
+    random,
+    telemetry,
+  });
+  return {
+    store,
+    hosts,
+    holder,
+    reader,
+    exchange,
+    peers,
+    membership,
+    directory,
+    watchers,
+    summaries,
+    links,
+    view,
+    state,
+    relay,
+  };
+};
+
+type DomainParts = ReturnType<typeof wireDomain>;
+
+/** The controller of the domain, in this process or in another one. */
+const wirePlacement = (options: NodeOptions, domain: DomainParts) => {
+  const { clock, random, telemetry } = options;
+  const { directory, hosts, holder, membership, peers, state, store, view } = domain;
+  const endpoints = EndpointPool.create(options.connector);
+  const drains = DrainMarks.create(membership, view);
+  const keepWarm = FixedTtl.create(keepWarmMs);
+  const fleet = () => ({
+    engines: hosts.hosts.filter((host) => isEngine(host) && host.domain === options.domain).length,
+    allEngines: hosts.hosts.filter(isEngine).length,
+  });
+  const createController = (): Controller | undefined => {
+    // Without the host's incarnation a successor could not tell when this daemon is replaced.
+    const self = hosts.hosts.find(({ name }) => name === options.name);
+    if (self === undefined) return undefined;
+    const controller: Controller = Controller.create({
+      domain: options.domain,
+      daemon: { daemon: options.name, incarnation: self.incarnation },
+      store,
+      clock,
+      hosts: options.hostList,
+      endpoint: (id) => {
+        const host = hosts.hosts.find(({ name }) => name === id) ?? directory.endpoint(id)?.host;
+        return host === undefined ? undefined : endpoints.get(host);
+      },
+      bundle: () => holder.current?.bundle,
+      view: directory,
+      keepWarm,
+      onDrain: (marks) => drains.publish(controller.status().epoch, marks),
+      fleet,
+      random,
+      telemetry,
+      settings: {
+        loadsPerSecond: options.weights.loadsPerSecond,
+        loadsAtOnce: options.weights.loadsAtOnce,
+        adapterTransits: options.weights.adapterTransits,
+        ...options.placement,
+      },
+    });
+    return controller;
+  };
+  const controllers = ControllerTask.create({
+    membership,
+    state,
+    clock,
+    create: createController,
+  });
+  const wakes = WakeClient.create({
+    peers,
+    clock,
+    controller: () => controllers.holder(),
+    onReady: (item, endpoint) => view.note(item, endpoint, clock.now()),
+  });
+  const own = (): Waker | undefined =>
+    controllers.controller?.isHolder ? controllers.controller : undefined;
+  serveWakes(peers, clock, own);
+  return { endpoints, controllers, wakes };
+};
+
+/** Makes the parts of a daemon and connects them; nothing runs yet. */
+export const wire = (options: NodeOptions) => {
+  const { clock, random, telemetry, queue, name } = options;
+  const domain = wireDomain(options);
+  const placement = wirePlacement(options, domain);
+  const { holder, membership, peers, store, summaries, view } = domain;
+  const own = { name: options.domain, region: options.region };
+  const prefixes = PrefixIndex.create();
+  let admission: Admission<Lease> | undefined;
+  const balancer = Balancer.create({
+    random,
+    prefixes,
+    onRelease: (_endpoint, now) => admission?.pump(now),
+    onEject: (peer, until) => telemetry.log('endpoint ejected', { peer, until }),
+  });
+  admission = Admission.create(takePlace(view, balancer), {
+    maxWaiting: queue.capacity,
+    maxPerCaller: queue.callerCapacity,
+  });
+  const domains = KnownDomains.create({ own, holder, summaries, view, random });
+  const incarnation = membership.self.incarnation.toString(36);
+  const ledger = ClaimLedger.create({
+    store,
+    clock,
+    random,
+    telemetry,
+    dispatcher: `${name}#${incarnation}`,
+    isGone: (dispatcher) => {
+      const [host] = dispatcher.split('#');
+      const status = membership.member(host)?.status;
+      return status === MemberStatus.dead || status === MemberStatus.left;
+    },
+  });
+  const entry = CallerEntry.create({
+    holder,
+    context: {
+      own,
+      view,
+      domains,
+      admission,
+      waker: placement.wakes,
+      endpoints: placement.endpoints,
+      peers,
+      clock,
+      telemetry,
+      budget: RetryBudget.create(),
+      prefixes,
+      attempts: options.attempts ?? {},
+      ledger,
+    },
+  });
+  const pump = new AbortController();
+  return { ...domain, ...placement, admission, balancer, domains, ledger, entry, pump };
+};
+
+/** The connected parts of a daemon. */
+export type Wiring = ReturnType<typeof wire>;
--- a/packages/process/settings/src/read.ts
+++ b/packages/process/settings/src/read.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
 import { err, ok, Result } from 'neverthrow';
 import { listMistakes, type Mistake } from './mistake';
 import { type Settings, settingsSchema } from './settings';
@@ -18,6 +19,23 @@
   return parsed.success ? ok(parsed.data) : err(listMistakes(parsed.error, document));
 };
 
+/**
+ * Replaces trusted keys that name a file by the file's text. Files that cannot be read are left as
+ * they are, so that the schema reports them with their path in the document.
+ */
+const withKeyFiles = (document: unknown, folder: string): unknown => {
+  const { trustedKeys } = (document ?? {}) as { trustedKeys?: unknown };
+  if (typeof trustedKeys !== 'object' || trustedKeys === null) return document;
+  const readKey = Result.fromThrowable((name: string) =>
+    readFileSync(resolve(folder, name), 'utf8'),
+  );
+  const read = Object.entries(trustedKeys).map(([operator, key]) => [
+    operator,
+    typeof key === 'string' && key.endsWith('.pem') ? readKey(key).unwrapOr(key) : key,
+  ]);
+  return { ...(document as object), trustedKeys: Object.fromEntries(read) };
+};
+
 /** Reads and checks a settings file. */
 export const readSettings = (file: string): Result<Settings, SettingsFailure> => {
   const read = Result.fromThrowable(
@@ -31,6 +49,8 @@
   return read()
     .andThen(parse)
     .andThen((document) =>
-      checkSettings(document).mapErr((mistakes) => ({ kind: 'mistakes', file, mistakes }) as const),
+      checkSettings(withKeyFiles(document, dirname(file))).mapErr(
+        (mistakes) => ({ kind: 'mistakes', file, mistakes }) as const,
+      ),
     );
 };
--- a/packages/process/settings/src/settings.ts
+++ b/packages/process/settings/src/settings.ts
@@ -12,11 +12,6 @@
   .string()
   .regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'expected 1 to 63 lower-case letters, digits or hyphens');
 
-const url = z.url({
-  protocol: /^http$/,
-  error: 'expected an http URL such as http://10.0.0.5:7000',
-});
-
 const milliseconds = z.int().min(0).max(86_400_000);
 
 const callers = z.strictObject({
@@ -44,8 +39,8 @@
 });
 
 const platform = z.strictObject({
-  store: url,
-  hosts: url,
+  store: address,
+  hosts: address,
   /** Time after which a call counts as lost, in ms. */
   timeoutMs: milliseconds.default(1000),
 });
@@ -99,7 +94,10 @@
   operators,
   peers,
   platform,
-  /** Ed25519 public keys in PEM by operator name; they decide which bundles are accepted. */
+  /**
+   * Ed25519 public keys by operator name; they decide which bundles are accepted. A key is PEM
+   * text, or the name of a `.pem` file relative to the settings file.
+   */
   trustedKeys: z
     .record(name, z.string().includes('BEGIN PUBLIC KEY', 'expected a public key in PEM'))
     .refine((keys) => Object.keys(keys).length >= 2, 'expected the keys of two or more operators'),
