Test peer connections under faults and fix what that showed

Cause: a connection on which a call timed out was not doubted when the call followed the last message in the same millisecond, and a cancelled stream still gave the rest of its last frame. Change: both are fixed. Tests in virtual time cover failure kinds, half-open connections, heartbeats, pauses, slow consumers, cancellation and stamps; one over 127.0.0.1 covers bad frames and sizes.

--- a/packages/connection/peer/src/connection.ts
+++ b/packages/connection/peer/src/connection.ts
@@ -138,7 +138,7 @@
       }
       this.context.clock.sleep(timeoutMs, timer.signal).then(() => {
         if (!this.calls.has(id)) return;
-        if (this.lastHeardAt < sentAt) this.doubted = true;
+        if (this.lastHeardAt <= sentAt) this.doubted = true;
         const text = `no answer in ${timeoutMs} ms`;
         this.settle(id, err(this.failure(message.kind, FailureKind.unknown, text)));
       });
--- a/packages/connection/peer/src/incoming-stream.ts
+++ b/packages/connection/peer/src/incoming-stream.ts
@@ -23,6 +23,8 @@
 
   private open = true;
 
+  private cancelled = false;
+
   private readonly onAbort = () => this.cancel();
 
   private constructor(
@@ -45,6 +47,7 @@
   cancel(): void {
     if (!this.open) return;
     this.open = false;
+    this.cancelled = true;
     this.batches.drop();
     this.control.cancel();
     this.signal.removeEventListener('abort', this.onAbort);
@@ -66,7 +69,10 @@
   private async *read(): AsyncGenerator<Result<Message, Failure>> {
     try {
       for await (const { parts, bytes } of this.batches) {
-        for (const part of parts) yield ok(part);
+        for (const part of parts) {
+          yield ok(part);
+          if (this.cancelled) return;
+        }
         this.giveBack(bytes);
       }
       if (this.failure !== undefined) yield err(this.failure);
