--- /dev/null
+++ b/packages/tooling/demo/src/managed-process.ts
@@ -0,0 +1,61 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createWriteStream } from 'node:fs';
+
+/** How a process ended. */
+export interface Exit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+export interface ProcessOptions {
+  readonly name: string;
+  /** Script for Node and its arguments. */
+  readonly args: readonly string[];
+  /** File that takes the process's output. */
+  readonly log: string;
+}
+
+/** A process of the deployment that this process started. */
+export class ManagedProcess {
+  private readonly exited: Promise<Exit>;
+
+  private constructor(
+    readonly name: string,
+    private readonly child: ChildProcess,
+  ) {
+    this.exited = once(child, 'exit').then(([code, signal]) => ({ code, signal }));
+  }
+
+  static start({ name, args, log }: ProcessOptions): ManagedProcess {
+    const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const output = createWriteStream(log);
+    child.stdout?.pipe(output, { end: false });
+    child.stderr?.pipe(output, { end: false });
+    return new ManagedProcess(name, child);
+  }
+
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  get isRunning(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Sends SIGTERM and waits for the end. */
+  async stop(): Promise<Exit> {
+    if (this.isRunning) this.signal('SIGTERM');
+    return this.exited;
+  }
+
+  /** Sends SIGKILL and waits for the end. */
+  async kill(): Promise<Exit> {
+    if (this.isRunning) this.signal('SIGKILL');
+    return this.exited;
+  }
+}
