--- a/packages/connection/peer/src/arrivals.ts
+++ b/packages/connection/peer/src/arrivals.ts
@@ -1,41 +1,54 @@
-/** Values that one task hands to another. The iteration ends after `end`. */
-export class Arrivals<T> implements AsyncIterable<T> {
+/** Values that one task hands to another. */
+export class Arrivals<T> {
   private values: T[] = [];
 
+  private place = 0;
+
   private ended = false;
 
   private wake: (() => void) | undefined;
 
+  get isEnded(): boolean {
+    return this.ended && this.place === this.values.length;
+  }
+
   push(value: T): void {
     if (this.ended) return;
     this.values.push(value);
     this.signal();
   }
 
-  /** Ends the iteration after the values that are already there. */
+  /** Nothing comes after the values that are already there. */
   end(): void {
     this.ended = true;
     this.signal();
   }
 
-  /** Ends the iteration at once. */
+  /** Drops the values that are there, too. */
   drop(): void {
     this.values = [];
+    this.place = 0;
     this.end();
   }
 
-  async *[Symbol.asyncIterator](): AsyncGenerator<T> {
-    for (;;) {
-      const { values } = this;
+  /** The next value; undefined if none is there now. */
+  take(): T | undefined {
+    if (this.place === this.values.length) {
       this.values = [];
-      for (const value of values) yield value;
-      if (this.values.length === 0) {
-        if (this.ended) return;
-        await new Promise<void>((resolve) => {
-          this.wake = resolve;
-        });
-      }
+      this.place = 0;
+      return undefined;
     }
+    const value = this.values[this.place];
+    this.place += 1;
+    return value;
+  }
+
+  /** Resolves when there may be another value or the end. For one waiting task. */
+  changed(): Promise<void> {
+    if (this.ended || this.place < this.values.length) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.wake = resolve;
+    });
   }
 
   private signal(): void {
--- a/packages/connection/peer/src/incoming-stream.ts
+++ b/packages/connection/peer/src/incoming-stream.ts
@@ -1,6 +1,7 @@
 import type { Failure, Message, PeerStream } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import { Arrivals } from './arrivals';
+import { pull, type Pulled } from './pull';
 
 interface Batch {
   readonly parts: readonly Message[];
@@ -17,6 +18,11 @@
 export class IncomingStream implements PeerStream {
   private readonly batches = new Arrivals<Batch>();
 
+  private current: Batch | undefined;
+
+  /** Parts of the current batch that were given out. */
+  private place = 0;
+
   private failure: Failure | undefined;
 
   private ungranted = 0;
@@ -41,7 +47,11 @@
   }
 
   get parts(): AsyncIterable<Result<Message, Failure>> {
-    return this.read();
+    return pull<Result<Message, Failure>>({
+      take: () => this.take(),
+      changed: () => this.batches.changed(),
+      stop: () => this.cancel(),
+    });
   }
 
   cancel(): void {
@@ -66,19 +76,29 @@
     this.signal.removeEventListener('abort', this.onAbort);
   }
 
-  private async *read(): AsyncGenerator<Result<Message, Failure>> {
-    try {
-      for await (const { parts, bytes } of this.batches) {
-        for (const part of parts) {
-          yield ok(part);
-          if (this.cancelled) return;
-        }
-        this.giveBack(bytes);
-      }
-      if (this.failure !== undefined) yield err(this.failure);
-    } finally {
-      this.cancel();
+  private take(): Pulled<Result<Message, Failure>> {
+    if (this.cancelled) return { kind: 'end' };
+    const { current } = this;
+    if (current !== undefined && this.place === current.parts.length) {
+      this.current = undefined;
+      this.giveBack(current.bytes);
+    }
+    if (this.current === undefined) {
+      this.current = this.batches.take();
+      this.place = 0;
     }
+    if (this.current === undefined) return this.ending();
+    // A last frame may have no parts.
+    if (this.current.parts.length === 0) return this.take();
+    this.place += 1;
+    return { kind: 'value', value: ok(this.current.parts[this.place - 1]) };
+  }
+
+  private ending(): Pulled<Result<Message, Failure>> {
+    if (!this.batches.isEnded) return { kind: 'empty' };
+    const { failure } = this;
+    this.failure = undefined;
+    return failure === undefined ? { kind: 'end' } : { kind: 'value', value: err(failure) };
   }
 
   /** Credit goes back in quarters of the window: fewer frames, and the sender never runs dry. */
--- a/packages/connection/peer/src/websocket-channel.ts
+++ b/packages/connection/peer/src/websocket-channel.ts
@@ -4,6 +4,7 @@
 import { Arrivals } from './arrivals';
 import { decodeMessage, encodeMessage } from './codec';
 import type { MeasuredChannel } from './measured-channel';
+import { pull, type Pulled } from './pull';
 
 /** Close codes of RFC 6455, section 7.4.1. */
 const closeCode = { normal: 1000, unsupportedData: 1003, invalidData: 1007 } as const;
@@ -51,7 +52,11 @@
   }
 
   get messages(): AsyncIterable<Message> {
-    return this.read();
+    return pull<Message>({
+      take: () => this.take(),
+      changed: () => this.arrivals.changed(),
+      stop: () => this.close(),
+    });
   }
 
   /** False if the channel is closed or the message is larger than allowed. */
@@ -92,10 +97,10 @@
     );
   }
 
-  private async *read(): AsyncGenerator<Message> {
-    for await (const { message, bytes } of this.arrivals) {
-      this.lastReceivedBytes = bytes;
-      yield message;
-    }
+  private take(): Pulled<Message> {
+    const arrival = this.arrivals.take();
+    if (arrival === undefined) return { kind: this.arrivals.isEnded ? 'end' : 'empty' };
+    this.lastReceivedBytes = arrival.bytes;
+    return { kind: 'value', value: arrival.message };
   }
 }
