Give tests that use virtual time a longer real-time limit

Cause: with ten test files side by side a test of virtual hours passed jest's 5 s, so the verdict depended on the machine's load. Change: testTimeout 60 s.

--- a/jest.config.js
+++ b/jest.config.js
@@ -15,6 +15,8 @@
 
 module.exports = {
   testEnvironment: 'node',
+  // Virtual time makes tests independent of the clock; the limit only ends a test that hangs.
+  testTimeout: 60_000,
   testMatch: ['<rootDir>/packages/*/*/test/**/*.test.ts', '<rootDir>/test/**/*.test.ts'],
   moduleNameMapper: workspaceSources(),
   modulePathIgnorePatterns: ['<rootDir>/packages/.*/dist/'],
