Adjust concurrency limits once a round trip, and test routing

Cause: each latency sample adjusted the limit, so that samples of requests started before an adjustment repeated it: with 20 places the limit swung between 62 and 11, and fell to 1 when 4 places were left. Change: one adjustment in the time of the recent latency.

--- a/packages/request/routing/src/limit.ts
+++ b/packages/request/routing/src/limit.ts
@@ -5,11 +5,17 @@
 const baselineFallMs = 3_000;
 const baselineRiseMs = 120_000;
 
-/** Strongest reduction that one sample may ask for. */
+/** Strongest reduction that one adjustment may ask for. */
 const minGradient = 0.5;
 
-/** Share of the step towards the new limit that one sample takes. */
-const smoothing = 0.2;
+/** Share of the step towards the new limit that one adjustment takes. */
+const smoothing = 0.5;
+
+/**
+ * Shortest time between two adjustments, in ms. It is longer when the latency is, because the
+ * effect of an adjustment shows only in requests that start after it.
+ */
+const adjustmentMs = 50;
 
 /** Factor that a refusal for overload applies to the limit, and the time in which it acts once. */
 const overloadFactor = 0.7;
@@ -38,6 +44,8 @@
 
   private reducedAt = -Infinity;
 
+  private adjustedAt = -Infinity;
+
   private constructor(private readonly settings: BalancerSettings) {
     this.value = settings.initialLimit;
   }
@@ -67,6 +75,8 @@
     const baselineMs = this.recent < this.baseline ? baselineFallMs : baselineRiseMs;
     const share = 1 - Math.exp(-elapsed / baselineMs);
     this.baseline += (this.recent - this.baseline) * share;
+    if (now - this.adjustedAt < Math.max(adjustmentMs, this.recent)) return;
+    this.adjustedAt = now;
     this.adjust(inFlight, slots);
   }
 
--- /dev/null
+++ b/packages/request/routing/test/choice.test.ts
@@ -0,0 +1,136 @@
+import type { CacheEvent } from '@currantdrift/core';
+import { type DomainOption, orderDomains, PrefixIndex } from '@currantdrift/routing';
+import { balance, endpoint } from './pool';
+
+/** Counts where `requests` go when each keeps its place. */
+const spread = (
+  candidates: ReturnType<typeof endpoint>[],
+  requests: number,
+  warm?: string,
+): Record<string, number> => {
+  const { balancer, prefixes } = balance(7, { initialLimit: 16 });
+  if (warm !== undefined) prefixes.learn(warm, 'm@1', ['p1', 'p2']);
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < requests; index += 1) {
+    const request = { candidates, item: 'm@1', prefixes: ['p1', 'p2'] };
+    const { endpoint: name } = balancer.acquire(request, 0)._unsafeUnwrap();
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+};
+
+// Guards against a choice that follows the lagging level or the cache more than own in-flight.
+test('own in-flight comes first, then the level, then the prefix', () => {
+  const pool = ['a', 'b', 'c', 'd'].map((name) => endpoint(name));
+  const loaded = [endpoint('a', { level: 16 }), ...pool.slice(1)];
+  expect({
+    even: spread(pool, 40),
+    loaded: spread(loaded, 40),
+    warm: spread(pool, 40, 'c'),
+    firstWarm: spread(pool, 3, 'c'),
+    warmButLoaded: spread(loaded, 3, 'a'),
+  }).toMatchInlineSnapshot(`
+   {
+     "even": {
+       "a": 9,
+       "b": 10,
+       "c": 11,
+       "d": 10,
+     },
+     "firstWarm": {
+       "c": 3,
+     },
+     "loaded": {
+       "a": 6,
+       "b": 11,
+       "c": 12,
+       "d": 11,
+     },
+     "warm": {
+       "a": 8,
+       "b": 9,
+       "c": 13,
+       "d": 10,
+     },
+     "warmButLoaded": {
+       "b": 1,
+       "c": 1,
+       "d": 1,
+     },
+   }
+  `);
+});
+
+// Guards against hints that outlive a restart, obey late events or grow without bound.
+test('the prefix index takes gaps and late events, and forgets', () => {
+  const index = PrefixIndex.create(3);
+  const event = (sequence: number, prefix: string, kind: CacheEvent['kind'] = 'stored') => ({
+    sequence,
+    item: 'm@1',
+    prefix,
+    kind,
+  });
+  const match = () => index.match('a', 'm@1', ['p1', 'p2']);
+  index.apply('a', [event(1, 'p1'), event(5, 'p2')]);
+  const seen = [match(), index.gaps];
+  index.apply('a', [event(6, 'p2', 'evicted'), event(4, 'p2')]);
+  seen.push(match(), index.after('a'));
+  index.apply('a', [event(7, 'x'), event(8, 'y'), event(9, 'z')]);
+  seen.push(match(), index.size);
+  index.learn('a', 'm@1', ['p1']);
+  seen.push(match());
+  index.forget('a');
+  seen.push(match(), index.after('a'));
+  expect(seen).toEqual([1, 3, 0.5, 6, 0, 3, 0.5, 0, 0]);
+});
+
+// Guards against answers that cross the paid link although they could be had nearer.
+test('domains are tried in the order of the design', () => {
+  const own = { name: 'perth-north', region: 'perth' };
+  const option = (name: string, region: string, warm: boolean): DomainOption => ({
+    name,
+    region,
+    warm,
+    allotment: 1,
+    reachable: true,
+  });
+  const order = (...options: DomainOption[]) =>
+    orderDomains(own, options).map((one) => `${one.domain} ${one.reason} ${one.crossesRegions}`);
+  const far = option('kal-east', 'kalgoorlie', true);
+  const near = option('perth-south', 'perth', true);
+  const cold = option('perth-north', 'perth', false);
+  expect({
+    ownWarm: order(far, near, { ...cold, warm: true }),
+    regionWarm: order(far, cold, near),
+    ownAllotment: order(far, { ...near, warm: false }, cold),
+    nearestAllotment: order(far, { ...near, warm: false }, { ...cold, allotment: 0 }),
+    cutOff: order({ ...far, reachable: false }, { ...near, reachable: false }, cold),
+    nowhere: order({ ...cold, allotment: 0 }),
+  }).toMatchInlineSnapshot(`
+   {
+     "cutOff": [
+       "perth-north own_allotment false",
+     ],
+     "nearestAllotment": [
+       "perth-south nearest_allotment false",
+       "kal-east nearest_allotment true",
+     ],
+     "nowhere": [],
+     "ownAllotment": [
+       "perth-north own_allotment false",
+       "perth-south nearest_allotment false",
+       "kal-east nearest_allotment true",
+     ],
+     "ownWarm": [
+       "perth-north own_warm false",
+       "perth-south region_warm false",
+       "kal-east nearest_allotment true",
+     ],
+     "regionWarm": [
+       "perth-south region_warm false",
+       "perth-north own_allotment false",
+       "kal-east nearest_allotment true",
+     ],
+   }
+  `);
+});
