Let virtual sleeps forget their abort signal, and adapters follow their models

Cause: a virtual sleep kept its abort listener after it had ended, which leaked one listener a sleep. Change: the listener goes with the timer; allotments of adapters use the order of their model.

--- a/packages/tooling/fakes/src/virtual-clock.ts
+++ b/packages/tooling/fakes/src/virtual-clock.ts
@@ -20,12 +20,14 @@
         resolve();
         return;
       }
-      const timer = this.timers.setTimeout(() => resolve(), ms);
-      const abort = () => {
-        this.timers.clearTimeout(timer);
+      let timer: ReturnType<TimerClock['setTimeout']> | undefined;
+      const finish = () => {
+        if (timer !== undefined) this.timers.clearTimeout(timer);
+        signal?.removeEventListener('abort', finish);
         resolve();
       };
-      signal?.addEventListener('abort', abort, { once: true });
+      timer = this.timers.setTimeout(finish, ms);
+      signal?.addEventListener('abort', finish, { once: true });
     });
   }
 
--- a/packages/version/placement/src/allotment.ts
+++ b/packages/version/placement/src/allotment.ts
@@ -1,10 +1,11 @@
-import { type BundleDomain, rendezvousOrder } from '@currantdrift/core';
+import { type BundleDomain, modelOf, rendezvousOrder } from '@currantdrift/core';
 
 /**
  * Replicas of an item that `domain` may hold when the item's limit over all domains is `limit`.
  * Slots are dealt round-robin over the founding domains in the item's rendezvous order, so the
  * result never falls when the limit rises, and the allotments of all domains add up to the limit.
- * A domain that is unknown or was appended later holds none.
+ * A domain that is unknown or was appended later holds none. An adapter follows the order of its
+ * model, so that no domain holds a slot of an adapter without one of the model.
  *
  * @param item name without version; all versions of an item share its slots
  */
@@ -15,7 +16,7 @@
   domains: readonly BundleDomain[],
 ): number => {
   const founding = domains.filter((candidate) => candidate.founding).map(({ name }) => name);
-  const position = rendezvousOrder(item, founding).indexOf(domain);
+  const position = rendezvousOrder(modelOf(item), founding).indexOf(domain);
   if (position < 0 || limit <= 0) return 0;
   return Math.floor(limit / founding.length) + (position < limit % founding.length ? 1 : 0);
 };
