Settle former holders by epoch and fix a lost wake-up in the ledger

Cause: random histories left items stuck: an acknowledgement of an older epoch overwrote a newer one, intents without an answer waited for the end of a live process, and a change committed while the last write returned was never written. Change: one acknowledgement per epoch, a bound on bytes in transit, and the ledger ends its write loop in the step of its last look.

--- a/packages/version/placement/src/acknowledgement.ts
+++ b/packages/version/placement/src/acknowledgement.ts
@@ -8,7 +8,7 @@
   unsettled: z.array(z.string()),
 });
 
-/** A former holder's statement that it sends no more orders of `epoch` or below. */
+/** A former holder's statement that it sends no more orders of `epoch`. */
 export interface Acknowledgement {
   readonly incarnation: number;
   readonly epoch: number;
@@ -16,15 +16,16 @@
   readonly unsettled: readonly string[];
 }
 
-const keyOf = (domain: string, daemon: string): string => `domain/${domain}/ack/${daemon}`;
+const keyOf = (domain: string, epoch: number): string => `domain/${domain}/ack/${epoch}`;
 
 /** The acknowledgement of a former holder; undefined if there is none or it cannot be read. */
 export const readAcknowledgement = async (
   store: Store,
   domain: string,
-  { daemon, incarnation }: Holder,
+  epoch: number,
+  { incarnation }: Holder,
 ): Promise<Acknowledgement | undefined> => {
-  const entry = (await store.get(keyOf(domain, daemon))).unwrapOr(undefined);
+  const entry = (await store.get(keyOf(domain, epoch))).unwrapOr(undefined);
   if (entry === undefined) return undefined;
   try {
     const parsed = schema.safeParse(JSON.parse(new TextDecoder().decode(entry.value)));
@@ -38,13 +39,22 @@
 export const writeAcknowledgement = async (
   store: Store,
   domain: string,
-  daemon: string,
   acknowledgement: Acknowledgement,
 ): Promise<boolean> => {
-  const key = keyOf(domain, daemon);
+  const key = keyOf(domain, acknowledgement.epoch);
   const current = await store.get(key);
   if (current.isErr()) return false;
   const bytes = new TextEncoder().encode(JSON.stringify(acknowledgement));
   const swap = await store.compareAndSwap(key, current.value?.revision ?? 0, bytes);
   return swap.isOk() && swap.value.kind === 'swapped';
 };
+
+/** Deletes an acknowledgement that has been taken into account. Best effort. */
+export const deleteAcknowledgement = async (
+  store: Store,
+  domain: string,
+  epoch: number,
+): Promise<void> => {
+  const entry = (await store.get(keyOf(domain, epoch))).unwrapOr(undefined);
+  if (entry !== undefined) await store.compareAndSwap(entry.key, entry.revision, undefined);
+};
--- a/packages/version/placement/src/controller.ts
+++ b/packages/version/placement/src/controller.ts
@@ -317,12 +317,11 @@
   /** Tells successors that no more orders of the epoch are sent, once none is under way. */
   private async acknowledge(epoch: number, engines: Engines): Promise<void> {
     const { store, clock, domain, daemon } = this.options;
+    const { incarnation } = daemon;
     while (engines.callsUnderWay > 0) await clock.sleep(retryMs);
     const unsettled = [...engines.doubtful];
     for (let tries = 0; tries < acknowledgeTries; tries += 1) {
-      const { incarnation } = daemon;
-      const value = { incarnation, epoch, unsettled };
-      if (await writeAcknowledgement(store, domain, daemon.daemon, value)) return;
+      if (await writeAcknowledgement(store, domain, { incarnation, epoch, unsettled })) return;
       await clock.sleep(retryMs);
     }
   }
--- a/packages/version/placement/src/former-holders.ts
+++ b/packages/version/placement/src/former-holders.ts
@@ -1,5 +1,5 @@
 import type { Host, Store } from '@currantdrift/core';
-import { readAcknowledgement } from './acknowledgement';
+import { deleteAcknowledgement, readAcknowledgement } from './acknowledgement';
 import type { DomainRecord, Tenure } from './record';
 
 /** Host list reads in a row that must miss a daemon before its process counts as gone. */
@@ -12,9 +12,11 @@
 
   private readonly missed = new Map<number, number>();
 
-  private readonly acknowledged = new Set<number>();
-
-  private readonly unsettledIds = new Set<string>();
+  /** Time at which the acknowledgement of an epoch was seen, and the ids that it leaves out. */
+  private readonly acknowledged = new Map<
+    number,
+    { readonly at: number; readonly unsettled: readonly string[] }
+  >();
 
   private constructor(
     private readonly store: Store,
@@ -26,9 +28,12 @@
     return new FormerHolders(store, domain, transitMs);
   }
 
-  /** Ids of intents that an acknowledgement leaves out. */
-  get unsettled(): ReadonlySet<string> {
-    return this.unsettledIds;
+  /** Ids of intents that an acknowledgement leaves out and whose bytes may still arrive. */
+  unsettled(now: number): ReadonlySet<string> {
+    const recent = [...this.acknowledged].filter(
+      ([epoch, { at }]) => now - at < this.transitMs && !this.isGone(epoch, now),
+    );
+    return new Set(recent.flatMap(([, { unsettled }]) => unsettled));
   }
 
   /** Epochs below the present one whose holders can send no more orders. */
@@ -44,12 +49,6 @@
     );
   }
 
-  /** Epochs whose processes are gone, so that nothing of theirs is unsettled any more. */
-  isGone(epoch: number, now: number): boolean {
-    const since = this.goneSince.get(epoch);
-    return since !== undefined && now - since >= this.transitMs;
-  }
-
   /** Looks at a newly read host list. */
   observe(hosts: readonly Host[], tenures: readonly Tenure[], now: number): void {
     tenures.forEach(({ epoch, holder }) => {
@@ -63,15 +62,26 @@
   }
 
   /** Reads the acknowledgements that are still missing. */
-  async readAcknowledgements(tenures: readonly Tenure[]): Promise<void> {
+  async readAcknowledgements(tenures: readonly Tenure[], now: number): Promise<void> {
     const missing = tenures.filter(({ epoch }) => !this.acknowledged.has(epoch));
     await Promise.all(
       missing.map(async ({ epoch, holder }) => {
-        const found = await readAcknowledgement(this.store, this.domain, holder);
-        if (found === undefined || found.epoch < epoch) return;
-        found.unsettled.forEach((id) => this.unsettledIds.add(id));
-        this.acknowledged.add(epoch);
+        const found = await readAcknowledgement(this.store, this.domain, epoch, holder);
+        if (found === undefined) return;
+        this.acknowledged.set(epoch, { at: now, unsettled: found.unsettled });
       }),
     );
   }
+
+  /** Clears up after tenures that have been taken out of the record. */
+  async forget(epochs: Iterable<number>): Promise<void> {
+    await Promise.all(
+      [...epochs].map((epoch) => deleteAcknowledgement(this.store, this.domain, epoch)),
+    );
+  }
+
+  private isGone(epoch: number, now: number): boolean {
+    const since = this.goneSince.get(epoch);
+    return since !== undefined && now - since >= this.transitMs;
+  }
 }
--- a/packages/version/placement/src/ledger.ts
+++ b/packages/version/placement/src/ledger.ts
@@ -137,14 +137,10 @@
 
   private run(): void {
     this.writing = true;
-    this.write()
-      .catch((error: unknown) => {
-        this.options.telemetry.log('record_write_failed', { error: String(error) });
-        this.close();
-      })
-      .finally(() => {
-        this.writing = false;
-      });
+    this.write().catch((error: unknown) => {
+      this.options.telemetry.log('record_write_failed', { error: String(error) });
+      this.close();
+    });
   }
 
   private async write(): Promise<void> {
@@ -174,6 +170,8 @@
       if (this.working === working) this.working = target;
       batch.forEach(({ resolve }) => resolve('confirmed'));
     }
+    // In the same step as the last look at `working`, so that no later change is left waiting.
+    this.writing = false;
   }
 
   /** Writes `bytes` until it is known that they stand; undefined if the domain is lost. */
--- a/packages/version/placement/src/load-speed.ts
+++ b/packages/version/placement/src/load-speed.ts
@@ -3,6 +3,9 @@
 /** Weight of the newest load in the estimate. */
 const newestWeight = 0.2;
 
+/** Largest change of speed that one load can show; a paused process measures absurd durations. */
+const maxFactor = 4;
+
 /** Time, in ms, that a load takes beside the copy of its bytes. */
 const overheadMs = 200;
 
@@ -21,9 +24,11 @@
   }
 
   learn(bytes: number, tier: CacheTier, ms: number): void {
-    const speed = bytes / Math.max(1, ms - overheadMs);
+    const known = this.bytesPerMs[tier];
+    const measured = bytes / Math.max(1, ms - overheadMs);
+    const speed = Math.min(known * maxFactor, Math.max(known / maxFactor, measured));
     // Averaged over durations, since estimates are durations.
-    const slowness = (1 - newestWeight) / this.bytesPerMs[tier] + newestWeight / speed;
+    const slowness = (1 - newestWeight) / known + newestWeight / speed;
     this.bytesPerMs[tier] = 1 / slowness;
   }
 }
--- a/packages/version/placement/src/loader.ts
+++ b/packages/version/placement/src/loader.ts
@@ -92,7 +92,9 @@
     if (known !== undefined) return known;
     const job = LoadJob.create(this.domain.parts.clock);
     this.jobs.set(listed.key, job);
-    this.run(listed, job)
+    // Those that start the load join it before its first step looks at their deadlines.
+    Promise.resolve()
+      .then(() => this.run(listed, job))
       .then((result) => job.finish(result))
       .catch((error: unknown) => {
         this.domain.parts.telemetry.log('wake_failed', { item: listed.key, error: String(error) });
@@ -140,7 +142,7 @@
     if (current === undefined || allotted === 0) {
       return err(refusal('no_allotment', `${listed.name} has no replicas here`, noRoomRetryMs));
     }
-    if (listed.model !== undefined && this.domain.routable(listed.model).length === 0) {
+    if (listed.model !== undefined && this.readyEngines(listed.model).length === 0) {
       const model = this.domain.catalogue?.find(listed.model);
       if (model === undefined)
         return err(refusal('no_allotment', 'its model is unknown', noRoomRetryMs));
--- a/packages/version/placement/src/tenure.ts
+++ b/packages/version/placement/src/tenure.ts
@@ -97,16 +97,7 @@
           .map(({ id }) => id),
       ),
       endedEpochs: ended,
-      unsettled: protections.pairExclusion
-        ? new Set(
-            record.intents
-              .filter(
-                ({ id, epoch }) =>
-                  this.formers.unsettled.has(id) && !this.formers.isGone(epoch, clock.now()),
-              )
-              .map(({ id }) => id),
-          )
-        : new Set(),
+      unsettled: protections.pairExclusion ? this.formers.unsettled(clock.now()) : new Set(),
       pending: engines.pending,
     };
   }
@@ -142,7 +133,7 @@
     ledger.check();
     if (tick % hostTicks === 0) {
       await this.readHosts();
-      await this.formers.readAcknowledgements(this.domain.record.tenures);
+      await this.formers.readAcknowledgements(this.domain.record.tenures, now);
       await this.endTenures(now);
     }
     await engines.refresh(now);
@@ -187,7 +178,8 @@
     );
     if (finished.length === 0) return;
     const epochs = new Set(finished.map(({ epoch }) => epoch));
-    await ledger.commit({ apply: (latest) => withoutTenures(latest, epochs) });
+    const commit = await ledger.commit({ apply: (latest) => withoutTenures(latest, epochs) });
+    if (commit === 'confirmed') await this.formers.forget(epochs);
   }
 
   /** Makes engines that enforce fencing refuse the orders of earlier holders. */
--- a/packages/version/placement/test/harness.ts
+++ b/packages/version/placement/test/harness.ts
@@ -14,7 +14,7 @@
 } from '@currantdrift/core';
 import { FakeEngine, MemoryStore, StoreHandle, VirtualClock } from '@currantdrift/fakes';
 import { err, ok, type Result } from 'neverthrow';
-import { Controller, type ControllerOptions, FixedTtl, type Protections } from '../src/index';
+import { Controller, type ControllerOptions, FixedTtl, type Protections } from '../src';
 
 export const domain = 'perth-north';
 
@@ -47,6 +47,8 @@
 
   private isDead = false;
 
+  private isFrozen = false;
+
   constructor(private readonly inner: Clock) {}
 
   get dead(): boolean {
@@ -54,12 +56,16 @@
   }
 
   freeze(): void {
+    if (this.isFrozen) return;
+    this.isFrozen = true;
     this.thawed = new Promise((resolve) => {
       this.release = resolve;
     });
   }
 
   thaw(): void {
+    if (this.isDead) return;
+    this.isFrozen = false;
     this.release();
   }
 
