End gossip of facts that a random member already has

Change: after a digest comparison with at most 10 differences a member stops sending updates older than 5 s that the other side had. The backlog is bounded to 16 KB. A listener that closes ends clients that do not answer after 1 s.

--- a/packages/connection/peer/src/websocket-network.ts
+++ b/packages/connection/peer/src/websocket-network.ts
@@ -19,6 +19,9 @@
 
 const defaults: WebSocketSettings = { maxMessageBytes: 4 * 1024 * 1024, connectTimeoutMs: 2000 };
 
+/** Time for the close handshakes when a listener ends, in ms. */
+const closeTimeoutMs = 1000;
+
 /** Splits `ip:port`; an IPv6 address stands in brackets. */
 const parseAddress = (address: string): { host: string; port: number } | undefined => {
   const colon = address.lastIndexOf(':');
@@ -99,7 +102,15 @@
       const close = () =>
         new Promise<void>((closed) => {
           server.clients.forEach((client) => client.close());
-          server.close(() => closed());
+          // A client that does not run does not answer a close frame.
+          const overdue = setTimeout(
+            () => server.clients.forEach((client) => client.terminate()),
+            closeTimeoutMs,
+          );
+          server.close(() => {
+            clearTimeout(overdue);
+            closed();
+          });
         });
       server.once('listening', () => resolve(ok({ close })));
       server.on('error', (error) => resolve(fail(error.message)));
--- /dev/null
+++ b/packages/process/membership/src/bench/measure.ts
@@ -0,0 +1,222 @@
+import {
+  type Clock,
+  type Endpoint,
+  type EndpointConnector,
+  type EndpointReport,
+  type Host,
+  SeededRandom,
+} from '@currantdrift/core';
+import { ok } from 'neverthrow';
+import { EndpointDirectory } from '../endpoint-directory';
+import { Membership } from '../membership';
+import type { ProbingPeers } from '../probing-peers';
+import { Watchers } from '../watchers';
+
+interface Traffic {
+  readonly bytesIn: number;
+  readonly bytesOut: number;
+  readonly messagesIn: number;
+  readonly messagesOut: number;
+}
+
+/** Peers of one daemon whose traffic can be read. */
+export interface MeasuredPeers extends ProbingPeers {
+  readonly traffic: { readonly control: Traffic };
+  close(): Promise<void>;
+}
+
+export interface MeasureOptions {
+  readonly members: number;
+  /** Time for joining before the measurement, in ms. */
+  readonly settleMs: number;
+  readonly durationMs: number;
+  readonly clock: Clock;
+  /** Makes and starts the peers of the daemon with this number; `address` is theirs. */
+  readonly peers: (index: number) => Promise<{ address: string; peers: MeasuredPeers }>;
+}
+
+/** Cost of membership and dissemination for one daemon. */
+export interface MeasuredCost {
+  readonly members: number;
+  readonly endpoints: number;
+  /** Encoded control messages sent, in bytes/s. */
+  readonly bytesOutPerSecond: number;
+  readonly bytesInPerSecond: number;
+  /** Of the daemon that sent most. */
+  readonly maxBytesOutPerSecond: number;
+  readonly messagesOutPerSecond: number;
+  /** Share of a core, in percent. */
+  readonly cpuPercent: number;
+  /** Heap and buffers, in MB. */
+  readonly memoryMb: number;
+  /** Daemons whose directory holds all endpoints in their last state, in percent. */
+  readonly upToDatePercent: number;
+}
+
+const endpointsPerMember = 10;
+
+const itemsPerEndpoint = 6;
+
+const cachedPerEndpoint = 20;
+
+const slots = 8;
+
+/** Time between two changes of what an endpoint holds, in the whole domain, in ms. */
+const stateChangeMs = 10_000;
+
+/** Time before the end in which nothing changes, so that the last change can arrive, in ms. */
+const quietMs = 6000;
+
+const items = (from: number) =>
+  Array.from({ length: itemsPerEndpoint }, (_each, index) => ({
+    item: `quote-7:venue-${from + index}@3`,
+    bytes: 100e6,
+    state: 'ready' as const,
+    running: 0,
+  }));
+
+/** Endpoints with a load that wanders by up to two requests between reports. */
+class Endpoints implements EndpointConnector {
+  private readonly reports = new Map<string, EndpointReport>();
+
+  private readonly random = SeededRandom.create(5);
+
+  constructor(private readonly names: readonly string[]) {
+    names.forEach((endpoint, index) =>
+      this.reports.set(endpoint, {
+        endpoint,
+        bootId: `boot-${index}`,
+        sequence: 1,
+        state: 'live',
+        epoch: 1,
+        memoryBytes: 80e9,
+        items: items(index),
+        cached: Array.from({ length: cachedPerEndpoint }, (_each, place) => ({
+          item: `brief-${index + place}@1`,
+          tier: 'disk' as const,
+        })),
+        running: 3,
+        waiting: 0,
+        slots,
+      }),
+    );
+  }
+
+  /** Changes the items of one endpoint. */
+  change(): void {
+    const name = this.names[Math.floor(this.random.next() * this.names.length)];
+    const report = this.report(name);
+    this.reports.set(name, { ...report, items: items(Math.floor(this.random.next() * 1000)) });
+  }
+
+  connect(host: Host): Endpoint {
+    const report = () => Promise.resolve(ok(this.report(host.name)));
+    return { id: host.name, domain: host.domain, pool: host.pool, report } as unknown as Endpoint;
+  }
+
+  /** Tells whether a directory holds the last state of all endpoints. */
+  isKnownTo(directory: EndpointDirectory): boolean {
+    return [...this.reports.values()].every(({ endpoint, items: held }) => {
+      const known = directory.endpoint(endpoint)?.items.map(({ item }) => item) ?? [];
+      return known.join() === held.map(({ item }) => item).join();
+    });
+  }
+
+  private report(name: string): EndpointReport {
+    const known = this.reports.get(name);
+    if (known === undefined) throw new Error(`endpoint ${name} does not exist`);
+    const step = Math.floor(this.random.next() * 5) - 2;
+    const running = Math.min(slots, Math.max(0, known.running + step));
+    const report = { ...known, running, sequence: known.sequence + 1 };
+    this.reports.set(name, report);
+    return report;
+  }
+}
+
+const usedMb = (): number => {
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return (heapUsed + external) / 1e6;
+};
+
+const round = (value: number): number => Math.round(value * 100) / 100;
+
+/** Runs `members` daemons in this process and measures what one of them costs. */
+export const measureMembership = async (options: MeasureOptions): Promise<MeasuredCost> => {
+  const { clock, durationMs, members, settleMs } = options;
+  const memoryBefore = usedMb();
+  const names = Array.from({ length: members * endpointsPerMember }, (_e, i) => `engine-${i}`);
+  const endpoints = new Endpoints(names);
+  const hosts: Host[] = names.map((name, index) => ({
+    name,
+    kind: 'engine',
+    domain: 'vake',
+    address: `10.1.${Math.floor(index / 250)}.${index % 250}:8000`,
+    state: 'live',
+    incarnation: 1,
+    pool: 'drafting',
+    fencing: true,
+  }));
+  const open = await Promise.all(names.slice(0, members).map((_each, i) => options.peers(i)));
+  const contacts = open.map(({ address }) => address);
+  const daemons = open.map(({ address, peers }, index) => {
+    const random = SeededRandom.create(index);
+    const self = { name: `daemon-${index}`, address, operatorAddress: address, domain: 'vake' };
+    const membership = Membership.create({
+      self,
+      peers,
+      clock,
+      random,
+      contacts: () => Promise.resolve(contacts),
+    });
+    const directory = EndpointDirectory.create({ table: membership.spread.table, domain: 'vake' });
+    const watchers = Watchers.create({
+      membership,
+      directory,
+      connector: endpoints,
+      clock,
+      random,
+      hosts: () => hosts,
+    });
+    return { directory, membership, peers, watchers };
+  });
+  await Promise.all(
+    daemons.map(async ({ membership, watchers }) => {
+      await membership.start();
+      watchers.start();
+    }),
+  );
+  await clock.sleep(settleMs);
+  const before = daemons.map(({ peers }) => peers.traffic.control);
+  const cpuBefore = process.cpuUsage();
+  for (let passed = 0; passed < durationMs - quietMs; passed += stateChangeMs) {
+    endpoints.change();
+    await clock.sleep(Math.min(stateChangeMs, durationMs - quietMs - passed));
+  }
+  await clock.sleep(quietMs);
+  const cpu = process.cpuUsage(cpuBefore);
+  const after = daemons.map(({ peers }) => peers.traffic.control);
+  const seconds = durationMs / 1000;
+  const rates = (field: keyof Traffic) =>
+    after.map((traffic, index) => (traffic[field] - before[index][field]) / seconds);
+  const mean = (values: readonly number[]) =>
+    round(values.reduce((sum, value) => sum + value, 0) / members);
+  const upToDate = daemons.filter(({ directory }) => endpoints.isKnownTo(directory)).length;
+  const cost: MeasuredCost = {
+    members,
+    endpoints: names.length,
+    bytesOutPerSecond: mean(rates('bytesOut')),
+    bytesInPerSecond: mean(rates('bytesIn')),
+    maxBytesOutPerSecond: round(Math.max(...rates('bytesOut'))),
+    messagesOutPerSecond: mean(rates('messagesOut')),
+    cpuPercent: round(((cpu.user + cpu.system) / 1000 / durationMs / members) * 100),
+    memoryMb: round((usedMb() - memoryBefore) / members),
+    upToDatePercent: round((upToDate / members) * 100),
+  };
+  daemons.forEach(({ membership, watchers }) => {
+    watchers.stop();
+    membership.stop();
+  });
+  await Promise.all(daemons.map(({ peers }) => peers.close()));
+  return cost;
+};
--- a/packages/process/membership/src/gossip.ts
+++ b/packages/process/membership/src/gossip.ts
@@ -8,12 +8,14 @@
 const maxInlineBytes = 300;
 
 /** Pending updates above this size are left to the digest comparison, in bytes. */
-const maxBacklogBytes = 64 * 1024;
+const maxBacklogBytes = 16 * 1024;
 
 interface Update {
   readonly wire: WireFact;
   readonly bytes: number;
   readonly isUrgent: boolean;
+  /** Time at which it was learned, in ms since the epoch. */
+  readonly since: number;
   sent: number;
 }
 
@@ -31,13 +33,13 @@
   }
 
   /** Updates that are not urgent are sent less often and only where urgent ones leave room. */
-  add(fact: Fact, isUrgent: boolean): void {
+  add(fact: Fact, isUrgent: boolean, now: number): void {
     const whole = toWire(fact);
     const size = pack(whole).length;
     const wire: WireFact = size <= maxInlineBytes ? whole : [fact.key, fact.rank];
     const bytes = size <= maxInlineBytes ? size : pack(wire).length;
     this.remove(fact.key);
-    this.updates.set(fact.key, { wire, bytes, isUrgent, sent: 0 });
+    this.updates.set(fact.key, { wire, bytes, isUrgent, since: now, sent: 0 });
     this.backlogBytes += bytes;
     if (this.backlogBytes > maxBacklogBytes) this.dropOldest();
   }
@@ -62,6 +64,13 @@
     return taken;
   }
 
+  /** Stops sending updates that were learned before `time`, other than those in `needed`. */
+  dropBefore(time: number, needed: ReadonlySet<string>): void {
+    this.updates.forEach((update, key) => {
+      if (update.since < time && !needed.has(key)) this.remove(key);
+    });
+  }
+
   private remove(key: string): void {
     this.backlogBytes -= this.updates.get(key)?.bytes ?? 0;
     this.updates.delete(key);
--- a/packages/process/membership/src/index.ts
+++ b/packages/process/membership/src/index.ts
@@ -18,3 +18,9 @@
 } from './endpoint-watcher';
 export { type DomainContact, DomainLinks, type DomainLinksOptions, relaysOf } from './domain-links';
 export { DomainSummaries, type DomainSummary } from './domain-summaries';
+export {
+  measureMembership,
+  type MeasuredCost,
+  type MeasuredPeers,
+  type MeasureOptions,
+} from './bench/measure';
--- a/packages/process/membership/src/membership.ts
+++ b/packages/process/membership/src/membership.ts
@@ -135,7 +135,9 @@
     // All loops and every open suspicion wait on this signal.
     setMaxListeners(0, this.stopped.signal);
     this.startedAt = this.options.clock.now();
-    this.announce({ ...this.own, status: MemberStatus.alive });
+    const hasLeft = this.own.status === MemberStatus.left;
+    const incarnation = this.own.incarnation + (hasLeft ? 1 : 0);
+    this.announce({ ...this.own, incarnation, status: MemberStatus.alive });
     await this.join();
     [this.probeLoop(), this.repairLoop(), this.retryLoop()].forEach((loop) =>
       loop.catch((error: unknown) => {
--- a/packages/process/membership/src/spread.ts
+++ b/packages/process/membership/src/spread.ts
@@ -35,6 +35,12 @@
 /** Backlog above which a digest comparison is faster than gossip, in bytes. */
 const maxGossipBacklogBytes = 4 * 600;
 
+/** Differences up to which two members count as equally informed. */
+const maxFewFacts = 10;
+
+/** Time in which gossip reaches almost all members of a domain, in ms. */
+const spreadMs = 5000;
+
 /** Splits facts into chunks that fit into one message; a larger fact makes a chunk of its own. */
 const chunks = (facts: readonly Fact[]): WireFact[][] => {
   const all: WireFact[][] = [];
@@ -112,7 +118,7 @@
     if (!this.table.apply(fact)) return false;
     if (isTombstone(fact)) this.tombstones.set(fact.key, this.options.clock.now());
     else this.tombstones.delete(fact.key);
-    this.gossip.add(fact, !fact.key.startsWith(FactPrefix.levels));
+    this.gossip.add(fact, !fact.key.startsWith(FactPrefix.levels), this.options.clock.now());
     return true;
   }
 
@@ -186,6 +192,7 @@
       const known = theirs.get(fact.key);
       return known === undefined || !this.atMost(fact.rank, known);
     });
+    this.rest(wanted.length, newer);
     return this.exchange(
       address,
       chunks(newer),
@@ -206,6 +213,16 @@
     return rank.every((part, index) => part === (other[index] ?? 0));
   }
 
+  /**
+   * A random member that lacks few facts shows that the others have the older ones too. Without
+   * this the start of a domain would fill the messages of gossip for minutes.
+   */
+  private rest(wantedCount: number, newer: readonly Fact[]): void {
+    if (wantedCount + newer.length > maxFewFacts) return;
+    const needed = new Set(newer.map(({ key }) => key));
+    this.gossip.dropBefore(this.options.clock.now() - spreadMs, needed);
+  }
+
   private async exchange(
     address: string,
     outgoing: WireFact[][],
