Test the HTTP adapters and the stand-ins

Cause: outcomes of calls decide whether a request may be retried, so each kind of failure needs a test; streams also failed after a pause of the process, because timers run before the bytes that wait in the socket are read. Change: tests of outcomes, streams and faults; the progress check lets pending reads run first; a refusal after tokens is unknown; answers other than 200 are not taken for success; runs that a fault breaks are recorded as broken; configuration errors are in words.

--- a/packages/connection/endpoint/src/exchange.ts
+++ b/packages/connection/endpoint/src/exchange.ts
@@ -44,13 +44,16 @@
 
   private wake: (() => void) | undefined;
 
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout;
+
+  /** When the last byte came or the reader stopped holding the server back. */
+  private movedAt = Date.now();
 
   private constructor(
     private readonly limits: ExchangeLimits,
     private readonly onFinish: () => void,
   ) {
-    this.timer = setTimeout(() => this.stall(), limits.progressTimeoutMs);
+    this.timer = setTimeout(() => this.check(), limits.progressTimeoutMs);
   }
 
   /** Calls `onFinish` once, when the answer is complete or has failed. */
@@ -102,13 +105,13 @@
     status: number,
     headers: Headers,
   ): void {
-    this.timer.refresh();
+    this.movedAt = Date.now();
     this.answerHead = { status, headers };
     this.notify();
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.timer.refresh();
+    this.movedAt = Date.now();
     if (this.isDraining) return;
     this.chunks.push(chunk);
     this.size += chunk.length;
@@ -131,17 +134,29 @@
     this.chunks = [];
     this.size = 0;
     if (this.controller?.paused) {
-      this.timer.refresh();
+      this.movedAt = Date.now();
       this.controller.resume();
     }
     return bytes;
   }
 
-  private stall(): void {
-    if (this.controller?.paused) {
-      this.timer.refresh();
+  /** Checks the progress once per timeout, in place of a timer that each chunk restarts. */
+  private check(): void {
+    const { progressTimeoutMs } = this.limits;
+    const leftMs = this.movedAt + progressTimeoutMs - Date.now();
+    if (leftMs > 0 || this.controller?.paused) {
+      this.timer = setTimeout(() => this.check(), leftMs > 0 ? leftMs : progressTimeoutMs);
       return;
     }
+    // After a pause of this process, bytes may wait in the socket: they are read before this runs.
+    setImmediate(() => {
+      if (this.ended || this.error !== undefined) return;
+      if (this.movedAt + progressTimeoutMs > Date.now()) this.check();
+      else this.stall();
+    });
+  }
+
+  private stall(): void {
     this.timedOut = true;
     this.stop(new Error(`no byte in ${this.limits.progressTimeoutMs} ms`));
   }
--- a/packages/connection/endpoint/src/http-client.ts
+++ b/packages/connection/endpoint/src/http-client.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { type Failure, FailureKind } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import { Pool } from 'undici';
@@ -63,6 +64,7 @@
   ): Promise<Result<WholeAnswer, Failure>> {
     const limit = new AbortController();
     const onAbort = () => limit.abort(call.signal?.reason);
+    if (call.signal !== undefined) setMaxListeners(0, call.signal);
     call.signal?.addEventListener('abort', onAbort, { once: true });
     if (call.signal?.aborted) onAbort();
     const { pool } = this;
@@ -159,7 +161,11 @@
       onAbort();
       return exchange;
     }
-    signal?.addEventListener('abort', onAbort, { once: true });
+    if (signal !== undefined) {
+      // Many calls may share a signal; each removes its listener when it finishes.
+      setMaxListeners(0, signal);
+      signal.addEventListener('abort', onAbort, { once: true });
+    }
     const body = call.body === undefined ? null : Buffer.from(call.body);
     pool.dispatch({ path: call.path, method: call.method, headers: call.headers, body }, exchange);
     return exchange;
--- a/packages/connection/endpoint/src/token-stream.ts
+++ b/packages/connection/endpoint/src/token-stream.ts
@@ -31,9 +31,15 @@
   return err(client.failure(step, kind, message, retryAfterMs));
 };
 
+/** A refusal after tokens contradicts them: the request ran. */
+const withoutLateRefusal = (part: Parsed): Parsed =>
+  part.mapErr((failure) =>
+    failure.kind === FailureKind.refused ? { ...failure, kind: FailureKind.unknown } : failure,
+  );
+
 /** Joins runs of token events of the same attempt whose offsets follow each other. */
-const joinTokens = (parts: readonly Parsed[]): Parsed[] => {
-  if (parts.length < 2) return [...parts];
+const joinTokens = (parts: Parsed[]): Parsed[] => {
+  if (parts.length < 2) return parts;
   const joined: Parsed[] = [];
   let open: { requestId: string; attempt: number; offset: number; tokens: string[] } | undefined;
   parts.forEach((part) => {
@@ -68,6 +74,7 @@
   client: HttpClient,
 ): AsyncGenerator<Result<StreamPart, Failure>> {
   let parsed: Parsed[] = [];
+  let hasTokens = false;
   const parser = createParser({ onEvent: (event) => parsed.push(readEvent(event, client)) });
   const decoder = new StringDecoder('utf8');
   try {
@@ -80,7 +87,9 @@
       }
       parsed = [];
       parser.feed(decoder.write(chunk.value));
-      for (const part of joinTokens(parsed)) {
+      for (const received of joinTokens(parsed)) {
+        const part = hasTokens && received.isErr() ? withoutLateRefusal(received) : received;
+        hasTokens = true;
         const isLast =
           part.isErr() ||
           (part.value.kind === 'end' &&
--- /dev/null
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -0,0 +1,251 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Failure, Generation, Host, PlainCall, StreamPart } from '@currantdrift/core';
+import { type EndpointSettings, HttpEndpoint, HttpEndpointConnector } from '@currantdrift/endpoint';
+import { EngineStandin, expectedTokens } from '@currantdrift/standins';
+import type { Result } from 'neverthrow';
+
+const closers: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map((close) => close()));
+});
+
+const never = new AbortController().signal;
+
+const host = (address: string, incarnation = 1): Host => ({
+  name: 'writer-1',
+  kind: 'engine',
+  domain: 'perth-north',
+  address,
+  state: 'live',
+  incarnation,
+  pool: 'writer',
+  fencing: true,
+});
+
+const connect = (address: string, settings: Partial<EndpointSettings> = {}): HttpEndpoint => {
+  const connector = HttpEndpointConnector.create(settings);
+  closers.push(() => connector.close());
+  return connector.connect(host(address));
+};
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const serve = async (handler: Handler): Promise<string> => {
+  const server = createServer(handler);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  closers.unshift(async () => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const generation: Generation = {
+  requestId: 'r1',
+  attempt: 2,
+  item: 'quote-7@3',
+  messages: [{ role: 'user', content: 'Draft a quote' }],
+  maxTokens: 64,
+  priority: 5,
+  resume: [],
+  traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01',
+};
+
+const call: PlainCall = {
+  requestId: 'r2',
+  service: 'deposits',
+  call: 'take',
+  method: 'POST',
+  query: 'hall=3',
+  contentType: 'application/json',
+  body: new TextEncoder().encode('{"amount":5}'),
+  idempotencyKey: 'key-1',
+  traceparent: generation.traceparent,
+};
+
+const brief = (result: Result<unknown, Failure>): string =>
+  result.match(
+    (value) => JSON.stringify(value),
+    ({ kind, message, retryAfterMs }) => `${kind}: ${message} ${retryAfterMs ?? ''}`.trim(),
+  );
+
+const collect = async (endpoint: HttpEndpoint, signal = never): Promise<string[]> => {
+  const stream = await endpoint.generate(generation, signal);
+  if (stream.isErr()) return [brief(stream)];
+  const parts: string[] = [];
+  for await (const part of stream.value) parts.push(brief(part));
+  return parts;
+};
+
+const event = (data: unknown) => `data: ${JSON.stringify(data)}\n\n`;
+const tokens = (offset: number, ...texts: string[]) =>
+  event({ id: 'r1', attempt: 2, offset, tokens: texts });
+const end = event({ id: 'r1', attempt: 2, offset: 4, end: 'stop' });
+
+const streamHead = { 'content-type': 'text/event-stream' };
+
+// Guards against one part per token, against split characters, and against lost foreign parts.
+test('tokens that arrive together are one part', async () => {
+  const crossed = event({ id: 'r1', attempt: 1, offset: 2, tokens: ['x'] });
+  const whole = Buffer.from(tokens(0, 'a') + tokens(1, 'é') + crossed + tokens(2, 'c', 'd') + end);
+  const cut = whole.indexOf('é') + 1;
+  const address = await serve((_, response) => {
+    response.writeHead(200, streamHead).write(whole.subarray(0, cut));
+    setTimeout(() => response.end(whole.subarray(cut)), 30);
+  });
+  expect(await collect(connect(address))).toMatchSnapshot();
+});
+
+// Guards against an incomplete answer passing for a whole one, and against a false "not run".
+test('each way in which a stream fails has its own meaning', async () => {
+  const error = { message: 'full', outcome: 'not_run', retryAfterMs: 70 };
+  const refusal = JSON.stringify({ error });
+  const ways: Record<string, Handler> = {
+    refused: (_, response) => response.writeHead(429).end(refusal),
+    conflict: (_, response) => response.writeHead(409).end(refusal),
+    unstated: (_, response) => response.writeHead(503).end('overloaded'),
+    otherType: (_, response) => response.writeHead(200).end('{}'),
+    lateRefusal: (_, response) => response.writeHead(200, streamHead).end(event({ error })),
+    contradiction: (_, response) =>
+      response.writeHead(200, streamHead).end(tokens(0, 'a') + event({ error })),
+    noEnd: (_, response) => response.writeHead(200, streamHead).end(tokens(0, 'a')),
+    broken: (request, response) => {
+      response.writeHead(200, streamHead).write(tokens(0, 'a'), () => request.socket.destroySoon());
+    },
+    silent: (_, response) => {
+      response.writeHead(200, streamHead).write(tokens(0, 'a'));
+    },
+    noAnswer: () => {},
+    malformed: (_, response) => response.writeHead(200, streamHead).end(event({ tokens: 1 })),
+  };
+  const seen: Record<string, string[]> = {};
+  for (const [name, handler] of Object.entries(ways)) {
+    seen[name] = await collect(connect(await serve(handler), { progressTimeoutMs: 250 }));
+  }
+  seen.closed = (await collect(connect('127.0.0.1:1'))).map((text) => text.split(':', 1)[0]);
+  expect(seen).toMatchSnapshot();
+});
+
+// Guards against a stream that stays open at the engine after nobody wants it.
+test('an abort, and leaving the iteration, close the connection', async () => {
+  let closed = 0;
+  const address = await serve((_, response) => {
+    response.writeHead(200, streamHead).write(tokens(0, 'a'));
+    response.on('close', () => {
+      closed += 1;
+    });
+  });
+  const abort = new AbortController();
+  setTimeout(() => abort.abort(), 30);
+  expect((await collect(connect(address), abort.signal))[1]).toMatch(/^unknown: the stream broke/);
+  const stream = (await connect(address).generate(generation, never))._unsafeUnwrap();
+  const iterator = stream[Symbol.asyncIterator]();
+  await iterator.next();
+  await iterator.return?.();
+  while (closed < 2) await sleep(5);
+});
+
+// Guards against unbounded memory when a caller reads slowly, and against calling that a failure.
+test('a slow reader holds the endpoint back without a progress timeout', async () => {
+  let written = 0;
+  const texts = Array.from({ length: 1000 }, () => 'x'.repeat(100));
+  const address = await serve((_, response) => {
+    response.writeHead(200, streamHead);
+    const write = () => {
+      while (written < 200) {
+        written += 1;
+        if (!response.write(tokens((written - 1) * 1000, ...texts))) break;
+      }
+      if (written < 200) response.once('drain', write);
+      else response.end(event({ id: 'r1', attempt: 2, offset: 200_000, end: 'length' }));
+    };
+    write();
+  });
+  const endpoint = connect(address, { progressTimeoutMs: 300 });
+  const stream = (await endpoint.generate(generation, never))._unsafeUnwrap();
+  await sleep(700);
+  expect(written).toBeLessThan(200);
+  const parts: StreamPart[] = [];
+  for await (const part of stream) parts.push(part._unsafeUnwrap());
+  expect(parts[parts.length - 1]).toMatchObject({ kind: 'end', offset: 200_000 });
+});
+
+// Guards against taking a pause of this process for silence of the endpoint.
+test('bytes that arrived during a pause count as progress', async () => {
+  const address = await serve((_, response) => {
+    response.writeHead(200, streamHead).flushHeaders();
+    setTimeout(() => {
+      response.end(tokens(0, 'a', 'b', 'c', 'd') + end);
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+    }, 20);
+  });
+  const parts = await collect(connect(address, { progressTimeoutMs: 150 }));
+  expect(parts.map((part) => part.slice(0, 14))).toEqual(['{"kind":"token', '{"kind":"end",']);
+});
+
+// Guards against a booking whose key or trace is lost, and against a wrong outcome of its answer.
+test('plain calls carry their headers and keep honest outcomes', async () => {
+  const refusal = { error: { message: 'closing', outcome: 'not_run', retryAfterMs: 500 } };
+  const answers = [
+    { status: 200, body: '{"ok":true}' },
+    { status: 404, body: 'no such hall' },
+    { status: 503, body: JSON.stringify(refusal) },
+    { status: 503, body: 'gateway' },
+  ];
+  const seen: unknown[] = [];
+  const address = await serve((request, response) => {
+    const { method, url } = request;
+    // The host header holds the port, which differs from run to run.
+    const headers = { ...request.headers, host: undefined };
+    if (seen.length === 0) seen.push({ method, url, headers });
+    const { status, body } = answers.shift() ?? { status: 500, body: '' };
+    response.writeHead(status, { 'content-type': 'text/plain' }).end(body);
+  });
+  const endpoint = connect(address);
+  for (let index = 0; index < 4; index += 1) {
+    const answer = await endpoint.call(call, never);
+    seen.push(brief(answer.map((a) => ({ ...a, body: Buffer.from(a.body).toString() }))));
+  }
+  const silent = connect(await serve(() => {}), { callTimeoutMs: 50 });
+  seen.push(brief(await silent.call(call, never)));
+  expect(seen).toMatchSnapshot();
+});
+
+// Guards against adapter and engine stand-in reading the protocol differently.
+test('an engine takes orders, reports, generates and resumes', async () => {
+  const engine = EngineStandin.create({ msPerToken: 0, prefillMs: 0, loadLagMs: 0 });
+  const endpoint = connect(await engine.listen());
+  closers.push(() => engine.close());
+  const order = { epoch: 4, kind: 'load', item: generation.item, bytes: 1e6 } as const;
+  expect((await endpoint.order({ ...order, id: 'o1' }, never)).isOk()).toBe(true);
+  const stale = await endpoint.order({ ...order, id: 'o2', epoch: 3 }, never);
+  expect(brief(stale)).toBe('refused: epoch 3 is older than 4');
+  const whole = expectedTokens(generation);
+  const stream = await endpoint.generate({ ...generation, resume: whole.slice(0, 10) }, never);
+  const texts: string[] = [];
+  for await (const part of stream._unsafeUnwrap()) {
+    const value = part._unsafeUnwrap();
+    if (value.kind === 'tokens') texts.push(...value.tokens);
+  }
+  expect(texts).toEqual(whole.slice(10));
+  const report = (await endpoint.report(never))._unsafeUnwrap();
+  expect(report).toMatchObject({ epoch: 4, items: [{ item: generation.item, state: 'ready' }] });
+  expect((await endpoint.cacheEvents(0, never))._unsafeUnwrap()).toEqual([]);
+  await endpoint.cancel('r1', 1);
+});
+
+// Guards against calls to a replaced host over the adapter of the old one.
+test('a replaced host gets a new adapter', async () => {
+  const connector = HttpEndpointConnector.create();
+  closers.push(() => connector.close());
+  const first = connector.connect(host('127.0.0.1:1'));
+  expect(connector.connect({ ...host('127.0.0.1:1'), state: 'leaving' })).toBe(first);
+  expect(connector.connect(host('127.0.0.1:1', 2))).not.toBe(first);
+  await sleep(5);
+  expect((await first.report(never))._unsafeUnwrapErr().kind).toBe('unreachable');
+});
--- a/packages/connection/platform/src/http-client.ts
+++ b/packages/connection/platform/src/http-client.ts
@@ -56,7 +56,7 @@
   }
 
   /**
-   * Answers below status 400 and those in `expected`. `unreachable`: no byte was sent. `refused`:
+   * Answers with status 200 and those in `expected`. `unreachable`: no byte was sent. `refused`:
    * the server answered that it did not carry out the call. `unknown`: timeout, abort, broken
    * connection or server error. `invalid`: another error that does not follow the protocol.
    */
@@ -66,7 +66,7 @@
   ): Promise<Result<HttpAnswer, Failure>> {
     const answer = await this.exchange(call);
     return answer.andThen((received) =>
-      received.status < 400 || expected.includes(received.status)
+      received.status === 200 || expected.includes(received.status)
         ? ok(received)
         : err(this.errorAnswer(call.step, received)),
     );
--- a/packages/connection/platform/src/http-store.ts
+++ b/packages/connection/platform/src/http-store.ts
@@ -95,7 +95,7 @@
     );
   }
 
-  /** An abort of `signal` ends the call with the failure `unknown`. */
+  /** An abort of `signal` ends the call with the failure `unknown` or `unreachable`. */
   async watch(
     key: string,
     revision: number,
--- a/packages/tooling/standins/src/batch.ts
+++ b/packages/tooling/standins/src/batch.ts
@@ -2,7 +2,7 @@
 import type { TokenWriter } from './token-writer';
 
 /** Why a request left the batch. */
-export type RunOutcome = 'ended' | 'cancelled';
+export type RunOutcome = 'ended' | 'broken' | 'cancelled';
 
 /** A request in the engine. */
 export interface BatchEntry {
@@ -96,7 +96,7 @@
     clearImmediate(this.immediate);
     clearInterval(this.comments);
     this.waiting = [];
-    this.running.clear();
+    this.running.forEach((entry) => this.finish(entry, 'broken', Date.now()));
   }
 
   private find(requestId: string, attempt: number): BatchEntry | undefined {
@@ -138,9 +138,8 @@
     this.running.forEach((entry) => {
       if (entry.firstTokenAt > now) return;
       const before = entry.writer.offset;
-      if (entry.writer.advance(this.config.tokensPerEvent, faults, now)) {
-        this.finish(entry, 'ended', now);
-      }
+      const outcome = entry.writer.advance(this.config.tokensPerEvent, faults, now);
+      if (outcome !== 'open') this.finish(entry, outcome, now);
       wrote ||= entry.writer.offset > before;
     });
     if (this.config.msPerToken === 0 && wrote && this.running.size > 0) {
--- a/packages/tooling/standins/src/body.ts
+++ b/packages/tooling/standins/src/body.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod';
+import { z } from 'zod';
 import { refuse, type StandinContext } from './standin-server';
 
 /** Reads a JSON body; gives the answer to send if it does not match `schema`. */
@@ -10,5 +10,5 @@
   const parsed = schema.safeParse(body);
   return parsed.success
     ? { value: parsed.data }
-    : { answer: refuse(context, 400, parsed.error.message) };
+    : { answer: refuse(context, 400, z.prettifyError(parsed.error)) };
 };
--- a/packages/tooling/standins/src/engine-standin.ts
+++ b/packages/tooling/standins/src/engine-standin.ts
@@ -17,6 +17,7 @@
 import { EngineBoot } from './engine-boot';
 import { emptyRecord } from './engine-memory';
 import { prefixOf } from './prefix-cache';
+import { parseConfig } from './parse-config';
 import type { Standin } from './standin';
 import {
   breakConnection,
@@ -34,7 +35,8 @@
   /** Offsets of the first token and after the last one. */
   readonly from: number;
   readonly to: number;
-  readonly outcome: 'running' | 'ended' | 'cancelled';
+  /** `broken` by a fault or the engine's death, `cancelled` by order or a closed connection. */
+  readonly outcome: 'running' | 'ended' | 'broken' | 'cancelled';
 }
 
 export interface EngineStats {
@@ -99,9 +101,9 @@
     );
   }
 
-  /** Throws a `ZodError` if `config` has mistakes. */
+  /** Throws an error that names each mistake of `config`. */
   static create(config: unknown = {}, options: EngineOptions = {}): EngineStandin {
-    return new EngineStandin(engineConfigSchema.parse(config), options);
+    return new EngineStandin(parseConfig(engineConfigSchema, config), options);
   }
 
   async listen(): Promise<string> {
--- a/packages/tooling/standins/src/hosts-standin.ts
+++ b/packages/tooling/standins/src/hosts-standin.ts
@@ -2,6 +2,7 @@
 import { Hono } from 'hono';
 import { z } from 'zod';
 import { readBody } from './body';
+import { parseConfig } from './parse-config';
 import type { Standin } from './standin';
 import { refuse, type StandinApp, StandinServer } from './standin-server';
 
@@ -55,9 +56,9 @@
     config.hosts.forEach((host) => this.change({ action: 'add', host }, 0));
   }
 
-  /** Throws a `ZodError` if `config` has mistakes. */
+  /** Throws an error that names each mistake of `config`. */
   static create(config: unknown = {}): HostsStandin {
-    return new HostsStandin(hostsConfigSchema.parse(config));
+    return new HostsStandin(parseConfig(hostsConfigSchema, config));
   }
 
   async listen(): Promise<string> {
--- a/packages/tooling/standins/src/service-standin.ts
+++ b/packages/tooling/standins/src/service-standin.ts
@@ -4,6 +4,7 @@
 import { Hono } from 'hono';
 import { z } from 'zod';
 import { readBody } from './body';
+import { parseConfig } from './parse-config';
 import type { Standin } from './standin';
 import {
   breakConnection,
@@ -84,9 +85,9 @@
 
   private constructor(private readonly config: ServiceConfig) {}
 
-  /** Throws a `ZodError` if `config` has mistakes. */
+  /** Throws an error that names each mistake of `config`. */
   static create(config: unknown = {}): ServiceStandin {
-    return new ServiceStandin(serviceConfigSchema.parse(config));
+    return new ServiceStandin(parseConfig(serviceConfigSchema, config));
   }
 
   async listen(): Promise<string> {
--- a/packages/tooling/standins/src/store-standin.ts
+++ b/packages/tooling/standins/src/store-standin.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { readBody } from './body';
 import { RateLimit } from './rate-limit';
+import { parseConfig } from './parse-config';
 import type { Standin } from './standin';
 import {
   breakConnection,
@@ -65,9 +66,9 @@
     this.writes = RateLimit.create(config.writesPerSecond, Date.now());
   }
 
-  /** Throws a `ZodError` if `config` has mistakes. */
+  /** Throws an error that names each mistake of `config`. */
   static create(config: unknown = {}): StoreStandin {
-    return new StoreStandin(storeConfigSchema.parse(config));
+    return new StoreStandin(parseConfig(storeConfigSchema, config));
   }
 
   async listen(): Promise<string> {
--- a/packages/tooling/standins/src/token-writer.ts
+++ b/packages/tooling/standins/src/token-writer.ts
@@ -39,9 +39,9 @@
     this.isSilent = true;
   }
 
-  /** Writes up to `count` tokens; true when the stream has ended. */
-  advance(count: number, faults: EngineFaults, now: number): boolean {
-    if (this.isSilent || this.response.writableNeedDrain) return false;
+  /** Writes up to `count` tokens and tells whether the stream goes on. */
+  advance(count: number, faults: EngineFaults, now: number): 'open' | 'ended' | 'broken' {
+    if (this.isSilent || this.response.writableNeedDrain) return 'open';
     if (faults.crossStreams && this.written === 0) this.writeCrossed();
     const room = (faults.breakAfterTokens ?? Infinity) - this.written;
     const last = Math.min(this.shape.tokens, this.offset + Math.min(count, room));
@@ -49,12 +49,12 @@
     if (room <= count) {
       // Ending the socket first lets the tokens that were written arrive.
       this.response.socket?.destroySoon();
-      return true;
+      return 'broken';
     }
-    if (this.offset < this.shape.tokens) return false;
+    if (this.offset < this.shape.tokens) return 'open';
     this.writeEvent({ ...this.ids(), offset: this.offset, end: this.shape.finishReason });
     this.response.end();
-    return true;
+    return 'ended';
   }
 
   /** Shows that the request is alive if nothing was written for `idleMs`. */
--- a/packages/tooling/standins/src/weights-standin.ts
+++ b/packages/tooling/standins/src/weights-standin.ts
@@ -5,6 +5,7 @@
 import { readBody } from './body';
 import { RateLimit } from './rate-limit';
 import { SharedMedium } from './shared-medium';
+import { parseConfig } from './parse-config';
 import type { Standin } from './standin';
 import { refuse, type StandinApp, StandinServer } from './standin-server';
 
@@ -64,9 +65,9 @@
     this.random = SeededRandom.create(config.seed);
   }
 
-  /** Throws a `ZodError` if `config` has mistakes. */
+  /** Throws an error that names each mistake of `config`. */
   static create(config: unknown = {}): WeightsStandin {
-    return new WeightsStandin(weightsConfigSchema.parse(config));
+    return new WeightsStandin(parseConfig(weightsConfigSchema, config));
   }
 
   async listen(): Promise<string> {
