Read proposed and signed bundles from files, and show changes

The operators' client reads the files that pass between two operators and shows what a version changes. Add parsers that report all mistakes, and the changes without signatures.

--- a/packages/version/bundle/src/delta.ts
+++ b/packages/version/bundle/src/delta.ts
@@ -48,6 +48,9 @@
 /** What one version changed, with the signatures of the whole new version. */
 export type Delta = z.infer<typeof deltaSchema>;
 
+/** The part of a delta that says what changed. */
+export type BundleChanges = Partial<Pick<Delta, ListName | 'domains'>>;
+
 const lists = {
   callers: callerSchema,
   models: modelSchema,
@@ -110,25 +113,26 @@
 const entriesOf = (bundle: Bundle, list: ListName): readonly Entry[] =>
   bundle[list] as readonly unknown[] as readonly Entry[];
 
-/** The change from `before` to the next version; both are as `parseBundle` gave them. */
-export const makeDelta = (before: Bundle, after: SignedBundle): Delta => {
-  const { bundle, proposal, signOff } = after;
-  const appended = bundle.domains.slice(before.domains.length);
+/** What differs between two bundles, as `parseBundle` gave them; also for showing to operators. */
+export const bundleChanges = (before: Bundle, after: Bundle): BundleChanges => {
+  const appended = after.domains.slice(before.domains.length);
   const changes = listNames.flatMap((list) => {
-    const change = changeOf(list, entriesOf(before, list), entriesOf(bundle, list));
+    const change = changeOf(list, entriesOf(before, list), entriesOf(after, list));
     return change === undefined ? [] : [[list, change] as const];
   });
-  return {
-    version: bundle.version,
-    previous: bundleDigest(before),
-    digest: bundleDigest(bundle),
-    ...(appended.length > 0 && { domains: appended }),
-    ...Object.fromEntries(changes),
-    proposal,
-    signOff,
-  };
+  return { ...(appended.length > 0 && { domains: appended }), ...Object.fromEntries(changes) };
 };
 
+/** The change from `before` to the next version; both are as `parseBundle` gave them. */
+export const makeDelta = (before: Bundle, after: SignedBundle): Delta => ({
+  version: after.bundle.version,
+  previous: bundleDigest(before),
+  digest: bundleDigest(after.bundle),
+  ...bundleChanges(before, after.bundle),
+  proposal: after.proposal,
+  signOff: after.signOff,
+});
+
 const applyPatch = (list: ListName, before: Entry | undefined, patch: Patch): unknown => {
   if (before === undefined) return patch;
   const fields = Object.entries(patch).map(([field, value]) => {
--- a/packages/version/bundle/src/payload.ts
+++ b/packages/version/bundle/src/payload.ts
@@ -1,11 +1,10 @@
 import { gunzipSync, gzipSync } from 'node:zlib';
 import { err, type Result } from 'neverthrow';
-import { z } from 'zod';
 import { canonicalText } from './canonical';
+import { parseSignedBundle } from './envelope';
 import { describeMistake } from './mistake';
 import { type Rejection, rejection, RejectionKind } from './rejection';
-import { parseBundle } from './schema';
-import { type SignedBundle, signatureSchema } from './signature';
+import type { SignedBundle } from './signature';
 
 /** Largest chunk of a whole bundle, in bytes; below the store's limit of 1 MB. */
 export const maxChunkBytes = 900_000;
@@ -13,12 +12,6 @@
 /** Largest document after decompression, in bytes; 26,000 adapters take about 3 MB. */
 const maxDocumentBytes = 64_000_000;
 
-const envelopeSchema = z.strictObject({
-  bundle: z.unknown(),
-  proposal: signatureSchema,
-  signOff: signatureSchema,
-});
-
 /** A signed bundle as compressed JSON. Names repeat much, so it shrinks to a small part. */
 export const encodeWhole = ({ bundle, proposal, signOff }: SignedBundle): Uint8Array => {
   const signatures = JSON.stringify({ proposal, signOff }).slice(1);
@@ -36,12 +29,9 @@
   } catch {
     return err(malformed('the bytes are not a compressed JSON document'));
   }
-  const envelope = envelopeSchema.safeParse(document);
-  if (!envelope.success) return err(malformed('the document is not a signed bundle'));
-  const { bundle, proposal, signOff } = envelope.data;
-  return parseBundle(bundle)
-    .mapErr((mistakes) => malformed(mistakes.slice(0, 3).map(describeMistake).join('; ')))
-    .map((parsed) => ({ bundle: parsed, proposal, signOff }));
+  return parseSignedBundle(document).mapErr((mistakes) =>
+    malformed(mistakes.slice(0, 3).map(describeMistake).join('; ')),
+  );
 };
 
 /** Cuts bytes into parts of at most `size` bytes; there is always at least one. */
--- a/packages/version/bundle/src/schema.ts
+++ b/packages/version/bundle/src/schema.ts
@@ -109,7 +109,8 @@
   return text.length > shownChars ? `${text.slice(0, shownChars)}...` : text;
 };
 
-const mistakesOf = (error: z.ZodError, input: unknown): Mistake[] =>
+/** Mistakes of a document, from the errors of its schema. */
+export const mistakesOf = (error: z.ZodError, input: unknown): Mistake[] =>
   error.issues.flatMap((issue) => {
     if (issue.code === 'unrecognized_keys') {
       return issue.keys.map((key) => ({
--- a/packages/version/bundle/test/delta.test.ts
+++ b/packages/version/bundle/test/delta.test.ts
@@ -10,6 +10,8 @@
   decodeWhole,
   encodeWhole,
   makeDelta,
+  parseProposedBundle,
+  parseSignedBundle,
 } from '../src';
 import { callerOf, firstBundle, hashOf, next, seed, signed, trusted } from './support';
 
@@ -72,6 +74,10 @@
   const whole = signed(firstBundle(50));
   expect(decodeWhole(encodeWhole(whole))._unsafeUnwrap()).toEqual(whole);
   expect(decodeWhole(Buffer.from('{}'))._unsafeUnwrapErr()).toMatchSnapshot();
+  const wrong = { ...whole, bundle: { ...whole.bundle, models: [] }, proposal: { operator: '' } };
+  expect(parseSignedBundle(wrong)._unsafeUnwrapErr().length).toBe(3);
+  const { bundle, proposal } = whole;
+  expect(parseProposedBundle({ bundle, proposal })._unsafeUnwrap()).toEqual({ bundle, proposal });
 });
 
 test('a delta of one changed caller takes some hundred bytes', () => {
