--- a/packages/tooling/standins/src/store-standin.ts
+++ b/packages/tooling/standins/src/store-standin.ts
@@ -133,20 +133,25 @@
     this.calls.set(call, (this.calls.get(call) ?? 0) + 1);
     const isRead = ['get', 'list', 'watch'].includes(call);
     if (this.faults.latencyMs > 0) await sleep(this.faults.latencyMs / 2);
-    if (this.faults.outage === 'hang') {
-      await new Promise<void>((resume) => {
-        this.hanging.add(resume);
-      });
-      return breakConnection(context);
-    }
-    if (this.faults.outage === 'refuse') return refuse(context, 503, 'the store is down', 1000);
+    if (this.faults.outage !== 'none') return this.withhold(context);
     const waitMs = (isRead ? this.reads : this.writes).take(Date.now());
     if (waitMs > 0) return refuse(context, 429, `too many ${isRead ? 'reads' : 'writes'}`, waitMs);
     const answer = await effect();
+    // A watch may have waited into an outage.
+    if (call === 'watch' && this.faults.outage !== 'none') return this.withhold(context);
     if (this.faults.latencyMs > 0) await sleep(this.faults.latencyMs / 2);
     return !isRead && answer.ok && this.losesAnswer(context) ? breakConnection(context) : answer;
   }
 
+  /** Answers, or does not answer, as the outage demands. */
+  private async withhold(context: StandinContext): Promise<Response> {
+    if (this.faults.outage === 'refuse') return refuse(context, 503, 'the store is down', 1000);
+    await new Promise<void>((resume) => {
+      this.hanging.add(resume);
+    });
+    return breakConnection(context);
+  }
+
   private losesAnswer(context: StandinContext): boolean {
     const { loseAnswers, loseKeyPrefix } = this.faults;
     const key = context.req.query('key') ?? '';
