--- a/packages/process/node/src/process/node-options.ts
+++ b/packages/process/node/src/process/node-options.ts
@@ -1,4 +1,6 @@
-import type { TrustedKeys } from '@currantdrift/bundle';
+import type { AdmissionSettings } from '@currantdrift/admission';
+import type { HolderProtections, RolloutProtections, TrustedKeys } from '@currantdrift/bundle';
+import type { ClaimLedgerOptions } from '@currantdrift/booking';
 import type {
   Clock,
   EndpointConnector,
@@ -9,7 +11,16 @@
   Telemetry,
 } from '@currantdrift/core';
 import type { AttemptSettings } from '@currantdrift/attempt';
-import type { PlacementSettings } from '@currantdrift/placement';
+import type { ControllerOptions, PlacementSettings } from '@currantdrift/placement';
+
+/** Protections by the package that has them. Only scenarios and tests switch any of them off. */
+export interface NodeProtections {
+  readonly placement?: ControllerOptions['protections'];
+  readonly booking?: ClaimLedgerOptions['protections'];
+  readonly bundle?: HolderProtections;
+  readonly rollout?: RolloutProtections;
+  readonly admission?: Pick<AdmissionSettings, 'earlyRefusal'>;
+}
 
 /** What a daemon's decision code is made of. */
 export interface NodeOptions {
@@ -42,4 +53,5 @@
   readonly network: Network;
   readonly attempts?: Partial<AttemptSettings>;
   readonly placement?: Partial<PlacementSettings>;
+  readonly protections?: NodeProtections;
 }
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -49,7 +49,7 @@
   const { clock, random, telemetry, network, address, domain, name } = options;
   const store = CountedStore.create(options.store, telemetry);
   const hosts = HostTask.create({ ...options, clock, random, telemetry });
-  const holder = BundleHolder.create(options.trusted);
+  const holder = BundleHolder.create(options.trusted, options.protections?.bundle);
   const reader = BundleReader.create(store, holder);
   let exchange: BundleExchange | undefined;
   const peers = PeerConnections.create({
@@ -163,6 +163,7 @@
         adapterTransits: options.weights.adapterTransits,
         ...options.placement,
       },
+      ...(options.protections?.placement && { protections: options.protections.placement }),
     });
     return controller;
   };
@@ -202,6 +203,7 @@
   admission = Admission.create(takePlace(view, balancer), {
     maxWaiting: queue.capacity,
     maxPerCaller: queue.callerCapacity,
+    ...options.protections?.admission,
   });
   const domains = KnownDomains.create({ own, holder, summaries, view, random });
   const incarnation = membership.self.incarnation.toString(36);
@@ -211,6 +213,7 @@
     random,
     telemetry,
     dispatcher: `${name}#${incarnation}`,
+    ...(options.protections?.booking && { protections: options.protections.booking }),
     isGone: (dispatcher) => {
       const [host] = dispatcher.split('#');
       const status = membership.member(host)?.status;
--- /dev/null
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -0,0 +1,134 @@
+import {
+  type CacheEvent,
+  type Clock,
+  type Endpoint,
+  type EndpointReport,
+  type Failure,
+  FailureKind,
+  type Generation,
+  type Order,
+  OrderKind,
+  type PlainAnswer,
+  type PlainCall,
+  type StreamPart,
+} from '@currantdrift/core';
+import { err, ok, type Result } from 'neverthrow';
+import { type AnswerFaults, type EndpointRun, noAnswerFaults } from './endpoint-run';
+import type { FakeEngine } from './engine';
+
+type Parts = AsyncIterable<Result<StreamPart, Failure>>;
+
+/** The true text of token `offset` of the answer to a prompt. */
+export const trueToken = (prompt: string, offset: number): string => `${prompt}.${offset} `;
+
+/**
+ * A `FakeEngine` that records what it runs and whose answers have a text of their own, so that a
+ * part of another answer can be told apart.
+ */
+export class ObservedEngine implements Endpoint {
+  readonly answers: AnswerFaults = { ...noAnswerFaults };
+
+  /** The process dies in the middle of the next load. */
+  diesInNextLoad = false;
+
+  /** Called for each request that the engine accepts. */
+  onRun: (run: EndpointRun) => void = () => {};
+
+  /** Last part that was sent on some stream. */
+  private stray: StreamPart | undefined;
+
+  private constructor(
+    readonly engine: FakeEngine,
+    private readonly clock: Clock,
+  ) {}
+
+  static create(engine: FakeEngine, clock: Clock): ObservedEngine {
+    return new ObservedEngine(engine, clock);
+  }
+
+  get id(): string {
+    return this.engine.id;
+  }
+
+  get domain(): string {
+    return this.engine.domain;
+  }
+
+  get pool(): string {
+    return this.engine.pool;
+  }
+
+  get fencing(): boolean {
+    return this.engine.fencing;
+  }
+
+  async generate(generation: Generation, signal: AbortSignal): Promise<Result<Parts, Failure>> {
+    const opened = await this.engine.generate(generation, signal);
+    if (opened.isErr()) return opened;
+    const { requestId, item } = generation;
+    this.onRun({ at: this.clock.now(), endpoint: this.id, requestId, item });
+    return ok(this.texts(opened.value, generation, signal));
+  }
+
+  call(call: PlainCall): Promise<Result<PlainAnswer, Failure>> {
+    return this.engine.call(call);
+  }
+
+  order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
+    if (this.diesInNextLoad && order.kind === OrderKind.load) {
+      this.diesInNextLoad = false;
+      const halfway = this.engine.options.loadMs.disk / 2;
+      this.clock.sleep(halfway).then(() => this.engine.restart());
+    }
+    return this.engine.order(order, signal);
+  }
+
+  report(): Promise<Result<EndpointReport, Failure>> {
+    return this.engine.report();
+  }
+
+  cacheEvents(after: number): Promise<Result<readonly CacheEvent[], Failure>> {
+    return this.engine.cacheEvents(after);
+  }
+
+  cancel(requestId: string, attempt: number): Promise<void> {
+    return this.engine.cancel(requestId, attempt);
+  }
+
+  private async *texts(
+    parts: Parts,
+    { messages }: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<StreamPart, Failure>> {
+    const prompt = messages.map(({ content }) => content).join(' ');
+    if (this.answers.lateMs > 0) await this.clock.sleep(this.answers.lateMs, signal);
+    for await (const part of parts) {
+      if (this.answers.lost) {
+        yield err(this.lost('generate'));
+        return;
+      }
+      if (part.isErr()) {
+        yield part;
+        return;
+      }
+      const { value } = part;
+      const own: StreamPart =
+        value.kind === 'end'
+          ? value
+          : {
+              ...value,
+              tokens: value.tokens.map((_, index) => trueToken(prompt, value.offset + index)),
+            };
+      const { stray } = this;
+      this.stray = own;
+      const isOther = stray?.requestId !== own.requestId || stray.attempt !== own.attempt;
+      if (this.answers.crossed && stray !== undefined && isOther) yield ok(stray);
+      yield ok(own);
+    }
+  }
+
+  private lost(call: string): Failure {
+    const message = 'the answer was lost';
+    return { kind: FailureKind.unknown, step: `endpoint.${call}`, peer: this.id, message };
+  }
+}
