Take an endpoint only after it has been assigned for 1.5 s

Cause: while a whole domain starts, each daemon knows few members and watched and published most endpoints. 40 daemons on one core still sent 69 KB/s each and 30% of them were up to date 25 s after their start. Change: a daemon takes an endpoint that has fallen to it for 1.5 s. Ended timers no longer build an exception each.

--- a/packages/connection/peer/src/connection.ts
+++ b/packages/connection/peer/src/connection.ts
@@ -126,7 +126,7 @@
       const id = this.open({
         kind: 'request',
         settle: (result) => {
-          timer.abort();
+          timer.abort(null);
           resolve(result);
         },
       });
--- a/packages/connection/peer/src/peer-connections.ts
+++ b/packages/connection/peer/src/peer-connections.ts
@@ -203,7 +203,7 @@
     const done = new AbortController();
     clock.sleep(this.settings.connectTimeoutMs, done.signal).then(() => attempt.abort());
     const connected = await network.connect(address, attempt.signal);
-    done.abort();
+    done.abort(null);
     if (connected.isErr()) return err(connected.error);
     const connection = this.add(connected.value, this.options.address);
     this.keep(connection);
@@ -259,7 +259,7 @@
       .sleep(timeoutMs, done.signal)
       .then(() => err(this.failure('connect', address, `no connection in ${timeoutMs} ms`)));
     const result = await Promise.race([attempt, late]);
-    done.abort();
+    done.abort(null);
     return result;
   }
 
--- a/packages/process/membership/src/domain-links.ts
+++ b/packages/process/membership/src/domain-links.ts
@@ -73,6 +73,8 @@
   /** Whether the whole list has been sent since the link opened. */
   isComplete: boolean;
   sentAt: number;
+  /** Whether a message waits for its answer. */
+  isBusy: boolean;
   openedAt: number;
   /** Relays of the other domain, as it named them. */
   targets: readonly string[];
@@ -108,6 +110,9 @@
   /** Time of the last message of a sender in each other domain, in ms since the epoch. */
   private readonly heardAt = new Map<string, number>();
 
+  /** Start of the present time as a relay, in ms since the epoch. */
+  private relaySince: number | undefined;
+
   private stopped = new AbortController();
 
   private readonly telemetry: Telemetry;
@@ -146,27 +151,47 @@
     const { clock, random } = this.options;
     await clock.sleep(random.next() * intervalMs, signal);
     while (!signal.aborted) {
-      if (this.isRelay()) await this.tend(clock.now());
-      else this.links.clear();
+      if (this.isRelay()) {
+        this.relaySince ??= clock.now();
+        this.tend(clock.now());
+      } else {
+        this.relaySince = undefined;
+        this.links.clear();
+      }
       await clock.sleep(intervalMs, signal);
     }
   }
 
-  private async tend(now: number): Promise<void> {
+  private tend(now: number): void {
     const own = this.options.membership.self.domain;
     const contacts = this.options.contacts().filter(({ domain }) => domain !== own);
     const domains = [...new Set(contacts.map(({ domain }) => domain))];
     this.judge(now);
     const content = { warm: new Set(this.options.directory.warmItems()), header: this.header() };
-    await Promise.all(
-      domains.map((domain) =>
-        this.speak(
-          domain,
-          content,
-          contacts.filter((contact) => contact.domain === domain).map(({ address }) => address),
-        ),
-      ),
-    );
+    domains.forEach((domain) => {
+      const addresses = contacts.filter((each) => each.domain === domain);
+      this.speakOnce(
+        this.link(domain, now),
+        content,
+        addresses.map(({ address }) => address),
+      ).catch((error: unknown) => {
+        this.telemetry.log('domain link failed', { peer: domain, message: String(error) });
+      });
+    });
+  }
+
+  /** A domain that does not answer must not delay the messages to the others. */
+  private async speakOnce(
+    given: Link,
+    content: Content,
+    contacts: readonly string[],
+  ): Promise<void> {
+    const link = given;
+    if (link.isBusy) return;
+    link.isBusy = true;
+    await this.speak(link, content, contacts).finally(() => {
+      link.isBusy = false;
+    });
   }
 
   /** Publishes which domains the relays of this one hear from. */
@@ -179,7 +204,8 @@
       const isHeard = now - (this.heardAt.get(domain) ?? Number.NEGATIVE_INFINITY) < staleMs;
       const publisher = known?.rank[1] ?? 0;
       // The relay that said that it hears from a domain is the one to take that back.
-      const mayDeny = publisher === own || !relays.includes(publisher);
+      const isOwnToDeny = publisher === own || !relays.includes(publisher);
+      const mayDeny = isOwnToDeny && now - (this.relaySince ?? now) >= staleMs;
       if (known?.value === isHeard || (!isHeard && !mayDeny)) return;
       this.options.membership.publish({
         key,
@@ -199,6 +225,7 @@
       header: '',
       isComplete: false,
       sentAt: Number.NEGATIVE_INFINITY,
+      isBusy: false,
       openedAt: now,
       targets: [],
     };
@@ -206,13 +233,9 @@
     return link;
   }
 
-  private async speak(
-    domain: string,
-    content: Content,
-    contacts: readonly string[],
-  ): Promise<void> {
+  private async speak(given: Link, content: Content, contacts: readonly string[]): Promise<void> {
+    const link = given;
     const { clock } = this.options;
-    const link = this.link(domain, clock.now());
     const isDue = clock.now() - link.sentAt >= keepaliveMs;
     if (link.epoch === 0) {
       if (isDue) await this.ask(link, contacts);
--- a/packages/process/membership/src/endpoint-watcher.ts
+++ b/packages/process/membership/src/endpoint-watcher.ts
@@ -57,7 +57,7 @@
     return err({ kind: 'unknown', step: 'endpoint.report', peer: endpoint.id, message });
   });
   const result = await Promise.race([endpoint.report(timeout.signal), late]);
-  answered.abort();
+  answered.abort(null);
   return result;
 };
 
--- a/packages/process/membership/src/watchers.ts
+++ b/packages/process/membership/src/watchers.ts
@@ -35,6 +35,12 @@
 /** Time between two looks at members and hosts, in ms. */
 const assignMs = 500;
 
+/**
+ * Time for which an endpoint must fall to this daemon before it takes it, in ms. While a domain
+ * starts each daemon knows few members, and would watch and publish most endpoints for a moment.
+ */
+const takeAfterMs = 1500;
+
 /** Shortest time between two publications of load levels, in ms. */
 const levelsMs = 5000;
 
@@ -74,7 +80,8 @@
 
   private assignment = '';
 
-  private assigned: readonly string[] = [];
+  /** Time since which each endpoint falls to this daemon, in ms since the epoch. */
+  private assignedSince: ReadonlyMap<string, number> = new Map();
 
   private stopped = new AbortController();
 
@@ -112,6 +119,8 @@
     this.stopped.abort();
     this.running.forEach(({ stop }) => stop.abort());
     this.running.clear();
+    this.assignment = '';
+    this.assignedSince = new Map();
   }
 
   /** Names of the endpoints that this daemon watches. */
@@ -162,7 +171,7 @@
   private assign(now: number): void {
     const hosts = this.hosts();
     const members = this.options.membership.alive().map(({ name }) => name);
-    const own = this.ownEndpoints(hosts, members);
+    const own = this.ownEndpoints(hosts, members, now);
     const byName = new Map(hosts.map((host) => [host.name, host]));
     this.running.forEach(({ stop }, name) => {
       if (own.has(name)) return;
@@ -170,25 +179,30 @@
       this.running.delete(name);
       this.levels.delete(name);
     });
-    own.forEach((name) => {
+    own.forEach((since, name) => {
       const host = byName.get(name);
       if (host === undefined) return;
       const running = this.running.get(name);
-      if (running === undefined) this.watch(host);
-      else running.watcher.update(host);
+      if (running !== undefined) running.watcher.update(host);
+      else if (now - since >= takeAfterMs) this.watch(host);
     });
     this.removeMissing(byName, members, now);
   }
 
   /** Hashing is repeated only when members or endpoints change. */
-  private ownEndpoints(hosts: readonly Host[], members: readonly string[]): ReadonlySet<string> {
+  private ownEndpoints(
+    hosts: readonly Host[],
+    members: readonly string[],
+    now: number,
+  ): ReadonlyMap<string, number> {
     const names = hosts.map(({ name }) => name);
     const assignment = `${members.join(',')}|${names.join(',')}`;
-    if (assignment !== this.assignment) {
-      this.assignment = assignment;
-      this.assigned = names.filter((name) => this.isOwn(name, members));
-    }
-    return new Set(this.assigned);
+    if (assignment === this.assignment) return this.assignedSince;
+    this.assignment = assignment;
+    const before = this.assignedSince;
+    const own = names.filter((name) => this.isOwn(name, members));
+    this.assignedSince = new Map(own.map((name) => [name, before.get(name) ?? now]));
+    return this.assignedSince;
   }
 
   private isOwn(endpoint: string, members: readonly string[]): boolean {
