Eject endpoints that are overloaded at their lowest limit

Cause: an attempt that ends at its deadline without a token counts as overload only, so an endpoint that stays silent longer than all deadlines was tried again and again and never ejected. Change: overload at the lowest limit counts as a failure. Result: the new test fails without the change (limit 1, never ejected) and passes with it.

--- a/packages/request/routing/src/balancer.ts
+++ b/packages/request/routing/src/balancer.ts
@@ -165,8 +165,11 @@
 
   private account(known: Known, result: Release, startedAt: number, now: number): void {
     if (result === 'succeeded') known.outlier.succeeded(startedAt, now);
+    // What is too slow or too full even at its lowest limit does not serve this daemon at all.
+    const atLowest = known.limit.current(known.slots) <= this.settings.minLimit;
     if (result === 'overloaded') known.limit.overloaded(now);
-    if (result !== 'failed' || !known.outlier.failed(startedAt, now)) return;
+    if (result !== 'failed' && !(result === 'overloaded' && atLowest)) return;
+    if (!known.outlier.failed(startedAt, now)) return;
     if (!this.mayEject(known, now)) return;
     known.outlier.eject(now);
     this.options.onEject?.(known.name, known.outlier.until);
--- a/packages/request/routing/test/limits.test.ts
+++ b/packages/request/routing/test/limits.test.ts
@@ -132,3 +132,19 @@
   seen.push(look(10_000), look(20_000), look(25_000), look(30_000));
   expect(seen).toMatchSnapshot();
 });
+
+// Guards against a silent endpoint that is never ejected because every caller's deadline comes
+// before the time after which an endpoint counts as failed.
+test('an endpoint that is overloaded at its lowest limit is ejected', () => {
+  const { balancer } = balance();
+  const candidates = [endpoint('a'), endpoint('b')];
+  balancer.free(candidates, 0);
+  for (let now = 0; now < 4_000; now += 250) {
+    const lease = balancer.acquire({ candidates, tried: ['b'] }, now)._unsafeUnwrap();
+    lease.release('overloaded', now);
+  }
+  expect(balancer.status(4_000).map((one) => one.ejectedUntil !== undefined)).toEqual([
+    true,
+    false,
+  ]);
+});
