Measure what relaying costs

Cause: the cost of a relayed token was not known. Change: npm run bench starts a daemon and four engines as processes and compares streams through the daemon with direct ones in the same run.

--- a/packages/tooling/bench/src/index.ts
+++ b/packages/tooling/bench/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './process-usage';
+export * from './relay';
+export * from './stream-load';
