Add the gap-histogram keep-warm policy and its benchmark

Cause: a fixed time-to-live keeps items loaded that nobody calls and drops those about to be used. Change: GapHistogram plans loaded spans by backward induction over the expected gap, in wall time or in time weighted with the daily rhythm; calendar windows; clairvoyant bound; seeded benchmark.

--- /dev/null
+++ b/packages/version/placement/src/bench/simulate.ts
@@ -0,0 +1,107 @@
+import { isAdapter } from '@currantdrift/core';
+import { clairvoyantBound } from '../clairvoyant';
+import type { KeepWarm } from '../keep-warm';
+import type { SimulatedItem } from './arrivals';
+
+/** What a policy achieved. Waits are those of requests for models, adapters' requests included. */
+export interface PolicyFigures {
+  readonly requests: number;
+  readonly coldStarts: number;
+  /** Accelerator hours loaded, loading included, without a request running. */
+  readonly idleHours: number;
+  /** Waits for the model over all requests, in seconds; a warm request counts as 0. */
+  readonly p50AllSeconds: number;
+  readonly p99AllSeconds: number;
+  /** Waits over the requests that found the model not ready, in seconds. */
+  readonly p50ColdSeconds: number;
+  readonly p99ColdSeconds: number;
+  /** Total wait of all requests, in seconds. */
+  readonly waitSeconds: number;
+}
+
+/** Time that a request keeps its item busy. */
+const serviceMs = 5_000;
+
+/** Time that a replica stays loaded after the decision to unload it: drain mark and unload. */
+const unloadMs = 3_000;
+
+interface State {
+  /** Time from which the item is ready; undefined while it is not loaded. */
+  readyAt: number | undefined;
+  /** Time up to which idle time and decisions have been accounted for. */
+  at: number;
+}
+
+const quantile = (sorted: readonly number[], share: number): number =>
+  sorted.length === 0 ? 0 : sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))];
+
+/**
+ * Runs a policy over the requests of all items in order of time. Every item is on its own: memory
+ * is taken as sufficient, and loads do not wait for each other.
+ */
+export const simulatePolicy = (
+  items: readonly SimulatedItem[],
+  policy: KeepWarm,
+  fromMs: number,
+): PolicyFigures => {
+  const states = items.map<State>(() => ({ readyAt: undefined, at: 0 }));
+  const events = items
+    .flatMap(({ arrivals }, item) => arrivals.map((at) => ({ at, item })))
+    .sort((a, b) => a.at - b.at || a.item - b.item);
+  const waits: number[] = [];
+  let idleMs = 0;
+  const idle = ({ accelerators }: SimulatedItem, from: number, to: number) => {
+    idleMs += accelerators * Math.max(0, to - Math.max(from, fromMs));
+  };
+  const advance = (item: SimulatedItem, state: State, to: number): State => {
+    let { readyAt, at } = state;
+    while (at < to) {
+      if (readyAt !== undefined) {
+        const until = Math.max(at, policy.keepUntil(item.name, Math.max(at, readyAt)));
+        if (until >= to) {
+          idle(item, at, to);
+          return { readyAt, at: to };
+        }
+        idle(item, at, until + unloadMs);
+        at = until + unloadMs;
+        readyAt = undefined;
+      } else {
+        const start = policy.warmAt(item.name, at);
+        if (start === undefined || start >= to) return { readyAt, at: to };
+        at = Math.max(at, start);
+        readyAt = at + item.coldSeconds * 1000;
+      }
+    }
+    return { readyAt, at };
+  };
+  events.forEach(({ at, item: index }) => {
+    const item = items[index];
+    const state = advance(item, states[index], at);
+    const readyAt = state.readyAt ?? at + item.coldSeconds * 1000;
+    if (state.readyAt === undefined) idle(item, at, readyAt);
+    const wait = Math.max(0, readyAt - at);
+    if (at >= fromMs && !isAdapter(item.name)) waits.push(wait / 1000);
+    policy.touch(item.name, at);
+    states[index] = { readyAt, at: Math.max(state.at, at, readyAt) + serviceMs };
+  });
+  waits.sort((a, b) => a - b);
+  const cold = waits.filter((wait) => wait > 0);
+  return {
+    requests: waits.length,
+    coldStarts: cold.length,
+    idleHours: idleMs / 3_600_000,
+    p50AllSeconds: quantile(waits, 0.5),
+    p99AllSeconds: quantile(waits, 0.99),
+    p50ColdSeconds: quantile(cold, 0.5),
+    p99ColdSeconds: quantile(cold, 0.99),
+    waitSeconds: waits.reduce((sum, wait) => sum + wait, 0),
+  };
+};
+
+/** Idle hours that a policy which knows all requests in advance needs for no wait at all. */
+export const clairvoyantIdleHours = (items: readonly SimulatedItem[], fromMs: number): number =>
+  items.reduce((sum, { arrivals, coldSeconds, accelerators }) => {
+    const measured = arrivals.filter((at) => at >= fromMs);
+    const { idleMs } = clairvoyantBound(measured, serviceMs, coldSeconds * 1000);
+    return sum + (accelerators * idleMs) / 3_600_000;
+  }, 0);
--- /dev/null
+++ b/packages/version/placement/src/gap-histogram.ts
@@ -0,0 +1,333 @@
+import type { CalendarWindow } from '@currantdrift/core';
+import { z } from 'zod';
+import { calendarSpan } from './calendar';
+import { DailyRhythm } from './daily-rhythm';
+import type { KeepWarm } from './keep-warm';
+import { type GapDistribution, warmPlan, type WarmSpan } from './warm-plan';
+
+/** What the policy must know of an item. */
+export interface ItemCost {
+  /** Time of a cold start, in seconds. */
+  readonly coldSeconds: number;
+  /** Accelerators that the loaded item takes; a share of one for an adapter. */
+  readonly accelerators: number;
+  /** Times of day at which the item is expected to be used. */
+  readonly calendar: readonly CalendarWindow[];
+}
+
+export interface GapHistogramOptions {
+  /** Price of one accelerator hour without use. */
+  readonly idleHourPrice: number;
+  /** Price of one second that a request waits for a cold start. */
+  readonly coldSecondPrice: number;
+  /**
+   * Exponent by which longer cold starts cost more than in proportion, for deployments that pay
+   * for the tail: a cold start of s seconds costs as s * (s / 10)^tailExponent. 0 by default.
+   */
+  readonly tailExponent?: number;
+  /** Costs of an item, by name without version. */
+  readonly costOf: (item: string) => ItemCost;
+  /** Weight that an item's earlier gaps keep when a new gap is added, 0 to 1. */
+  readonly decay?: number;
+  /** Gaps of the item that weigh as much as the gaps of all items together. */
+  readonly priorGaps?: number;
+}
+
+const hourMs = 3_600_000;
+
+/** Ratio of neighbouring bin edges; narrow enough to see gaps that repeat within 5%. */
+const binRatio = 1.08;
+
+const firstEdgeMs = 1_000;
+
+const lastEdgeMs = 14 * 24 * hourMs;
+
+const edgesMs: readonly number[] = [
+  0,
+  ...Array.from(
+    { length: Math.ceil(Math.log(lastEdgeMs / firstEdgeMs) / Math.log(binRatio)) + 1 },
+    (_, index) => firstEdgeMs * binRatio ** index,
+  ),
+];
+
+const bins = edgesMs.length - 1;
+
+const binOf = (gapMs: number): number =>
+  gapMs < firstEdgeMs
+    ? 0
+    : Math.min(bins - 1, Math.floor(Math.log(gapMs / firstEdgeMs) / Math.log(binRatio)) + 1);
+
+/** Weight that the gaps of all items keep when one is added. */
+const poolDecay = 0.9995;
+
+/** Share of a gap's weight that its own bin gets; the two neighbours get the rest. */
+const ownShare = 0.5;
+
+/** Weight, in gaps, of the chance that an item is not used again. */
+const neverWeight = 0.1;
+
+/** Weight below which a bin is dropped from a copy. */
+const minCopiedWeight = 0.01;
+
+/** Cold start, in seconds, whose cost a tail exponent leaves as it is. */
+const tailReferenceSeconds = 10;
+
+/** Measure of time in which an item's gaps are counted. */
+type Measure = 'wall' | 'weighted';
+
+interface Learnt {
+  last: number;
+  readonly wall: Map<number, number>;
+  readonly weighted: Map<number, number>;
+  /** Decayed log-likelihood of the item's gaps by weighted time, less that by wall time. */
+  advantage: number;
+  plan: readonly WarmSpan[] | undefined;
+}
+
+/** Gap, in ms, after which a request counts as a new visit for the daily rhythm. */
+const visitGapMs = 600_000;
+
+const weightsSchema = z.array(
+  z.tuple([
+    z
+      .number()
+      .int()
+      .min(0)
+      .max(bins - 1),
+    z.number().nonnegative(),
+  ]),
+);
+
+const snapshotSchema = z.object({
+  rhythm: z.array(z.number().nonnegative()),
+  wall: weightsSchema,
+  weighted: weightsSchema,
+  items: z.array(z.tuple([z.string(), z.number(), z.number(), weightsSchema, weightsSchema])),
+});
+
+const add = (weights: Map<number, number>, bin: number, decay: number): void => {
+  weights.forEach((weight, key) => {
+    if (weight * decay < minCopiedWeight) weights.delete(key);
+    else weights.set(key, weight * decay);
+  });
+  const spread: readonly (readonly [number, number])[] = [
+    [bin - 1, (1 - ownShare) / 2],
+    [bin, ownShare],
+    [bin + 1, (1 - ownShare) / 2],
+  ];
+  spread.forEach(([key, share]) => {
+    const at = Math.min(bins - 1, Math.max(0, key));
+    weights.set(at, (weights.get(at) ?? 0) + share);
+  });
+};
+
+const parse = (text: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+};
+
+const rounded = (weights: ReadonlyMap<number, number>): [number, number][] =>
+  [...weights]
+    .filter(([, weight]) => weight >= minCopiedWeight)
+    .map(([bin, weight]) => [bin, Math.round(weight * 100) / 100]);
+
+/**
+ * Keeps an item loaded while the expected cost of a cold start exceeds the expected cost of idle
+ * time. The gap to the next request is estimated from the item's own gaps, which decay, and from
+ * the gaps of all items as long as it has few of its own. Gaps are counted both in wall time,
+ * which suits items that work on a timer, and in time weighted with the daily rhythm, which suits
+ * items that people use; the measure that has predicted an item better decides. An item may be
+ * unloaded and loaded ahead of the next use.
+ */
+export class GapHistogram implements KeepWarm {
+  private readonly items = new Map<string, Learnt>();
+
+  private readonly pool: Record<Measure, Map<number, number>> = {
+    wall: new Map(),
+    weighted: new Map(),
+  };
+
+  private rhythm = DailyRhythm.create();
+
+  private readonly decay: number;
+
+  private readonly priorGaps: number;
+
+  private constructor(private readonly options: GapHistogramOptions) {
+    this.decay = options.decay ?? 0.95;
+    this.priorGaps = options.priorGaps ?? 3;
+  }
+
+  static create(options: GapHistogramOptions): GapHistogram {
+    return new GapHistogram(options);
+  }
+
+  touch(item: string, now: number): void {
+    const learnt = this.items.get(item);
+    if (learnt === undefined) {
+      this.rhythm.add(now);
+      this.items.set(item, {
+        last: now,
+        wall: new Map(),
+        weighted: new Map(),
+        advantage: 0,
+        plan: undefined,
+      });
+      return;
+    }
+    const gap = now - learnt.last;
+    // Notices of several daemons may arrive out of order.
+    if (gap < 0) return;
+    const wallBin = binOf(gap);
+    const weightedBin = binOf(this.rhythm.weighted(now) - this.rhythm.weighted(learnt.last));
+    if (gap > visitGapMs) {
+      learnt.advantage =
+        learnt.advantage * this.decay +
+        this.logDensity(learnt, 'weighted', weightedBin) -
+        this.logDensity(learnt, 'wall', wallBin);
+      this.rhythm.add(now);
+    }
+    learnt.last = now;
+    learnt.plan = undefined;
+    add(learnt.wall, wallBin, this.decay);
+    add(learnt.weighted, weightedBin, this.decay);
+    add(this.pool.wall, wallBin, poolDecay);
+    add(this.pool.weighted, weightedBin, poolDecay);
+  }
+
+  keepUntil(item: string, now: number): number {
+    const learnt = this.items.get(item);
+    const window = this.window(item, now);
+    const byWindow = window !== undefined && window.from <= now ? window.until : now;
+    if (learnt === undefined) return byWindow;
+    const leadMs = this.options.costOf(item).coldSeconds * 1000;
+    const span = this.planOf(item, learnt).find(
+      ({ fromMs, toMs }) => now >= learnt.last + fromMs - leadMs && now < learnt.last + toMs,
+    );
+    return Math.max(byWindow, span === undefined ? now : learnt.last + span.toMs);
+  }
+
+  warmAt(item: string, now: number): number | undefined {
+    const learnt = this.items.get(item);
+    const leadMs = this.options.costOf(item).coldSeconds * 1000;
+    const window = this.window(item, now);
+    const byWindow = window === undefined ? undefined : Math.max(now, window.from - leadMs);
+    if (learnt === undefined) return byWindow;
+    const span = this.planOf(item, learnt).find(
+      ({ fromMs, toMs }) => fromMs > 0 && now < learnt.last + toMs,
+    );
+    if (span === undefined) return byWindow;
+    const at = Math.max(now, learnt.last + span.fromMs - leadMs);
+    return byWindow === undefined ? at : Math.min(at, byWindow);
+  }
+
+  value(item: string, now: number): number {
+    const learnt = this.items.get(item);
+    const { coldSeconds } = this.options.costOf(item);
+    const { edgesMs: edges, weights, beyond } = this.distribution(learnt);
+    const age = learnt === undefined ? lastEdgeMs : now - learnt.last;
+    const later = edges.findIndex((edge) => edge > age);
+    const bin = later < 1 ? bins - 1 : later - 1;
+    const surviving = weights.slice(bin).reduce((sum, weight) => sum + weight, beyond);
+    const hours = (edges[bin + 1] - edges[bin]) / hourMs;
+    const hazard = surviving > 0 ? weights[bin] / surviving / hours : 0;
+    return hazard * this.coldCost(coldSeconds);
+  }
+
+  snapshot(): string {
+    return JSON.stringify({
+      rhythm: this.rhythm.copy,
+      wall: rounded(this.pool.wall),
+      weighted: rounded(this.pool.weighted),
+      items: [...this.items].map(([item, { last, advantage, wall, weighted }]) => [
+        item,
+        last,
+        Math.round(advantage * 10) / 10,
+        rounded(wall),
+        rounded(weighted),
+      ]),
+    });
+  }
+
+  restore(snapshot: string): void {
+    const parsed = snapshotSchema.safeParse(parse(snapshot));
+    if (!parsed.success) return;
+    const { rhythm, wall: wallPool, weighted: weightedPool, items } = parsed.data;
+    this.rhythm = DailyRhythm.create(rhythm);
+    this.pool.wall = new Map(wallPool);
+    this.pool.weighted = new Map(weightedPool);
+    items.forEach(([item, last, advantage, wall, weighted]) => {
+      const known = this.items.get(item);
+      this.items.set(item, {
+        last: Math.max(last, known?.last ?? 0),
+        wall: new Map(wall),
+        weighted: new Map(weighted),
+        advantage,
+        plan: undefined,
+      });
+    });
+  }
+
+  private planOf(item: string, learnt: Learnt): readonly WarmSpan[] {
+    if (learnt.plan !== undefined) return learnt.plan;
+    const { idleHourPrice, costOf } = this.options;
+    const { coldSeconds, accelerators } = costOf(item);
+    const idlePerMs = (idleHourPrice * accelerators) / hourMs;
+    const plan = warmPlan(this.distribution(learnt), {
+      idlePerMs,
+      coldStart: this.coldCost(coldSeconds),
+      load: idlePerMs * coldSeconds * 1000,
+    });
+    // eslint-disable-next-line no-param-reassign -- kept until the item's next gap
+    learnt.plan = plan;
+    return plan;
+  }
+
+  private coldCost(seconds: number): number {
+    const { coldSecondPrice, tailExponent = 0 } = this.options;
+    return coldSecondPrice * seconds * (seconds / tailReferenceSeconds) ** tailExponent;
+  }
+
+  /** Log-likelihood, up to a constant, of a gap in `bin` by what is known before it. */
+  private logDensity(learnt: Learnt, measure: Measure, bin: number): number {
+    const { edgesMs: edges, weights } = this.distribution(learnt, measure);
+    const total = weights.reduce((sum, weight) => sum + weight, neverWeight);
+    return Math.log((weights[bin] + minCopiedWeight) / total / (edges[bin + 1] - edges[bin]));
+  }
+
+  private distribution(
+    learnt: Learnt | undefined,
+    measure: Measure = (learnt?.advantage ?? 0) > 0 ? 'weighted' : 'wall',
+  ): GapDistribution {
+    const weights = new Array<number>(bins).fill(0);
+    learnt?.[measure].forEach((weight, bin) => {
+      weights[bin] += weight;
+    });
+    const pool = this.pool[measure];
+    const pooled = [...pool.values()].reduce((sum, weight) => sum + weight, 0);
+    pool.forEach((weight, bin) => {
+      weights[bin] += (weight / pooled) * this.priorGaps;
+    });
+    if (measure === 'wall' || learnt === undefined) {
+      return { edgesMs, weights, beyond: neverWeight };
+    }
+    const start = this.rhythm.weighted(learnt.last);
+    const edges = edgesMs.map((edge) => this.rhythm.time(start + edge) - learnt.last);
+    return { edgesMs: edges, weights, beyond: neverWeight };
+  }
+
+  /** The calendar window that is open or opens next, as long as waiting in it pays. */
+  private window(item: string, now: number): { from: number; until: number } | undefined {
+    const { idleHourPrice, costOf } = this.options;
+    const { calendar, coldSeconds, accelerators } = costOf(item);
+    const span = calendarSpan(calendar, now);
+    if (span === undefined) return undefined;
+    const breakEvenMs = (this.coldCost(coldSeconds) / (idleHourPrice * accelerators)) * hourMs;
+    const until = Math.min(span.until, span.from + breakEvenMs);
+    const last = this.items.get(item)?.last ?? 0;
+    return until > now && last < span.from ? { from: span.from, until } : undefined;
+  }
+}
--- a/packages/version/placement/src/index.ts
+++ b/packages/version/placement/src/index.ts
@@ -20,3 +20,8 @@
 export * from './record-updates';
 export * from './settings';
 export * from './settle';
+export * from './calendar';
+export * from './clairvoyant';
+export * from './gap-histogram';
+export * from './warm-plan';
+export * from './bench/policy';
