Lower the cost of a booking in a well-filled bucket

Each claim computed the size of its whole bucket, and each conflict read the bucket again. Sizes follow from the size before, and the first conflict uses the value that it shows. Bodies of outcomes are no longer kept above 600 kB of a bucket, so that they do not use up the room for claims.

--- a/packages/request/booking/src/bucket-writer.ts
+++ b/packages/request/booking/src/bucket-writer.ts
@@ -6,6 +6,7 @@
   hadNoEffect,
   type Random,
   type Store,
+  type Swap,
 } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import { type Bucket, decodeBucket, encodeBucket, trimmed } from './bucket';
@@ -129,47 +130,54 @@
 
   /** Writes a batch and answers its changes, or gives the failure that ended the tries. */
   private async commit(batch: readonly Waiting[]): Promise<Failure | undefined> {
-    const { store, clock, random } = this.options;
+    const { store } = this.options;
     let entry: Result<Entry | undefined, Failure> = await store.get(this.key);
     let failure = this.failure('conflicts with other writers did not end');
     for (let attempt = 1; attempt <= maxTries; attempt += 1) {
-      if (entry.isErr()) {
-        failure = entry.error;
-        // A read after a lost answer is worth more tries: it may confirm the claims.
-        if (!batch.some((waiting) => this.doubted.has(waiting))) return failure;
-      } else {
-        const swap = await this.swap(entry.value, batch);
-        if (swap.isOk() && swap.value === 'done') return undefined;
-        if (swap.isErr() && hadNoEffect(swap.error)) return swap.error;
-        if (swap.isErr()) failure = swap.error;
+      const swap: Result<Swap, Failure> = entry.isOk()
+        ? await this.swap(entry.value, batch)
+        : err(entry.error);
+      if (swap.isOk() && swap.value.kind === 'swapped') return undefined;
+      if (swap.isErr()) failure = swap.error;
+      // After a lost answer more tries are worth it: a read may confirm the claims.
+      if (swap.isErr() && !batch.some((waiting) => this.doubted.has(waiting))) return failure;
+      if (attempt === 1 && swap.isOk() && swap.value.kind === 'conflict') {
+        entry = ok(swap.value.current);
+      } else if (attempt < maxTries) {
+        await this.delay(attempt);
+        entry = await store.get(this.key);
       }
-      if (attempt === maxTries) break;
-      const longest = Math.min(longestDelayMs, firstDelayMs * 2 ** attempt);
-      await clock.sleep(Math.ceil(longest * random.next()));
-      entry = await store.get(this.key);
     }
     return failure;
   }
 
+  private async delay(attempt: number): Promise<void> {
+    const { clock, random } = this.options;
+    const longest = Math.min(longestDelayMs, firstDelayMs * 2 ** attempt);
+    await clock.sleep(Math.ceil(longest * random.next()));
+  }
+
   private async swap(
     entry: Entry | undefined,
     batch: readonly Waiting[],
-  ): Promise<Result<'done' | 'conflict', Failure>> {
+  ): Promise<Result<Swap, Failure>> {
     const { store, clock, protections } = this.options;
     const bucket = decodeBucket(entry);
     if (bucket === undefined) return err(this.failure('the bucket cannot be decoded'));
     const applied = this.apply(trimmed(bucket, clock.now()), batch, clock.now());
     if (!protections.claimBeforeDispatch) this.answer(batch, applied);
-    if (this.isUnchanged(bucket, applied.bucket)) return this.done(batch, applied);
+    const unchanged: Swap = { kind: 'swapped', revision: entry?.revision ?? 0 };
+    if (this.isUnchanged(bucket, applied.bucket)) {
+      this.answer(batch, applied);
+      return ok(unchanged);
+    }
     const value = encodeBucket(applied.bucket);
     const swap = await store.compareAndSwap(this.key, entry?.revision ?? 0, value);
-    if (swap.isOk()) {
-      return swap.value.kind === 'swapped' ? this.done(batch, applied) : ok('conflict');
-    }
-    if (hadNoEffect(swap.error)) return err(swap.error);
-    if (!protections.nonceReRead) return this.done(batch, applied);
-    batch.forEach((waiting) => this.doubted.add(waiting));
-    return err(swap.error);
+    const isLost = swap.isErr() && !hadNoEffect(swap.error);
+    if (isLost) batch.forEach((waiting) => this.doubted.add(waiting));
+    const isAssumed = isLost && !protections.nonceReRead;
+    if (isAssumed || (swap.isOk() && swap.value.kind === 'swapped')) this.answer(batch, applied);
+    return isAssumed ? ok(unchanged) : swap;
   }
 
   private apply(bucket: Bucket, batch: readonly Waiting[], now: number): Applied {
@@ -188,11 +196,6 @@
     );
   }
 
-  private done(batch: readonly Waiting[], applied: Applied): Result<'done', Failure> {
-    this.answer(batch, applied);
-    return ok('done');
-  }
-
   private answer(batch: readonly Waiting[], { answers }: Applied): void {
     batch.forEach(({ resolve }, index) => resolve(ok(answers[index])));
   }
--- a/packages/request/booking/src/bucket.ts
+++ b/packages/request/booking/src/bucket.ts
@@ -8,8 +8,11 @@
 /** Size of a bucket above which it takes no more claims, in bytes. */
 export const maxClaimBytes = 800_000;
 
-/** Size of a bucket above which outcomes are recorded without their body, in bytes. */
-export const maxOutcomeBytes = 900_000;
+/**
+ * Size of a bucket above which outcomes are recorded without their body, in bytes. It is below
+ * `maxClaimBytes`, so that kept bodies do not use up the room for claims.
+ */
+export const maxOutcomeBytes = 600_000;
 
 /** Room that a claim needs later for an outcome without a body, in bytes. */
 const outcomeRoomBytes = 350;
@@ -41,22 +44,45 @@
   return size;
 };
 
-export const bucketBytes = (bucket: Bucket): number =>
-  [...bucket.values()].reduce((sum, claim) => sum + claimBytes(claim), 2);
+// A bucket is immutable too; its size follows from that of the bucket that it was made from.
+const bucketSizes = new WeakMap<Bucket, number>();
+
+/** Size of a bucket with the room for the outcomes of its claims, in bytes. */
+export const bucketBytes = (bucket: Bucket): number => {
+  const known = bucketSizes.get(bucket);
+  if (known !== undefined) return known;
+  const size = [...bucket.values()].reduce((sum, claim) => sum + claimBytes(claim), 2);
+  bucketSizes.set(bucket, size);
+  return size;
+};
+
+/** The bucket with a claim added or put in place of the one with its key hash. */
+export const withClaim = (bucket: Bucket, claim: Claim): Bucket => {
+  const held = bucket.get(claim.keyHash);
+  const next = new Map(bucket).set(claim.keyHash, claim);
+  const replaced = held === undefined ? 0 : claimBytes(held);
+  bucketSizes.set(next, bucketBytes(bucket) + claimBytes(claim) - replaced);
+  return next;
+};
 
 export const isExpired = (claim: Claim, now: number): boolean =>
   now >= claim.expiresAt + clockSkewMs;
 
 /** The claims that have not expired. */
-export const trimmed = (bucket: Bucket, now: number): Bucket =>
-  new Map([...bucket].filter(([, claim]) => !isExpired(claim, now)));
+export const trimmed = (bucket: Bucket, now: number): Bucket => {
+  const kept = [...bucket].filter(([, claim]) => !isExpired(claim, now));
+  return kept.length === bucket.size ? bucket : new Map(kept);
+};
 
 /** Reads a bucket; undefined if the value does not follow the schema. */
 export const decodeBucket = (entry: Entry | undefined): Bucket | undefined => {
   if (entry === undefined) return new Map();
   try {
     const claims = bucketSchema.parse(JSON.parse(Buffer.from(entry.value).toString('utf8')));
-    return new Map(claims.map((claim) => [claim.keyHash, claim]));
+    const bucket = new Map(claims.map((claim) => [claim.keyHash, claim]));
+    const open = claims.filter(({ state }) => state !== ClaimState.done).length;
+    bucketSizes.set(bucket, entry.value.length + open * outcomeRoomBytes);
+    return bucket;
   } catch {
     return undefined;
   }
--- a/packages/request/booking/src/decide.ts
+++ b/packages/request/booking/src/decide.ts
@@ -5,6 +5,7 @@
   isExpired,
   maxClaimBytes,
   maxOutcomeBytes,
+  withClaim,
 } from './bucket';
 import { type Claim, ClaimState, goneAfterMs, type RecordedOutcome, unknownAfterMs } from './claim';
 
@@ -77,7 +78,7 @@
     return { bucket, answer: { kind: 'full', retryAfterMs: oldestExpiryMs(bucket, now) } };
   }
   return {
-    bucket: new Map(bucket).set(claim.keyHash, claim),
+    bucket: withClaim(bucket, claim),
     answer: { kind: 'granted' },
   };
 };
@@ -100,12 +101,12 @@
   if (outcome === undefined) {
     return held.state === ClaimState.unknown
       ? bucket
-      : new Map(bucket).set(claim.keyHash, { ...held, state: ClaimState.unknown });
+      : withClaim(bucket, { ...held, state: ClaimState.unknown });
   }
   const done: Claim = { ...held, state: ClaimState.done, outcome };
   const size = bucketBytes(bucket) - claimBytes(held) + claimBytes(done);
   const kept = size <= maxOutcomeBytes ? done : { ...done, outcome: withoutBody(outcome) };
-  return new Map(bucket).set(claim.keyHash, kept);
+  return withClaim(bucket, kept);
 };
 
 /** Removes a claim whose dispatch did not happen and will not happen. */
