--- a/packages/tooling/demo/src/managed-process.ts
+++ b/packages/tooling/demo/src/managed-process.ts
@@ -16,6 +16,12 @@
   readonly log: string;
 }
 
+/** Children that have not ended. */
+const running = new Set<ChildProcess>();
+
+// A script that fails must not leave processes behind that hold their ports.
+process.on('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 /** A process of the deployment that this process started. */
 export class ManagedProcess {
   private readonly exited: Promise<Exit>;
@@ -24,7 +30,11 @@
     readonly name: string,
     private readonly child: ChildProcess,
   ) {
-    this.exited = once(child, 'exit').then(([code, signal]) => ({ code, signal }));
+    running.add(child);
+    this.exited = once(child, 'exit').then(([code, signal]) => {
+      running.delete(child);
+      return { code, signal };
+    });
   }
 
   static start({ name, args, log }: ProcessOptions): ManagedProcess {
