Serve requests that are tried again before all others

Cause: a request whose stream was cut waited behind the whole backlog for its next endpoint, so that the work done for it was likely to be lost. A forwarded request that came with tokens was never hedged and counted its first retry as a resume. Change: AdmissionRequest has `again`, ranked above all priorities and bounded by the retry budget; delivered tokens are counted from those that the caller had before.

--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -7,6 +7,11 @@
 
 const maxPriority = 9;
 
+/** Rank of requests that are tried again, above all priorities. */
+const againRank = maxPriority + 1;
+
+const rankOf = <T>({ request }: Entry<T>): number => (request.again ? againRank : request.priority);
+
 /** Largest share of a request's time that the margin for slow answers may keep from waiting. */
 const maxMarginShare = 0.75;
 
@@ -49,7 +54,7 @@
  * owner exactly once.
  */
 export class AdmissionQueue<T> {
-  private readonly lines = Array.from({ length: maxPriority + 1 }, () => Line.create<T>());
+  private readonly lines = Array.from({ length: againRank + 1 }, () => Line.create<T>());
 
   private readonly perCaller = new Map<string, number>();
 
@@ -155,7 +160,8 @@
     if (request.deadline <= now) return this.tooLate(entry, 0, now);
     const late = this.refuseEarly(entry, this.safeServiceMs(entry), now);
     if (late !== undefined) return late;
-    if ((this.perCaller.get(request.caller) ?? 0) >= this.settings.maxPerCaller) {
+    const waiting = this.perCaller.get(request.caller) ?? 0;
+    if (!request.again && waiting >= this.settings.maxPerCaller) {
       return this.full('caller_full', `${request.caller} has too many requests waiting`, now);
     }
     if (this.waiting >= this.settings.maxWaiting && !this.makeRoom(entry, now)) {
@@ -209,12 +215,11 @@
     const lowest = this.lines.find((line) => line.size > 0);
     const victim = lowest?.last();
     if (lowest === undefined || victim === undefined) return false;
-    const { caller, weight, priority } = entry.request;
-    if (victim.request.priority > priority) return false;
+    const { caller, weight } = entry.request;
+    if (rankOf(victim) > rankOf(entry)) return false;
     const longest = lowest.backlog(victim.request.caller, victim.request.weight);
-    if (victim.request.priority === priority && lowest.backlog(caller, weight) + 1 >= longest) {
-      return false;
-    }
+    const isLonger = lowest.backlog(caller, weight) + 1 >= longest;
+    if (rankOf(victim) === rankOf(entry) && isLonger) return false;
     return this.refuse(victim, this.full('queue_full', 'made room for another caller', now), now);
   }
 
@@ -238,7 +243,7 @@
 
   private refuse(entry: Entry<T>, refusal: AdmissionRefusal, now: number): boolean {
     // An entry that was never admitted may carry an invalid priority.
-    if (!this.lines[entry.request.priority]?.remove(entry)) return false;
+    if (!this.lines[rankOf(entry)]?.remove(entry)) return false;
     this.count(entry, -1, now);
     entry.settle(err(refusal));
     return true;
@@ -258,13 +263,12 @@
   }
 
   private ahead(entry: Entry<T>): number {
-    const { priority } = entry.request;
-    const higher = this.lines.slice(priority + 1).reduce((sum, line) => sum + line.size, 0);
+    const higher = this.lines.slice(rankOf(entry) + 1).reduce((sum, line) => sum + line.size, 0);
     return higher + this.line(entry).ahead(entry);
   }
 
   private line(entry: Entry<T>): Line<T> {
-    return this.lines[entry.request.priority];
+    return this.lines[rankOf(entry)];
   }
 
   private entries(): Entry<T>[] {
--- a/packages/request/admission/src/request.ts
+++ b/packages/request/admission/src/request.ts
@@ -9,6 +9,11 @@
   readonly deadline: number;
   /** Work of the request relative to others of the queue; default 1. */
   readonly cost?: number;
+  /**
+   * The request has been granted before and is tried again. It goes before all others, because
+   * the work done for it is lost unless it is served; the retry budget bounds such requests.
+   */
+  readonly again?: boolean;
   /** Expected time from grant to answer, in ms; default: the observed mean. */
   readonly serviceMs?: number;
 }
--- a/packages/request/admission/test/queue.test.ts
+++ b/packages/request/admission/test/queue.test.ts
@@ -31,7 +31,7 @@
 
 const refusalOf = async (ticket: Ticket<string>) => (await ticket.result)._unsafeUnwrapErr();
 
-// Guards against an order other than priority, fair share, deadline.
+// Guards against an order other than retries, priority, fair share, deadline.
 test('grants by priority, then in turn between callers, then by deadline', () => {
   const { pool, queue } = setUp();
   queue.enter(request('a', { deadline: 9_000 }), 0);
@@ -40,6 +40,7 @@
   queue.enter(request('c', { weight: 2 }), 0);
   queue.enter(request('c', { weight: 2 }), 0);
   queue.enter(request('urgent', { priority: 9 }), 0);
+  queue.enter(request('again', { priority: 0, again: true }), 0);
   pool.free = 10;
   queue.pump(1);
   expect(pool.granted).toMatchSnapshot();
--- a/packages/request/attempt/src/generate.ts
+++ b/packages/request/attempt/src/generate.ts
@@ -41,6 +41,7 @@
 
 /** An answer that was delivered whole. */
 export interface GeneratedAnswer {
+  /** All tokens, with those that the caller had before. */
   readonly tokens: readonly string[];
   readonly finishReason: 'stop' | 'length';
   readonly attempts: number;
@@ -154,7 +155,7 @@
       const reason = this.mayRetry(end);
       if (reason !== undefined) return this.conclude(reason);
       const last = end.kind === 'cancelled' ? undefined : end.kind;
-      choice = { cause: this.tokens.length > 0 ? 'resume' : 'retry', last };
+      choice = { cause: this.hasDelivered ? 'resume' : 'retry', last };
     }
   }
 
@@ -227,7 +228,7 @@
     return (
       hedgeAfterMs !== undefined &&
       this.request.repeatable !== false &&
-      this.tokens.length === 0 &&
+      !this.hasDelivered &&
       this.history.attempts < maxAttempts
     );
   }
@@ -279,6 +280,11 @@
     return slow ? 'overloaded' : 'neutral';
   }
 
+  /** Tokens went out beyond those that the caller had before. */
+  private get hasDelivered(): boolean {
+    return this.tokens.length > (this.request.resume?.length ?? 0);
+  }
+
   private cancelLive(except?: StreamAttempt): void {
     [...this.live].filter((one) => one !== except).forEach((one) => one.cancel());
   }
--- a/packages/request/attempt/test/generate.test.ts
+++ b/packages/request/attempt/test/generate.test.ts
@@ -1,5 +1,5 @@
 import { RetryBudget } from '@currantdrift/attempt';
-import { play, type Script, type Step } from './scripted';
+import { play, type Script, type Step, truth } from './scripted';
 
 const tokens = (count: number, delayMs = 0): Step => ({ kind: 'tokens', count, delayMs });
 const stream = (...steps: Step[]): Script => ({ open: 'ok', steps });
@@ -16,6 +16,15 @@
   expect({ outcome, groups, seen }).toMatchSnapshot();
 });
 
+// Guards against a forwarded request that repeats or loses tokens which the caller has already.
+test('goes on after the tokens that the caller has', async () => {
+  const scripts = [stream(tokens(2), { kind: 'cut' }), whole];
+  const { clock, groups, finish } = play(scripts, {}, { resume: truth.slice(0, 4) });
+  const outcome = await clock.settle(finish());
+  expect(outcome).toMatchObject({ kind: 'answered', answer: { tokens: truth } });
+  expect(groups.flat()).toEqual(truth.slice(4));
+});
+
 // Guards against hedges that delay the answer, leave the loser running or mix two answers.
 test('a late first token starts a hedge, and the loser is cancelled', async () => {
   const { clock, seen, finish } = play([stream(tokens(3, 90), { kind: 'end' }), whole], {
