Test bookings against writes that take effect late

A store's answer can be given up before the write takes effect, which the in-memory store does not do.

--- a/packages/request/booking/test/at-most-once.test.ts
+++ b/packages/request/booking/test/at-most-once.test.ts
@@ -13,10 +13,18 @@
   readonly sending: Sending;
 }
 
+/** A daemon's way to the store. */
+interface Link {
+  readonly latencyMs: number;
+  /** The calls whose answer is lost. */
+  readonly lost: readonly boolean[];
+  /** The writes that take effect after their answer was given up. */
+  readonly stray: readonly boolean[];
+}
+
 interface Plan {
   readonly bookings: readonly Booking[];
-  /** Latency in ms and the calls whose answer is lost, for each daemon. */
-  readonly links: readonly { readonly latencyMs: number; readonly lost: readonly boolean[] }[];
+  readonly links: readonly Link[];
   readonly outages: readonly {
     readonly daemon: number;
     readonly at: number;
@@ -55,6 +63,7 @@
     fc.record({
       latencyMs: fc.constantFrom(0, 2, 10, 40),
       lost: fc.array(fc.boolean(), { maxLength: 8 }),
+      stray: fc.array(fc.boolean(), { maxLength: 4 }),
     }),
     { minLength: daemonCount, maxLength: daemonCount },
   ),
@@ -80,8 +89,10 @@
   const world = new World();
   world.patienceMs = plan.patienceMs ?? world.patienceMs;
   const { clock } = world;
-  const daemons = plan.links.map(({ latencyMs, lost }, index) => {
-    const daemon = world.daemon('abc'[index], { protections });
+  const daemons = plan.links.map(({ latencyMs, lost, stray }, index) => {
+    const strays = [...stray];
+    const isStray = () => strays.shift() ?? false;
+    const daemon = world.daemon('abc'[index], { protections }, isStray);
     let call = 0;
     Object.assign(daemon.faults, {
       latencyMs,
@@ -158,7 +169,7 @@
 }, 120_000);
 
 const never = [Infinity, Infinity, Infinity];
-const link = (latencyMs: number, ...lost: boolean[]) => ({ latencyMs, lost });
+const link = (latencyMs: number, ...lost: boolean[]) => ({ latencyMs, lost, stray: [] });
 const booking = (daemon: number, ms: number): Booking => ({
   at: ms,
   daemon,
--- a/packages/request/booking/test/support.ts
+++ b/packages/request/booking/test/support.ts
@@ -48,7 +48,11 @@
   }
 }
 
-const gatedStore = (store: Store, gate: Gate): Store => {
+/** A stray write takes effect this long after its answer was given up, in ms. */
+const strayMs = 30;
+
+/** `isStray` decides whether the answer of a write is given up before the write takes effect. */
+const gatedStore = (store: Store, gate: Gate, clock: Clock, isStray: () => boolean): Store => {
   const gated = async <T>(call: () => Promise<T>): Promise<T> => {
     await gate.pass();
     const result = await call();
@@ -58,7 +62,15 @@
   return {
     ...store,
     get: (key) => gated(() => store.get(key)),
-    compareAndSwap: (...values) => gated(() => store.compareAndSwap(...values)),
+    compareAndSwap: (...values) =>
+      gated(async () => {
+        if (!isStray()) return store.compareAndSwap(...values);
+        clock
+          .sleep(strayMs)
+          .then(() => store.compareAndSwap(...values))
+          .catch(() => {});
+        return err({ kind: 'unknown', step: 'store', peer: 'store', message: 'timeout' });
+      }),
   };
 };
 
@@ -85,7 +97,7 @@
 
   private nonces = 0;
 
-  daemon(name: string, options: Partial<ClaimLedgerOptions> = {}) {
+  daemon(name: string, options: Partial<ClaimLedgerOptions> = {}, isStray = () => false) {
     const gate = new Gate();
     const handle = StoreHandle.create(this.store, this.clock);
     const clock: Clock = {
@@ -96,7 +108,7 @@
       },
     };
     const ledger = ClaimLedger.create({
-      store: gatedStore(handle, gate),
+      store: gatedStore(handle, gate, this.clock, isStray),
       clock,
       dispatcher: name,
       random: SeededRandom.create(name.charCodeAt(0)),
