Count a late write of the same bundle as a rollout that is done

A rollout repeated after an unknown outcome could lose to its own earlier write that took effect late, and reported a conflict with itself. Bundles are now compared by digest too. A test shows that daemons read the store only while they hear of no relay.

--- a/packages/version/bundle/src/rollout.ts
+++ b/packages/version/bundle/src/rollout.ts
@@ -53,6 +53,15 @@
 const winnerText = (winner: Head): string =>
   `version ${winner.version} by ${JSON.stringify(winner.operator)} (digest ${winner.digest})`;
 
+/**
+ * Tells a rollout by its nonce. The same bundle under another nonce is of an earlier run whose
+ * write took effect late, and is as good.
+ */
+const isSameRollout =
+  (own: Head) =>
+  ({ nonce, digest }: Head): boolean =>
+    nonce === own.nonce || digest === own.digest;
+
 /** Rolls signed bundles out through the store. */
 export class Rollout {
   private readonly nonce: () => string;
@@ -192,7 +201,7 @@
       const message = 'another version was accepted first; its name cannot be read now';
       return { kind: 'conflict', winner, message };
     }
-    return this.settle(winner, rollout.version, ({ nonce }) => nonce === rollout.nonce);
+    return this.settle(winner, rollout.version, isSameRollout(rollout));
   }
 
   /** Reads the head after a lost answer; a head that stands still is swapped again. */
@@ -213,7 +222,7 @@
 
   private async settled(rollout: Head, { head }: HeadEntry): Promise<RolloutOutcome> {
     if (head === undefined) return { kind: 'unknown', message: 'the head was deleted' };
-    return this.settle(head, rollout.version, ({ nonce }) => nonce === rollout.nonce);
+    return this.settle(head, rollout.version, isSameRollout(rollout));
   }
 
   /** Repeats a call with backoff; for calls that may be repeated. */
--- a/packages/version/bundle/test/spread.test.ts
+++ b/packages/version/bundle/test/spread.test.ts
@@ -173,3 +173,24 @@
   await clock.advance(100);
   expect(behind.holder.current?.bundle).toEqual(history[44]);
 });
+
+test('a process reads the store itself only while it hears of no relay', async () => {
+  const clock = VirtualClock.create();
+  const memory = MemoryStore.create(clock);
+  const store = StoreHandle.create(memory, clock);
+  const { exchange, holder } = daemon('a', store, new Links(clock));
+  const rollout = Rollout.create({ store, clock, random: SeededRandom.create(1), trusted });
+  await clock.settle(rollout.run(signedHistory[0], 'nino'));
+  memory.calls.clear();
+  const stop = new AbortController();
+  const running = exchange.run(stop.signal);
+  for (let second = 0; second < 10; second += 1) {
+    exchange.heardRelay(clock.now());
+    await clock.advance(1_000);
+  }
+  expect([memory.calls.size, holder.version]).toEqual([0, 0]);
+  await clock.advance(5_000);
+  expect(holder.version).toBe(1);
+  stop.abort();
+  await running;
+});
