--- a/packages/tooling/scenario/src/daemon.ts
+++ b/packages/tooling/scenario/src/daemon.ts
@@ -51,6 +51,8 @@
 
   private incarnation = 1;
 
+  private orderPauseMs = 0;
+
   private outage: Outage | undefined;
 
   private constructor(
@@ -90,6 +92,11 @@
     });
   }
 
+  /** Pauses the process when it has decided on its next order and not sent it. */
+  pauseBeforeOrder(ms: number): void {
+    this.orderPauseMs = ms;
+  }
+
   kill(): void {
     if (this.process.isDead) return;
     const { platform } = this.around;
@@ -162,6 +169,14 @@
     this.outage = undefined;
   }
 
+  private beforeOrder(process: Process): void {
+    if (this.orderPauseMs === 0 || process !== this.process) return;
+    const pauseMs = this.orderPauseMs;
+    this.orderPauseMs = 0;
+    this.around.history.note(this.around.clock.now(), `${this.name} is paused before an order`);
+    this.pause(pauseMs);
+  }
+
   private createNode(): Node {
     const { clock, deployment, off, operators, platform, seed } = this.around;
     const { name, domain, process, address } = this;
@@ -176,6 +191,7 @@
           clock,
           tellsKinds: off !== 'failure-kinds',
           tellsLeaving: !hidesLeaving,
+          onOrder: () => this.beforeOrder(process),
         }),
     };
     return Node.create({
--- a/packages/tooling/scenario/src/endpoint-handle.ts
+++ b/packages/tooling/scenario/src/endpoint-handle.ts
@@ -40,6 +40,8 @@
   readonly tellsKinds: boolean;
   /** False: the endpoint's word that it is leaving is not passed on. */
   readonly tellsLeaving: boolean;
+  /** Called before an order leaves the daemon. */
+  readonly onOrder: () => void;
 }
 
 /** An endpoint as one daemon reaches it. */
@@ -81,6 +83,7 @@
   }
 
   order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
+    this.options.onOrder();
     return this.carry('order', this.line(), signal, (target) => target.order(order, signal));
   }
 
--- a/packages/tooling/scenario/src/language.ts
+++ b/packages/tooling/scenario/src/language.ts
@@ -23,9 +23,11 @@
 /** What happens at a time. */
 export const stepTemplates = [
   'cut <a:place> from <b:place>',
+  'cut controller of <domain> from <b:place>',
   'heal <a:place> from <b:place>',
   'silence connections between <a:place> and <b:place>',
   'pause controller of <domain> <time>',
+  'pause controller of <domain> <time> before next order',
   'pause daemon <daemon> <time>',
   'kill controller of <domain>',
   'kill daemon <daemon>',
@@ -34,7 +36,7 @@
   'restart engine <engine>',
   'stop daemon <daemon>',
   'engine <engine> dies in next load',
-  'engine <engine> delays orders <time>',
+  'engine <engine> delays next order <time>',
   'engine <engine> loses answers of <count> orders',
   'store down',
   'store up',
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -112,8 +112,7 @@
 
   /** Cuts two places from each other, heals them, or silences the connections between them. */
   change(action: 'cut' | 'heal' | 'silence', a: string, b: string): void {
-    const near = this.pointsOf(a);
-    const far = this.pointsOf(b).filter((point) => !near.includes(point));
+    const [near, far] = Platform.apart(this.pointsOf(a), this.pointsOf(b));
     near.forEach((one) => far.forEach((other) => this.changePair(action, one, other)));
     this.updateStoreHandles();
   }
@@ -190,6 +189,16 @@
     return found;
   }
 
+  /** Two sets of points without common ones; what is common belongs to the smaller set. */
+  private static apart(
+    a: readonly string[],
+    b: readonly string[],
+  ): readonly [readonly string[], readonly string[]] {
+    const without = (points: readonly string[], others: readonly string[]) =>
+      points.filter((point) => !others.includes(point));
+    return a.length <= b.length ? [a, without(b, a)] : [without(a, b), b];
+  }
+
   private put(host: Host): void {
     this.hosts = [...this.hosts, host];
   }
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -77,10 +77,18 @@
 
 const actions: Readonly<Record<Bare<(typeof stepTemplates)[number]>, Action>> = {
   'cut <a:place> from <b:place>': connections('cut'),
+  'cut controller of <domain> from <b:place>': (world, step) => {
+    const controller = world.controllerOf(wordOf(step, 'domain'));
+    if (controller !== undefined) world.platform.change('cut', controller.name, wordOf(step, 'b'));
+  },
   'heal <a:place> from <b:place>': connections('heal'),
   'silence connections between <a:place> and <b:place>': connections('silence'),
   'pause controller of <domain> <time>': (world, step) =>
     world.controllerOf(wordOf(step, 'domain'))?.pause(numberOf(step, 'time')),
+  'pause controller of <domain> <time> before next order': (world, step) => {
+    const controller = world.controllerOf(wordOf(step, 'domain'));
+    controller?.pauseBeforeOrder(numberOf(step, 'time'));
+  },
   'pause daemon <daemon> <time>': (world, step) =>
     world.daemon(wordOf(step, 'daemon')).pause(numberOf(step, 'time')),
   'kill controller of <domain>': (world, step) =>
@@ -94,10 +102,14 @@
     const engine = platform.engine(wordOf(step, 'engine'));
     engine.diesInNextLoad = true;
   },
-  'engine <engine> delays orders <time>': ({ platform }, step) => {
+  'engine <engine> delays next order <time>': ({ platform }, step) => {
     const { faults } = platform.engine(wordOf(step, 'engine')).engine;
-    const delay = numberOf(step, 'time');
-    faults.orderDelayMs = () => delay;
+    let delay = numberOf(step, 'time');
+    faults.orderDelayMs = () => {
+      const now = delay;
+      delay = 0;
+      return now;
+    };
   },
   'engine <engine> loses answers of <count> orders': ({ platform }, step) => {
     const { faults } = platform.engine(wordOf(step, 'engine')).engine;
