--- a/packages/request/booking/src/claim-ledger.ts
+++ b/packages/request/booking/src/claim-ledger.ts
@@ -59,12 +59,15 @@
 const sameKey = 'repeat the request with the same Idempotency-Key';
 
 /** Claims bookings, so that each key of a caller is dispatched at most once. */
-export class ClaimLedger implements ClaimRecorder {
+export class ClaimLedger {
   private readonly writers = new Map<string, BucketWriter>();
 
   /** Outcomes that this daemon knows and the store does not have yet, by key hash. */
   private readonly unrecorded = new Map<string, Claim>();
 
+  /** What permits may do; not public, so that only the holder of a permit can release a claim. */
+  private readonly recorder: ClaimRecorder;
+
   private readonly random: Random;
 
   private readonly telemetry: Telemetry;
@@ -81,16 +84,18 @@
     this.protections = { ...allProtections, ...options.protections };
     this.isGone = options.isGone ?? (() => false);
     this.nonce = options.nonce ?? (() => randomBytes(16).toString('base64url'));
+    this.recorder = {
+      recordDone: (claim, outcome) => this.recordDone(claim, outcome),
+      recordUnknown: (claim) => this.recordUnknown(claim),
+      release: (claim) => this.release(claim),
+      checksTime: this.protections.checkBeforeDispatch,
+    };
   }
 
   static create(options: ClaimLedgerOptions): ClaimLedger {
     return new ClaimLedger(options);
   }
 
-  get checksTime(): boolean {
-    return this.protections.checkBeforeDispatch;
-  }
-
   /** Number of outcomes and unknowns that are not yet in the store. */
   get unrecordedCount(): number {
     return this.unrecorded.size;
@@ -111,19 +116,19 @@
     return answer ?? this.refusal(`the store did not confirm the claim in time; ${sameKey}`);
   }
 
-  async recordDone(claim: Claim, outcome: RecordedOutcome): Promise<void> {
+  private async recordDone(claim: Claim, outcome: RecordedOutcome): Promise<void> {
     this.unrecorded.set(claim.keyHash, { ...claim, state: ClaimState.done, outcome });
     await this.write({ kind: 'outcome', claim, outcome });
     this.unrecorded.delete(claim.keyHash);
   }
 
-  async recordUnknown(claim: Claim): Promise<void> {
+  private async recordUnknown(claim: Claim): Promise<void> {
     this.unrecorded.set(claim.keyHash, { ...claim, state: ClaimState.unknown });
     await this.write({ kind: 'outcome', claim, outcome: undefined });
     this.unrecorded.delete(claim.keyHash);
   }
 
-  async release(claim: Claim): Promise<void> {
+  private async release(claim: Claim): Promise<void> {
     await this.write({ kind: 'release', claim });
   }
 
@@ -150,7 +155,7 @@
     }
     if (value.kind === 'written') return this.refusal('the deadline has passed');
     if (value.kind !== 'granted') return value;
-    if (isWanted()) return { kind: 'granted', permit: Permit.create(claim, this) };
+    if (isWanted()) return { kind: 'granted', permit: Permit.create(claim, this.recorder) };
     this.releaseInBackground(claim);
     return this.refusal('the deadline has passed');
   }
--- a/packages/request/booking/src/dispatch-ticket.ts
+++ b/packages/request/booking/src/dispatch-ticket.ts
@@ -22,7 +22,7 @@
     return this.#claim;
   }
 
-  /** Takes the ticket for its one dispatch; undefined if it was taken before. */
+  /** For `dispatchOnce` alone: takes the ticket; undefined if it was taken before. */
   take(): ClaimRecorder | undefined {
     if (this.#used) return undefined;
     this.#used = true;
