Do not refuse bursts of long answers that fit their deadlines

Cause: the grant rate was measured from the first completion on; 32 answers that start together end together, so the first of them stood for a whole service time and 118 waiting entries seemed to need minutes. Change: the measured rate counts from as many grants as run at once; before that, mean service time over running, or the stall in progress.

--- a/packages/request/admission/src/service-rate.ts
+++ b/packages/request/admission/src/service-rate.ts
@@ -1,6 +1,9 @@
 /** Backlogged time, in ms, from which the measured rate is preferred over running / service time. */
 const enoughBackloggedMs = 250;
 
+/** Grants from which the measured rate is preferred, if more do not run at once. */
+const enoughGrantCount = 4;
+
 /** Share of a new sample in the mean service time and its deviation. */
 const sampleWeight = 0.05;
 
@@ -72,13 +75,17 @@
   /** Milliseconds between grants under backlog; undefined while nothing is known. */
   intervalMs(running: number, now: number): number | undefined {
     this.advance(now);
-    if (this.backloggedMs >= enoughBackloggedMs && this.grants > 0) {
+    // Requests that started together end together: fewer grants than that say nothing of the rate.
+    const enoughGrants = this.grants >= Math.max(enoughGrantCount, running);
+    if (this.backloggedMs >= enoughBackloggedMs && enoughGrants) {
       const complete = (this.backloggedMs - this.sinceGrantMs) / this.grants;
       // The interval in progress counts once it makes the estimate worse, as when service stalls.
       return Math.max(complete, this.backloggedMs / (this.grants + 1));
     }
-    if (this.meanMs !== undefined && running > 0) return this.meanMs / running;
-    return undefined;
+    const { safeServiceMs } = this;
+    if (this.meanMs === undefined || safeServiceMs === undefined || running === 0) return undefined;
+    const expected = this.meanMs / running;
+    return this.sinceGrantMs > safeServiceMs ? Math.max(expected, this.sinceGrantMs) : expected;
   }
 
   private advance(now: number): void {
