--- a/packages/process/node/src/process/host-task.ts
+++ b/packages/process/node/src/process/host-task.ts
@@ -1,12 +1,15 @@
 import {
   type Clock,
   describeFailure,
+  type DomainHosts,
+  type Failure,
   type Host,
   HostKind,
   type HostList,
   type Random,
   type Telemetry,
 } from '@currantdrift/core';
+import type { Result } from 'neverthrow';
 
 export interface HostTaskOptions {
   readonly hostList: HostList;
@@ -18,6 +21,11 @@
   readonly address: string;
   /** Peer addresses from the settings. */
   readonly seeds: readonly string[];
+  /**
+   * Leaves engines and services of other domains out of `hosts`; `allEngines` then still counts
+   * them. Off by default.
+   */
+  readonly scoped?: boolean;
 }
 
 /** Time between two reads of the host list, in ms; half of it is random. */
@@ -27,6 +35,8 @@
 export class HostTask {
   private known: readonly Host[] = [];
 
+  private engines = 0;
+
   private constructor(private readonly options: HostTaskOptions) {}
 
   static create(options: HostTaskOptions): HostTask {
@@ -38,6 +48,11 @@
     return this.known;
   }
 
+  /** Number of engines of all domains as last read. */
+  get allEngines(): number {
+    return this.engines;
+  }
+
   /** Peer addresses of daemons of the own domain, and the seeds. */
   contacts(): readonly string[] {
     const { domain, address, seeds } = this.options;
@@ -54,10 +69,14 @@
   }
 
   async read(): Promise<void> {
-    const { hostList, telemetry } = this.options;
-    const hosts = await hostList.read();
-    if (hosts.isOk()) this.known = hosts.value;
-    else telemetry.log('host list not read', { message: describeFailure(hosts.error) });
+    const read = await this.readList();
+    if (read.isErr()) {
+      const message = describeFailure(read.error);
+      this.options.telemetry.log('host list not read', { message });
+      return;
+    }
+    this.known = read.value.hosts;
+    this.engines = read.value.engines;
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -68,6 +87,16 @@
     }
   }
 
+  private async readList(): Promise<Result<DomainHosts, Failure>> {
+    const { domain, hostList, scoped } = this.options;
+    if (scoped === true && hostList.readDomain !== undefined) return hostList.readDomain(domain);
+    const read = await hostList.read();
+    return read.map((hosts) => ({
+      hosts,
+      engines: hosts.filter(({ kind }) => kind === HostKind.engine).length,
+    }));
+  }
+
   private daemons(): readonly Host[] {
     return this.known.filter(({ kind }) => kind === HostKind.daemon);
   }
--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -6,24 +6,27 @@
   type RolloutOutcome,
   type SignedBundle,
 } from '@currantdrift/bundle';
-import type { Failure } from '@currantdrift/core';
+import { type Failure, HostKind } from '@currantdrift/core';
 import { ok, type Result } from 'neverthrow';
 import type { CallerEntry } from '../request/caller-entry';
 import type { NodeOptions } from './node-options';
 import type { Explanation, Operations, StatusReport } from './operations';
-import { explainItem, reportStatus, type ReportContext } from './report';
+import { explainItem, inDoubt, reportStatus, type ReportContext } from './report';
 import { wire, type Wiring } from './wiring';
 
 /** Time between two looks at open requests while stopping, in ms. */
 const stopPollMs = 50;
 
+/** Time after the start at which missing endpoints no longer keep the daemon from being ready, in ms. */
+const formingMs = 5_000;
+
 /** One daemon's decision code, wired together. It has no HTTP servers and reads no files. */
 export class Node implements Operations {
   readonly entry: CallerEntry;
 
   private readonly tasks = new AbortController();
 
-  private started = false;
+  private startedAt: number | undefined;
 
   private stopping = false;
 
@@ -40,6 +43,7 @@
 
   /** Listens for peers, joins the domain and takes the newest bundle that it can find. */
   async start(): Promise<Result<void, Failure>> {
+    const { clock } = this.options;
     const { peers, hosts, membership, watchers, links, exchange } = this.parts;
     const listening = await peers.listen();
     if (listening.isErr()) return listening;
@@ -53,7 +57,7 @@
       const { step, message } = found.error;
       this.options.telemetry.log('no bundle found', { step, message });
     }
-    this.started = true;
+    this.startedAt = clock.now();
     this.runTasks();
     return ok(undefined);
   }
@@ -76,9 +80,11 @@
   /** Waits for open requests up to `limitMs`, then closes. Gives the number still open. */
   async stop(limitMs: number): Promise<number> {
     const { clock } = this.options;
-    const { admission, peers, entry, pump } = this.parts;
+    const { admission, peers, entry, ledger, pump } = this.parts;
     const end = clock.now() + limitMs;
-    while (entry.openRequests > 0 && clock.now() < end) await clock.sleep(stopPollMs);
+    // An outcome that is not recorded would leave a repeat of its key with "unknown".
+    const isBusy = () => entry.openRequests > 0 || ledger.unrecordedCount > 0;
+    while (isBusy() && clock.now() < end) await clock.sleep(stopPollMs);
     admission.close(clock.now());
     pump.abort();
     await peers.close(Math.max(0, end - clock.now()));
@@ -131,7 +137,7 @@
     telemetry.gauge('currantdrift_open_requests', entry.openRequests);
     telemetry.gauge('currantdrift_bundle_version', holder.version);
     telemetry.gauge('currantdrift_controller', controllers.controller?.isHolder ? 1 : 0);
-    telemetry.gauge('currantdrift_in_doubt_orders', this.status().inDoubt.length);
+    telemetry.gauge('currantdrift_in_doubt_orders', inDoubt(this.parts).length);
   }
 
   private runTasks(): void {
@@ -152,11 +158,26 @@
     );
   }
 
+  /** Has a bundle and knows its domain; a daemon that does not would refuse what others serve. */
+  private isReady(): boolean {
+    const { startedAt } = this;
+    if (startedAt === undefined || this.stopping) return false;
+    if (this.parts.holder.current === undefined) return false;
+    return this.options.clock.now() - startedAt > formingMs || this.knowsEndpoints();
+  }
+
+  private knowsEndpoints(): boolean {
+    const { directory, hosts } = this.parts;
+    return hosts.hosts
+      .filter(({ domain, kind }) => domain === this.options.domain && kind !== HostKind.daemon)
+      .every(({ name }) => directory.endpoint(name) !== undefined);
+  }
+
   private reportContext(): ReportContext {
     return {
       ...this.parts,
       options: this.options,
-      ready: this.started && !this.stopping && this.parts.holder.current !== undefined,
+      ready: this.isReady(),
       stopping: this.stopping,
     };
   }
--- a/packages/process/node/src/process/report.ts
+++ b/packages/process/node/src/process/report.ts
@@ -29,7 +29,7 @@
     .sort((a, b) => (a.name < b.name ? -1 : 1));
 
 /** Orders of earlier epochs, and those without an answer, by the controller's record. */
-const doubts = ({ controllers }: ReportContext): DoubtSummary[] => {
+export const inDoubt = ({ controllers }: Pick<Wiring, 'controllers'>): DoubtSummary[] => {
   const record = controllers.controller?.status().record;
   return (record?.intents ?? [])
     .filter(({ answered, kind }) => !answered && kind !== 'standing')
@@ -65,7 +65,7 @@
       controller: name === holderName,
     })),
     endpoints: endpointSummaries(context),
-    inDoubt: doubts(context),
+    inDoubt: inDoubt(context),
     domains: [
       { name: options.domain, reachable: true, warmItems: directory.warmItems().length },
       ...others,
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -197,6 +197,7 @@
   const balancer = Balancer.create({
     random,
     prefixes,
+    settings: { initialShare: () => 1 / Math.max(1, membership.alive().length) },
     onRelease: (_endpoint, now) => admission?.pump(now),
     onEject: (peer, until) => telemetry.log('endpoint ejected', { peer, until }),
   });
--- a/packages/process/node/src/request/chat-run.ts
+++ b/packages/process/node/src/request/chat-run.ts
@@ -82,7 +82,7 @@
       ...(request.seed === undefined ? {} : { seed: request.seed }),
     },
     {
-      choose: (tried, stop) => chooser.choose(tried, stop),
+      choose: (tried, stop, choice) => chooser.choose(tried, stop, choice),
       clock,
       budget: context.budget,
       settings: context.attempts,
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -9,7 +9,7 @@
   type WakeRefusal,
 } from '@currantdrift/core';
 import type { Admission, AdmissionRefusal, AdmissionRequest, Grant } from '@currantdrift/admission';
-import type { Reason, Target } from '@currantdrift/attempt';
+import type { Choice, Reason, Target } from '@currantdrift/attempt';
 import {
   type Balancer,
   type DomainCandidate,
@@ -79,6 +79,9 @@
   failed: RefusalCode.noEndpoint,
 };
 
+/** Pause before endpoints that have all refused are tried again, in ms. */
+const refusedPauseMs = 200;
+
 /** A reason whose step is the code that the caller sees. */
 const reason = (code: RefusalCode, message: string, retryAfterMs?: number): Reason => ({
   step: code,
@@ -154,40 +157,60 @@
   }
 
   /** Gives the next place; tries the domains in order until one takes the request. */
-  async choose(tried: readonly string[], signal: AbortSignal): Promise<Result<Target, Reason>> {
+  async choose(
+    tried: readonly string[],
+    signal: AbortSignal,
+    choice: Choice,
+  ): Promise<Result<Target, Reason>> {
     let last = reason(
       RefusalCode.noCapacity,
       `no domain can serve ${this.request.item} now`,
       1_000,
     );
     for (const candidate of this.candidates(tried)) {
-      const chosen = await this.try(candidate, tried, signal);
+      const chosen = await this.try(candidate, tried, signal, choice);
       if (chosen.isOk() || signal.aborted) return chosen;
       last = chosen.error;
     }
     return err(last);
   }
 
+  /** Domains to try, best first. The own one comes last once all its replicas were tried. */
   private candidates(tried: readonly string[]): readonly DomainCandidate[] {
     const { domains, own } = this.context;
     const ordered = orderDomains(own, domains.options(this.request.item, this.itemKey));
-    return ordered.filter(({ domain }) =>
-      domain === own.name ? true : this.mayForward && !tried.includes(domainEndpointId(domain)),
+    const others = ordered.filter(
+      ({ domain }) =>
+        domain !== own.name && this.mayForward && !tried.includes(domainEndpointId(domain)),
     );
+    const here = ordered.filter(({ domain }) => domain === own.name);
+    if (this.isExhausted(tried)) return [...others, ...here];
+    return ordered.filter((candidate) => here.includes(candidate) || others.includes(candidate));
+  }
+
+  /** All warm replicas of this domain were tried. */
+  private isExhausted(tried: readonly string[]): boolean {
+    const replicas = this.context.view.replicas(this.itemKey);
+    return replicas.length > 0 && replicas.every(({ host }) => tried.includes(host.name));
   }
 
   private try(
     { domain }: DomainCandidate,
     tried: readonly string[],
     signal: AbortSignal,
+    choice: Choice,
   ): Promise<Result<Target, Reason>> | Result<Target, Reason> {
-    return domain === this.context.own.name ? this.here(tried, signal) : this.there(domain);
+    return domain === this.context.own.name ? this.here(tried, signal, choice) : this.there(domain);
   }
 
   private async here(
     tried: readonly string[],
     signal: AbortSignal,
+    choice: Choice,
   ): Promise<Result<Target, Reason>> {
+    if (choice.last === 'refused' && this.isExhausted(tried)) {
+      await this.context.clock.sleep(refusedPauseMs, signal);
+    }
     const woken = await this.wakeIfCold(signal);
     if (woken.isErr()) return err(woken.error);
     const { caller, priority, deadline } = this.request;
@@ -202,6 +225,7 @@
         deadline,
         tried,
         prefixes: this.prefixes,
+        again: tried.length > 0,
       },
       signal,
     );
--- a/packages/process/node/src/request/service-run.ts
+++ b/packages/process/node/src/request/service-run.ts
@@ -59,6 +59,7 @@
             deadline,
             tried,
             prefixes: [],
+            again: tried.length > 0,
           },
           stop,
         ),
--- a/packages/request/routing/src/balancer.ts
+++ b/packages/request/routing/src/balancer.ts
@@ -200,14 +200,14 @@
         slots,
         inFlight: 0,
         usedAt: now,
-        limit: ConcurrencyLimit.create(this.settings),
+        limit: ConcurrencyLimit.create(this.settings, slots),
         outlier: Outlier.create(this.settings),
       };
       this.known.set(host.name, known);
     } else if (known.bootId !== bootId && bootId !== '') {
       // A restarted process has neither the faults nor the cache of the old one.
       known.bootId = bootId;
-      known.limit = ConcurrencyLimit.create(this.settings);
+      known.limit = ConcurrencyLimit.create(this.settings, slots);
       known.outlier = Outlier.create(this.settings);
       this.options.prefixes?.forget(host.name);
     }
--- a/packages/request/routing/src/limit.ts
+++ b/packages/request/routing/src/limit.ts
@@ -46,12 +46,17 @@
 
   private adjustedAt = -Infinity;
 
-  private constructor(private readonly settings: BalancerSettings) {
-    this.value = settings.initialLimit;
+  private constructor(
+    private readonly settings: BalancerSettings,
+    slots: number,
+  ) {
+    const share = Math.floor(slots * settings.initialShare());
+    this.value = Math.min(settings.maxLimit, Math.max(settings.initialLimit, share));
   }
 
-  static create(settings: BalancerSettings): ConcurrencyLimit {
-    return new ConcurrencyLimit(settings);
+  /** `slots` (0: unknown) is what the endpoint runs at once. */
+  static create(settings: BalancerSettings, slots = 0): ConcurrencyLimit {
+    return new ConcurrencyLimit(settings, slots);
   }
 
   /** Requests that may be in flight; `slots` (0: unknown) is what the endpoint runs at once. */
--- a/packages/request/routing/src/settings.ts
+++ b/packages/request/routing/src/settings.ts
@@ -3,8 +3,13 @@
   /** Bounds of the concurrency limit of an endpoint. The number of its slots bounds it as well. */
   readonly minLimit: number;
   readonly maxLimit: number;
-  /** Limit of an endpoint before anything is known of it. */
+  /** Lowest limit of an endpoint before anything is known of it. */
   readonly initialLimit: number;
+  /**
+   * Share of an endpoint's slots that is used before anything is known of it, 0 to 1; one over
+   * the number of daemons that share the endpoint.
+   */
+  readonly initialShare: () => number;
   /** Ratio of latency to its baseline up to which an endpoint counts as unloaded. */
   readonly latencyTolerance: number;
   /** Failures in a row that eject an endpoint. */
@@ -32,6 +37,7 @@
   minLimit: 1,
   maxLimit: 256,
   initialLimit: 8,
+  initialShare: () => 0,
   latencyTolerance: 2,
   consecutiveFailures: 5,
   failureRate: 0.5,
