Load elsewhere when the only replica is leaving, and outlast a hand-over

The controller answered a wake-up with a replica on a leaving engine, which routing leaves out, so that requests waited until their deadlines. A controller that stopped refused the wake-ups of its own daemon, while those of other daemons waited for its successor. Change: replicas on leaving or drained engines are not routable and are unloaded when idle; they count against the limit until that is proven. A refusal for a change of controller is retried in the own process as well.

--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -118,9 +118,16 @@
   }
 
   async rollout(signed: SignedBundle, operator: string): Promise<RolloutOutcome> {
-    const { clock, random, trusted } = this.options;
+    const { clock, random, trusted, protections } = this.options;
     const { store, reader } = this.parts;
-    const outcome = await Rollout.create({ store, clock, random, trusted }).run(signed, operator);
+    const rollout = Rollout.create({
+      store,
+      clock,
+      random,
+      trusted,
+      ...(protections?.rollout && { protections: protections.rollout }),
+    });
+    const outcome = await rollout.run(signed, operator);
     if (outcome.kind === 'done') await reader.load();
     return outcome;
   }
--- a/packages/process/node/src/process/wake-client.ts
+++ b/packages/process/node/src/process/wake-client.ts
@@ -105,12 +105,7 @@
     for (;;) {
       const left = deadline - clock.now();
       if (left <= 0) return err(refusal('too_late', 'the deadline has passed', 0));
-      const controller = this.options.controller();
-      if (controller !== undefined && typeof controller !== 'string') {
-        return controller.wake(item, deadline);
-      }
-      const answer =
-        controller === undefined ? undefined : await this.request(controller, item, left);
+      const answer = await this.askOnce(this.options.controller(), item, deadline);
       if (answer !== undefined) return answer;
       if (clock.now() + controllerPollMs >= deadline) {
         const message = 'the domain has no controller now';
@@ -120,6 +115,20 @@
     }
   }
 
+  /** Asks a controller; undefined if there is none, or it has just handed the domain over. */
+  private async askOnce(
+    controller: Waker | string | undefined,
+    item: string,
+    deadline: number,
+  ): Promise<Result<string, WakeRefusal> | undefined> {
+    if (controller === undefined) return undefined;
+    if (typeof controller === 'string') {
+      return this.request(controller, item, deadline - this.options.clock.now());
+    }
+    const result = await controller.wake(item, deadline);
+    return result.isErr() && result.error.kind === 'no_controller' ? undefined : result;
+  }
+
   /** Asks a peer; undefined if it did not answer or is not the controller. */
   private async request(
     address: string,
--- a/packages/version/placement/src/domain.ts
+++ b/packages/version/placement/src/domain.ts
@@ -1,4 +1,11 @@
-import type { Bundle, Clock, DomainView, Random, Telemetry } from '@currantdrift/core';
+import {
+  type Bundle,
+  type Clock,
+  type DomainView,
+  HostState,
+  type Random,
+  type Telemetry,
+} from '@currantdrift/core';
 import {
   type Account,
   acceptsOrders,
@@ -109,10 +116,20 @@
     return countReplicas(this.account(), this.claims(), name, this.poolOf(name));
   }
 
+  /** Tells whether an engine takes new work: it is not leaving and no operator drains it. */
+  isLive(engine: string): boolean {
+    const { engines, view } = this.parts;
+    return (
+      engines.evidence.get(engine)?.state === HostState.live &&
+      engines.evidence.get(engine)?.report?.state !== HostState.leaving &&
+      view.endpoint(engine)?.state !== HostState.leaving
+    );
+  }
+
   /** Replicas that requests may go to. */
   routable(item: string): readonly Claim[] {
     return routableClaims(this.claims(), item).filter(
-      ({ engine }) => !this.parts.drains.has(engine, item),
+      ({ engine }) => this.isLive(engine) && !this.parts.drains.has(engine, item),
     );
   }
 
--- a/packages/version/placement/src/tenure.ts
+++ b/packages/version/placement/src/tenure.ts
@@ -54,6 +54,11 @@
 
   private stopping = false;
 
+  /** True once the engines have been heard and fencing is in force, as far as they answer. */
+  private isReady = false;
+
+  private readonly ready = new AbortController();
+
   private constructor(
     readonly domain: Domain,
     store: Store,
@@ -95,6 +100,7 @@
         retryAfterMs: 1_000,
       });
     }
+    if (!this.isReady) await this.untilReady(deadline);
     return this.loader.wake(listed, deadline);
   }
 
@@ -153,7 +159,12 @@
       await this.endTenures(now);
     }
     await engines.refresh(now);
-    this.raise();
+    const raised = this.raise();
+    if (!this.isReady) {
+      await Promise.race([raised, clock.sleep(settings.reportTimeoutMs)]);
+      this.isReady = true;
+      this.ready.abort();
+    }
     this.enforceBundle(now);
     this.unloadIdle(clock.now());
     this.addReplicas();
@@ -200,29 +211,34 @@
   }
 
   /** Makes engines that enforce fencing refuse the orders of earlier holders. */
-  private raise(): void {
+  private async raise(): Promise<void> {
     const { engines } = this.domain.parts;
     const { epoch } = this.domain.record;
-    [...engines.evidence.values()]
+    const raises = [...engines.evidence.values()]
       .filter((engine) => engine.fencing && !this.raising.has(engine.id))
       .filter((engine) => engine.report !== undefined && !acceptsOrders(engine, epoch))
-      .forEach(({ id, report }) => {
+      .map(async ({ id, report }) => {
+        const order = `${epoch}-epoch-${report?.bootId}`;
         this.raising.add(id);
-        engines
-          .carryOut(id, {
-            id: `${epoch}-epoch-${report?.bootId}`,
-            epoch,
-            kind: OrderKind.role,
-            item: '',
-            bytes: 0,
-          })
-          .then(async () => {
-            engines.release(`${epoch}-epoch-${report?.bootId}`);
-            await engines.fetchFresh(id);
-          })
-          .catch(() => {})
-          .finally(() => this.raising.delete(id));
+        await engines.carryOut(id, {
+          id: order,
+          epoch,
+          kind: OrderKind.role,
+          item: '',
+          bytes: 0,
+        });
+        engines.release(order);
+        await engines.fetchFresh(id);
+        this.raising.delete(id);
       });
+    await Promise.allSettled(raises);
+  }
+
+  /** Waits, after a takeover, until the engines have been heard, or `deadline` has passed. */
+  private async untilReady(deadline: number): Promise<void> {
+    const { clock } = this.domain.parts;
+    const left = Math.min(deadline - clock.now(), this.domain.parts.settings.leaseMs);
+    if (left > 0) await clock.sleep(left, this.ready.signal);
   }
 
   /** Drains and unloads what the accepted bundle no longer allows. */
@@ -297,7 +313,10 @@
       const key = pairKey(claim.engine, claim.item);
       if (!this.readySince.has(key)) this.readySince.set(key, now);
       const isNew = now - (this.readySince.get(key) ?? now) < settings.minWarmMs;
-      const isKept = isNew || keepWarm.keepUntil(nameOf(claim.item), now) > now;
+      // A leaving engine would keep a slot of the allotment from the engines that stay.
+      const isKept =
+        this.domain.isLive(claim.engine) &&
+        (isNew || keepWarm.keepUntil(nameOf(claim.item), now) > now);
       const isBusy = now < (this.checkAgainAt.get(key) ?? 0);
       if (!isKept && !isBusy) return;
       wanted.add(key);
