--- a/packages/version/placement/src/gap-histogram.ts
+++ b/packages/version/placement/src/gap-histogram.ts
@@ -57,6 +57,12 @@
     ? 0
     : Math.min(bins - 1, Math.floor(Math.log(gapMs / firstEdgeMs) / Math.log(binRatio)) + 1);
 
+/** Shortest time, in ms, for which an item is unloaded to be loaded ahead of use again. */
+const minBreakMs = 120_000;
+
+/** The same in cold starts of the item. */
+const minBreakLoads = 4;
+
 /** Weight that the gaps of all items keep when one is added. */
 const poolDecay = 0.9995;
 
@@ -76,7 +82,9 @@
 type Measure = 'wall' | 'weighted';
 
 interface Learnt {
+  /** Time of the last request, or of the first question about an item without one. */
   last: number;
+  isRequested: boolean;
   readonly wall: Map<number, number>;
   readonly weighted: Map<number, number>;
   /** Decayed log-likelihood of the item's gaps by weighted time, less that by wall time. */
@@ -142,6 +150,14 @@
     .sort(([, a], [, b]) => b - a)
     .slice(0, limit);
 
+/** Joins spans whose break is not worth an unload and a load by the shared weight store. */
+const withoutShortBreaks = (spans: readonly WarmSpan[], breakMs: number): readonly WarmSpan[] =>
+  spans.reduce<readonly WarmSpan[]>((joined, span) => {
+    const previous = joined.at(-1);
+    if (span.fromMs - (previous?.toMs ?? 0) >= breakMs) return [...joined, span];
+    return [...joined.slice(0, -1), { fromMs: previous?.fromMs ?? 0, toMs: span.toMs }];
+  }, []);
+
 /**
  * Keeps an item loaded while the expected cost of a cold start exceeds the expected cost of idle
  * time. The gap to the next request is estimated from the item's own gaps, which decay, and from
@@ -165,7 +181,7 @@
   private readonly priorGaps: number;
 
   private constructor(private readonly options: GapHistogramOptions) {
-    this.decay = options.decay ?? 0.95;
+    this.decay = options.decay ?? 0.99;
     this.priorGaps = options.priorGaps ?? 3;
   }
 
@@ -177,7 +193,7 @@
     const learnt = this.items.get(item);
     if (learnt === undefined) {
       this.rhythm.add(now);
-      this.begin(item, now);
+      this.begin(item, now).isRequested = true;
       return;
     }
     const gap = now - learnt.last;
@@ -193,6 +209,7 @@
       this.rhythm.add(now);
     }
     learnt.last = now;
+    learnt.isRequested = true;
     learnt.plan = undefined;
     add(learnt.wall, wallBin, this.decay);
     add(learnt.weighted, weightedBin, this.decay);
@@ -273,6 +290,7 @@
       const known = this.items.get(item);
       this.items.set(item, {
         last: Math.max(last, known?.last ?? 0),
+        isRequested: true,
         wall: new Map(wall),
         weighted: new Map(weighted),
         advantage,
@@ -284,6 +302,7 @@
   private begin(item: string, now: number): Learnt {
     const learnt: Learnt = {
       last: now,
+      isRequested: false,
       wall: new Map(),
       weighted: new Map(),
       advantage: 0,
@@ -298,11 +317,15 @@
     const { idleHourPrice, costOf } = this.options;
     const { coldSeconds, accelerators } = costOf(item);
     const idlePerMs = (idleHourPrice * accelerators) / hourMs;
-    const plan = warmPlan(this.distribution(learnt), {
+    const spans = warmPlan(this.distribution(learnt), {
       idlePerMs,
       coldStart: this.coldCost(coldSeconds),
       load: idlePerMs * coldSeconds * 1000,
     });
+    const plan = withoutShortBreaks(
+      spans,
+      Math.max(minBreakMs, minBreakLoads * coldSeconds * 1000),
+    );
     // eslint-disable-next-line no-param-reassign -- kept until the item's next gap
     learnt.plan = plan;
     return plan;
@@ -349,7 +372,8 @@
     if (span === undefined) return undefined;
     const breakEvenMs = (this.coldCost(coldSeconds) / (idleHourPrice * accelerators)) * hourMs;
     const until = Math.min(span.until, span.from + breakEvenMs);
-    const last = this.items.get(item)?.last ?? 0;
-    return until > now && last < span.from ? { from: span.from, until } : undefined;
+    const learnt = this.items.get(item);
+    const isUsed = learnt?.isRequested === true && learnt.last >= span.from;
+    return until > now && !isUsed ? { from: span.from, until } : undefined;
   }
 }
--- a/packages/version/placement/src/loader.ts
+++ b/packages/version/placement/src/loader.ts
@@ -5,7 +5,7 @@
 import type { Listed } from './catalogue';
 import { type Placement, placementsFor } from './choice';
 import type { Domain } from './domain';
-import type { Intent } from './intent';
+import { type Intent, nameOf } from './intent';
 import { LoadJob } from './load-job';
 import { withAnswer, withoutIntents } from './record-updates';
 import type { Unloader } from './unloader';
@@ -152,13 +152,17 @@
     const placed = this.choose(listed, avoided);
     if (placed.isErr()) return err(placed.error);
     const placement = placed.value;
-    job.expect(clock.now() + placement.estimateMs);
-    if (placement.evictions.length > 0 && !job.isRequested) {
-      // A load ahead of use pays only in free memory; otherwise two items would evict each other.
+    const readyAt = clock.now() + placement.estimateMs;
+    if (placement.evictions.length > 0 && !this.isWarranted(listed, placement, job, readyAt)) {
       return err(
-        refusal('no_memory', `no engine has free memory for ${listed.name}`, noRoomRetryMs),
+        refusal(
+          job.isRequested ? 'too_late' : 'no_memory',
+          `no engine has free memory for ${listed.name}, and others are used more`,
+          noRoomRetryMs,
+        ),
       );
     }
+    job.expect(readyAt);
     if (placement.evictions.length === 0) return ok(placement);
     await Promise.all(
       placement.evictions.map(({ engine, item }) => this.unloader.retire(engine, item, false)),
@@ -166,6 +170,24 @@
     return ok(undefined);
   }
 
+  /**
+   * Tells whether a load may evict others: if a request can still be served by it, or if the item
+   * has been asked for and is worth more than what leaves. A load ahead of use pays only in free
+   * memory; otherwise two items would evict each other.
+   */
+  private isWarranted(
+    listed: Listed,
+    { evictions }: Placement,
+    job: LoadJob,
+    readyAt: number,
+  ): boolean {
+    const { keepWarm, clock } = this.domain.parts;
+    if (job.isWanted(readyAt)) return true;
+    const value = (name: string) => keepWarm.value(name, clock.now());
+    const lost = evictions.reduce((sum, { item }) => sum + value(nameOf(item)), 0);
+    return job.isRequested && value(listed.name) >= lost;
+  }
+
   /** Replicas that stay counted when the item's standing intents give way. */
   private replicas(name: string): number {
     const standing = claimsFor(this.domain.claims(), name).filter(
