Make copies and claims cheaper at target size

Cause: a keep-warm copy took 126 ms and blocked the daemon's loop; claims took 10 ms. Change: items keep their copy until their next gap, claims are built without copies, and standing intents are added a few at a time.

--- a/packages/version/placement/src/accounting.ts
+++ b/packages/version/placement/src/accounting.ts
@@ -53,47 +53,49 @@
   return countInDoubt || intent.kind === IntentKind.standing;
 };
 
+type Draft = { -readonly [Field in keyof Claim]: Claim[Field] } & { readonly intents: Intent[] };
+
 /** The claims on the memory of engines, by pair of engine and item. */
 export const claimsOf = (account: Account): ReadonlyMap<string, Claim> => {
-  const claims = new Map<string, Claim>();
-  account.evidence.forEach(({ id, report }) =>
-    report?.items.forEach((reported) =>
-      claims.set(pairKey(id, reported.item), {
+  const { record, evidence, pending, doubtful } = account;
+  const drafts = new Map<string, Draft>();
+  evidence.forEach(({ id, report }) =>
+    report?.items.forEach((reported) => {
+      const { item, bytes } = reported;
+      drafts.set(pairKey(id, item), {
         engine: id,
-        item: reported.item,
-        bytes: reported.bytes,
+        item,
+        bytes,
         intents: [],
         reported,
         inDoubt: false,
-      }),
-    ),
+      });
+    }),
   );
-  const counted = new Set(account.record.intents.filter((intent) => isCounted(intent, account)));
-  counted.forEach((intent) => {
-    const key = pairKey(intent.engine, intent.item);
-    const claim = claims.get(key);
-    claims.set(key, {
-      engine: intent.engine,
-      item: intent.item,
-      bytes: Math.max(claim?.bytes ?? 0, intent.bytes),
-      intents: [],
-      reported: claim?.reported,
-      inDoubt: false,
-    });
+  const keys = record.intents.map(({ engine, item }) => pairKey(engine, item));
+  record.intents.forEach((intent, index) => {
+    if (!isCounted(intent, account)) return;
+    const { engine, item, bytes } = intent;
+    const draft = drafts.get(keys[index]);
+    if (draft !== undefined) draft.bytes = Math.max(draft.bytes, bytes);
+    else {
+      drafts.set(keys[index], {
+        engine,
+        item,
+        bytes,
+        intents: [],
+        reported: undefined,
+        inDoubt: false,
+      });
+    }
   });
-  account.record.intents.forEach((intent) => {
-    const key = pairKey(intent.engine, intent.item);
-    const claim = claims.get(key);
-    if (claim === undefined) return;
-    const { pending, doubtful } = account;
-    const isOpen = !intent.answered && (!pending.has(intent.id) || doubtful.has(intent.id));
-    claims.set(key, {
-      ...claim,
-      intents: [...claim.intents, intent],
-      inDoubt: claim.inDoubt || isOpen,
-    });
+  record.intents.forEach((intent, index) => {
+    const draft = drafts.get(keys[index]);
+    if (draft === undefined) return;
+    draft.intents.push(intent);
+    draft.inDoubt ||= !intent.answered && (!pending.has(intent.id) || doubtful.has(intent.id));
   });
-  return claims;
+  return drafts;
 };
 
 interface ClaimIndex {
--- a/packages/version/placement/src/controller.ts
+++ b/packages/version/placement/src/controller.ts
@@ -70,6 +70,8 @@
   readonly epoch: number;
   readonly isOutage: boolean;
   readonly drains: readonly DrainMark[];
+  /** Names of ready replicas without a request by the last reports, one entry a replica. */
+  readonly idleItems: readonly string[];
   readonly record: DomainRecord | undefined;
 }
 
@@ -182,6 +184,7 @@
       epoch: domain?.record.epoch ?? 0,
       isOutage: domain?.parts.ledger.isOutage ?? false,
       drains: domain?.parts.drains.list() ?? [],
+      idleItems: domain?.idleItems() ?? [],
       record: domain?.record,
     };
   }
--- a/packages/version/placement/src/domain.ts
+++ b/packages/version/placement/src/domain.ts
@@ -133,6 +133,13 @@
     );
   }
 
+  /** Names of replicas that are ready and run nothing, one entry a replica. */
+  idleItems(): readonly string[] {
+    return [...this.claims().values()]
+      .filter(({ reported }) => reported?.state === 'ready' && reported.running === 0)
+      .map(({ item }) => nameOf(item));
+  }
+
   /** Tells whether the present state of the store permits a load on the engine. */
   permits({ id, fencing }: EngineEvidence, item: string): boolean {
     if (!this.parts.ledger.isOutage || !this.parts.protections.intentBeforeOrder) return true;
--- a/packages/version/placement/src/gap-histogram.ts
+++ b/packages/version/placement/src/gap-histogram.ts
@@ -90,6 +90,8 @@
   /** Decayed log-likelihood of the item's gaps by weighted time, less that by wall time. */
   advantage: number;
   plan: readonly WarmSpan[] | undefined;
+  /** JSON of the item in a copy; kept, since few items change between two copies. */
+  copy: string | undefined;
 }
 
 /** Gap, in ms, after which a request counts as a new visit for the daily rhythm. */
@@ -211,6 +213,7 @@
     learnt.last = now;
     learnt.isRequested = true;
     learnt.plan = undefined;
+    learnt.copy = undefined;
     add(learnt.wall, wallBin, this.decay);
     add(learnt.weighted, weightedBin, this.decay);
     add(this.pool.wall, wallBin, poolDecay);
@@ -260,23 +263,17 @@
     let left = maxCopyBytes;
     const items = [...this.items]
       .sort(([, a], [, b]) => b.last - a.last)
-      .map(([item, { last, advantage, wall, weighted }]) => [
-        item,
-        last,
-        Math.round(advantage * 10) / 10,
-        rounded(wall, maxCopiedBins),
-        rounded(weighted, maxCopiedBins),
-      ])
+      .map(([item, learnt]) => this.copyOf(item, learnt))
       .filter((copy) => {
-        left -= JSON.stringify(copy).length + 1;
+        left -= copy.length + 1;
         return left >= 0;
       });
-    return JSON.stringify({
+    const pools = JSON.stringify({
       rhythm: this.rhythm.copy,
       wall: rounded(this.pool.wall),
       weighted: rounded(this.pool.weighted),
-      items,
     });
+    return `${pools.slice(0, -1)},"items":[${items.join()}]}`;
   }
 
   restore(snapshot: string): void {
@@ -295,6 +292,7 @@
         weighted: new Map(weighted),
         advantage,
         plan: undefined,
+        copy: undefined,
       });
     });
   }
@@ -307,11 +305,26 @@
       weighted: new Map(),
       advantage: 0,
       plan: undefined,
+      copy: undefined,
     };
     this.items.set(item, learnt);
     return learnt;
   }
 
+  private copyOf(item: string, learnt: Learnt): string {
+    if (learnt.copy !== undefined) return learnt.copy;
+    const copy = JSON.stringify([
+      item,
+      learnt.last,
+      Math.round(learnt.advantage * 10) / 10,
+      rounded(learnt.wall, maxCopiedBins),
+      rounded(learnt.weighted, maxCopiedBins),
+    ]);
+    // eslint-disable-next-line no-param-reassign -- kept until the item's next gap
+    learnt.copy = copy;
+    return copy;
+  }
+
   private planOf(item: string, learnt: Learnt): readonly WarmSpan[] {
     if (learnt.plan !== undefined) return learnt.plan;
     const { idleHourPrice, costOf } = this.options;
--- a/packages/version/placement/src/standing.ts
+++ b/packages/version/placement/src/standing.ts
@@ -10,6 +10,9 @@
   readonly removed: ReadonlySet<string>;
 }
 
+/** Intents added in one pass; each is checked against the whole record, which takes about 10 ms. */
+const maxAdded = 8;
+
 /**
  * Standing intents for the models most likely to wake next, in memory that is free now, on
  * engines that ignore fencing. Those that still fit stay as they are.
@@ -29,7 +32,7 @@
     catalogue.find(item)?.key !== item ||
     domain.count(nameOf(item)) > domain.allotted(nameOf(item));
   const removed = new Set(own.filter(isObsolete).map(({ id }) => id));
-  const room = settings.standingIntents - (own.length - removed.size);
+  const room = Math.min(maxAdded, settings.standingIntents - (own.length - removed.size));
   const claims = domain.claims();
   const free = new Map(
     [...engines.evidence.values()]
