Generate random fault scenarios and shrink those that fail

Hand-written scenarios cover only the combinations of faults that someone thought of. The fuzzer draws a small deployment, requests, bookings, rollouts and 3 to 10 faults from a seed, emits scenario text and drops events from a failing one while it goes on failing.

--- /dev/null
+++ b/packages/tooling/fuzz/src/generate.ts
@@ -0,0 +1,14 @@
+import { Draw } from './draw';
+import { expectationsOf } from './expectations';
+import { drawFaults } from './faults';
+import { drawLayout } from './layout';
+import type { Plan } from './plan';
+import { drawWork } from './work';
+
+/** The random scenario of a seed. */
+export const planOf = (seed: number): Plan => {
+  const draw = Draw.create(seed);
+  const layout = drawLayout(draw);
+  const events = [...drawFaults(draw, layout), ...drawWork(draw, layout)];
+  return { seed, layout, events, expectations: expectationsOf(layout, events) };
+};
