--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -22,7 +22,7 @@
 export const trueToken = (prompt: string, offset: number): string => `${prompt}.${offset} `;
 
 /**
- * A `FakeEngine` that records what it runs and whose answers have a text of their own, so that a
+ * A `FakeEngine` that records what it runs, generates as many streams at once as it has slots, and whose answers have a text of their own, so that a
  * part of another answer can be told apart.
  */
 export class ObservedEngine implements Endpoint {
@@ -37,6 +37,12 @@
   /** Last part that was sent on some stream. */
   private stray: StreamPart | undefined;
 
+  /** Streams that generate now. */
+  private generating = 0;
+
+  /** Streams that wait for a slot, first come first served. */
+  private waiting: (() => void)[] = [];
+
   private constructor(
     readonly engine: FakeEngine,
     private readonly clock: Clock,
@@ -99,6 +105,45 @@
     parts: Parts,
     { messages }: Generation,
     signal: AbortSignal,
+  ): AsyncGenerator<Result<StreamPart, Failure>> {
+    await this.takeSlot(signal);
+    try {
+      yield* this.ownTexts(parts, messages, signal);
+    } finally {
+      this.freeSlot();
+    }
+  }
+
+  private async takeSlot(signal: AbortSignal): Promise<void> {
+    if (this.generating < this.engine.options.slots) {
+      this.generating += 1;
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.waiting.push(resolve);
+      const leave = () => {
+        if (!this.waiting.includes(resolve)) return;
+        this.waiting = this.waiting.filter((one) => one !== resolve);
+        // The end of the stream gives back a slot that it did not get.
+        this.generating += 1;
+        resolve();
+      };
+      if (signal.aborted) leave();
+      else signal.addEventListener('abort', leave, { once: true });
+    });
+  }
+
+  /** Passes the slot to the stream that waits longest. */
+  private freeSlot(): void {
+    const next = this.waiting.shift();
+    if (next === undefined) this.generating -= 1;
+    else next();
+  }
+
+  private async *ownTexts(
+    parts: Parts,
+    messages: Generation['messages'],
+    signal: AbortSignal,
   ): AsyncGenerator<Result<StreamPart, Failure>> {
     const prompt = messages.map(({ content }) => content).join(' ');
     if (this.answers.lateMs > 0) await this.clock.sleep(this.answers.lateMs, signal);
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -145,6 +145,18 @@
   );
 };
 
+/** A request that is given up on is never held until its deadline. */
+const refusalsBeforeDeadline: Check = (seen) =>
+  rule(
+    ended(seen)
+      .filter(({ outcome }) => outcome === 'not_run' || outcome === 'unknown')
+      .filter(({ endedAt, deadline }) => endedAt >= deadline)
+      .map(({ id, daemon, endedAt, message }) => ({
+        at: endedAt,
+        message: `${id} at ${daemon} was held until its deadline: ${message}`,
+      })),
+  );
+
 /** Time by which a request must have ended; a daemon that cannot act has until it can again. */
 const limitOf = ({ history }: Seen, { daemon, startedAt, deadline }: RequestRecord): number => {
   const late = history.outages
@@ -254,6 +266,7 @@
   'answers whole': answersWhole,
   'refusals true': refusalsTrue,
   'refusals within <time>': refusalsWithin,
+  'refusals before deadline': refusalsBeforeDeadline,
   'requests end by deadline': endByDeadline,
   'leaving endpoints get no new work': noWorkAtLeaving,
   'bundle versions rise': versionsRise,
--- a/packages/tooling/scenario/src/daemon.ts
+++ b/packages/tooling/scenario/src/daemon.ts
@@ -36,7 +36,8 @@
 const weights = {
   loadsPerSecond: 4,
   loadsAtOnce: 4,
-  bytesPerSecond: 4e9,
+  // The fakes load 20 GB in 20 s.
+  bytesPerSecond: 1e9,
   adapterTransits: 30,
 } as const;
 
@@ -203,7 +204,8 @@
       seeds: [],
       trusted: operators.trusted,
       trustedKeys: operators.publicKeys,
-      prices: { idleHour: 1, coldSecond: 1 },
+      // Idle time costs nothing, so that what is loaded does not depend on the keep-warm policy.
+      prices: { idleHour: 0, coldSecond: 1 },
       weights,
       queue: { capacity: 256, callerCapacity: 256 },
       clock: process.clock,
--- a/packages/tooling/scenario/src/language.ts
+++ b/packages/tooling/scenario/src/language.ts
@@ -64,6 +64,7 @@
   'answers whole',
   'refusals true',
   'refusals within <time>',
+  'refusals before deadline',
   'requests end by deadline',
   'leaving endpoints get no new work',
   'bundle versions rise',
