Count control bytes between daemons

currantdrift_control_bytes_total was defined but nothing fed it. Node.report() adds what its peer connections sent and received since the last report.

--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -30,6 +30,9 @@
 
   private stopping = false;
 
+  /** Control bytes at the last report. */
+  private reportedBytes = { in: 0, out: 0 };
+
   private constructor(
     private readonly options: NodeOptions,
     private readonly parts: Wiring,
@@ -139,7 +142,12 @@
   /** Sets the gauges; to be called from time to time. */
   report(): void {
     const { telemetry } = this.options;
-    const { admission, controllers, entry, holder } = this.parts;
+    const { admission, controllers, entry, holder, peers } = this.parts;
+    const { bytesIn, bytesOut } = peers.traffic.control;
+    const control = 'currantdrift_control_bytes_total';
+    telemetry.count(control, { direction: 'in' }, bytesIn - this.reportedBytes.in);
+    telemetry.count(control, { direction: 'out' }, bytesOut - this.reportedBytes.out);
+    this.reportedBytes = { in: bytesIn, out: bytesOut };
     telemetry.gauge('currantdrift_queue_length', admission.waiting);
     telemetry.gauge('currantdrift_open_requests', entry.openRequests);
     telemetry.gauge('currantdrift_bundle_version', holder.version);
