Move a replica from a leaving engine as soon as it is asked for

Cause: a wake-up of an item whose only replica was on a leaving engine was refused until the keep-warm pass had begun to unload it, and could cancel that unload. Change: the wake-up unloads it first, like another version; drains of leaving engines are not cancelled. Tests of takeovers with unrecorded loads and with a frozen sender.

--- a/packages/version/placement/src/loader.ts
+++ b/packages/version/placement/src/loader.ts
@@ -82,6 +82,7 @@
       return ready.sort((a, b) => level(a) - level(b));
     }
     return routableClaims(this.domain.claims(), item)
+      .filter(({ engine }) => this.domain.isLive(engine))
       .filter(({ engine }) => this.domain.parts.drains.cancel(engine, item))
       .map(({ engine }) => engine);
   }
@@ -207,7 +208,9 @@
   ): Promise<Result<undefined, WakeRefusal>> {
     const { clock, engines, settings } = this.domain.parts;
     const claims = claimsFor(this.domain.claims(), listed.name);
-    const other = claims.find(({ item }) => item !== listed.key);
+    const other = claims.find(
+      ({ engine, item }) => item !== listed.key || !this.domain.isLive(engine),
+    );
     if (other !== undefined && other.reported !== undefined) {
       const load = this.domain.parts.speed.estimate(listed.bytes, CacheTier.remote);
       job.expect(clock.now() + settings.drainMs + unloadMs + load);
--- a/packages/version/placement/test/controller.test.ts
+++ b/packages/version/placement/test/controller.test.ts
@@ -251,3 +251,25 @@
   await world.clock.advance(20_000);
   expect(controller.status()).toMatchObject({ isHolder: true, epoch: 1 });
 });
+
+// Guards against new work for a host that is about to be reclaimed, and a second replica meanwhile.
+test('a replica on a leaving host moves to another engine', async () => {
+  const { world, controller } = await started({ e1: true, e2: true });
+  const from = await woken(world, { controller }, 'quote-7');
+  const leaving = world.engines.find(({ id }) => id === from);
+  if (leaving !== undefined) leaving.state = 'leaving';
+  world.hosts = world.hosts.map((host) =>
+    host.name === from ? { ...host, state: 'leaving' } : host,
+  );
+  let most = 0;
+  world.engines.forEach((engine) => {
+    // eslint-disable-next-line no-param-reassign -- the fake is observed through this hook
+    engine.onChange = () => {
+      most = Math.max(most, world.engines.flatMap(({ items }) => items).length);
+    };
+  });
+  const to = await woken(world, { controller }, 'quote-7');
+  expect([from, to].sort()).toEqual(['e1', 'e2']);
+  expect(most).toBe(1);
+  expect(Object.values(world.held()).flat()).toEqual(['quote-7@1 ready']);
+});
--- /dev/null
+++ b/packages/version/placement/test/takeover.test.ts
@@ -0,0 +1,67 @@
+import { FixedTtl } from '../src';
+import { permitsUnrecorded } from '../src/outage';
+import { bundleOf, model, World } from './harness';
+
+const item = ['a', 'b', 'c', 'd', 'e'].find((name) => permitsUnrecorded('e1', name)) ?? 'a';
+
+const worldOf = (fencing: boolean): World => {
+  const world = new World();
+  world.bundle = bundleOf({ models: [model(item)], adapters: [] });
+  world.addEngine('e1', { fencing });
+  return world;
+};
+
+const replicas = (world: World): number => world.engines.flatMap(({ items }) => items).length;
+
+// Guards against a second replica of an item that an earlier holder, cut off from the store, has
+// loaded without a record on an engine that the successor cannot reach.
+test('a successor waits for the engines that may hold unrecorded loads', async () => {
+  const world = worldOf(true);
+  const first = world.addController('d1');
+  await world.clock.advance(5_000);
+  first.store.faults.down = true;
+  await world.clock.advance(3_000);
+  const unrecorded = first.controller.wake(item, world.clock.now() + 60_000);
+  expect((await world.clock.settle(unrecorded))._unsafeUnwrap()).toBe('e1');
+  world.addEngine('e2', { fencing: true });
+  first.process.kill();
+  world.engines[0].faults.cut = true;
+  const { controller } = world.addController('d2');
+  await world.clock.advance(20_000);
+  expect(controller.isHolder).toBe(true);
+  const refused = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
+  expect(refused._unsafeUnwrapErr().kind).toBe('no_allotment');
+  expect(replicas(world)).toBe(1);
+  world.engines[0].faults.cut = false;
+  await world.clock.advance(10_000);
+  const woken = await world.clock.settle(controller.wake(item, world.clock.now() + 1_000));
+  expect(woken._unsafeUnwrap()).toBe('e1');
+  expect(replicas(world)).toBe(1);
+});
+
+// Guards against a late load of a frozen controller that makes a second replica, and against an
+// item that stays blocked after the frozen controller has learnt that it was replaced.
+test('the pair of a late order stays blocked until its sender acknowledges', async () => {
+  const world = worldOf(false);
+  const first = world.addController('d1', { keepWarm: FixedTtl.create(5_000) });
+  await world.clock.advance(2_500);
+  // Frozen between the confirmation of the intent and the order.
+  const { store, process } = first;
+  store.faults.latencyMs = 200;
+  const lost = first.controller.wake(item, world.clock.now() + 60_000);
+  lost.catch(() => {});
+  await world.clock.advance(150);
+  process.freeze();
+  world.addEngine('e2', { fencing: false });
+  const { controller } = world.addController('d2', { keepWarm: FixedTtl.create(5_000) });
+  await world.clock.advance(20_000);
+  expect(controller.isHolder).toBe(true);
+  const blocked = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
+  expect(blocked._unsafeUnwrapErr().kind).toBe('no_allotment');
+  store.faults.latencyMs = 0;
+  process.thaw();
+  await world.clock.advance(60_000);
+  const woken = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
+  expect(woken.isOk()).toBe(true);
+  expect(replicas(world)).toBe(1);
+});
