Answer a booking by its deadline although its record is slow

Cause: after the call, the answer waited up to 500 ms for the record of its outcome, whatever was left of the caller's time.

--- a/packages/request/booking/src/run-booking.ts
+++ b/packages/request/booking/src/run-booking.ts
@@ -19,15 +19,18 @@
 /** Tries of a dispatch that provably did not happen. */
 const maxDispatches = 3;
 
-const waitFor = async (recorded: Promise<void>, clock: Clock): Promise<void> => {
+/** Waits for a record, but not beyond the time at which the caller must have its answer. */
+const waitFor = async (recorded: Promise<void>, clock: Clock, deadline: number): Promise<void> => {
+  const waitMs = Math.max(0, Math.min(recordWaitMs, deadline - clock.now()));
   const done = new AbortController();
-  await Promise.race([recorded, clock.sleep(recordWaitMs, done.signal)]);
+  await Promise.race([recorded, clock.sleep(waitMs, done.signal)]);
   done.abort();
 };
 
 const dispatchWith = async (
   granted: Permit,
   clock: Clock,
+  deadline: number,
   send: (attempt: number) => Promise<Result<PlainAnswer, Failure>>,
 ): Promise<BookingAnswer> => {
   let permit = granted;
@@ -39,13 +42,13 @@
       permit = dispatched.permit;
       const { message, retryAfterMs } = dispatched.failure;
       if (attempt >= maxDispatches) {
-        await waitFor(permit.release(), clock);
+        await waitFor(permit.release(), clock, deadline);
         return { kind: 'not_run', message, ...(retryAfterMs !== undefined && { retryAfterMs }) };
       }
       continue;
     }
-    // A repeat finds the outcome at once; an outage only delays the answer by the bound.
-    await waitFor(dispatched.recorded, clock);
+    // A repeat finds the outcome at once; an outage delays the answer by the bound at most.
+    await waitFor(dispatched.recorded, clock, deadline);
     return dispatched.kind === 'answered'
       ? { kind: 'answered', answer: dispatched.answer }
       : { kind: 'unknown', failure: dispatched.failure };
@@ -63,5 +66,7 @@
   send: (attempt: number) => Promise<Result<PlainAnswer, Failure>>,
 ): Promise<BookingAnswer> => {
   const claimed = await ledger.claim(request, clock.now());
-  return claimed.kind === 'granted' ? dispatchWith(claimed.permit, clock, send) : claimed;
+  return claimed.kind === 'granted'
+    ? dispatchWith(claimed.permit, clock, request.deadline, send)
+    : claimed;
 };
