--- a/packages/tooling/fuzz/src/faults.ts
+++ b/packages/tooling/fuzz/src/faults.ts
@@ -155,6 +155,7 @@
   answers,
   slowWeights,
   leaving,
+  leaving,
 ];
 
 /** Longest time between two faults of a pair, in ms. */
