Measure slopes of state, messages and daemons

The capacity of a deployment was only argued from constants. The relay benchmark's deployment moves to ports 29000 and above.

--- /dev/null
+++ b/packages/tooling/bench/src/capacity/index.ts
@@ -0,0 +1,3 @@
+export * from './estimates';
+export * from './page';
+export * from './target';
--- a/packages/tooling/bench/src/relay.ts
+++ b/packages/tooling/bench/src/relay.ts
@@ -1,4 +1,5 @@
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Deployment } from '@currantdrift/demo';
 import { processUsage } from './process-usage';
 import { runStreams, type StreamFigures, type StreamTarget } from './stream-load';
@@ -28,14 +29,14 @@
 
 const messages = (index: number) => [{ role: 'user', content: `benchmark prompt ${index}` }];
 
-const daemonTarget = (url: string): StreamTarget => ({
+const daemonTarget = (url: string, tokens = answerTokens): StreamTarget => ({
   url: `${url}/v1/chat/completions`,
   headers: { Authorization: 'Bearer load-example-key' },
   body: (index) =>
     JSON.stringify({
       model: 'relay',
       stream: true,
-      max_tokens: answerTokens,
+      max_tokens: tokens,
       messages: messages(index),
     }),
   marker: '"delta":{"content"',
@@ -92,21 +93,59 @@
   };
 };
 
-/** Measures what relaying costs, with one daemon and four engines as processes of their own. */
-export const measureRelay = async (
-  sizes: readonly number[] = [1, 16, 256],
-): Promise<readonly RelayFigures[]> => {
+/** Runs `measureWith` with a started copy of the deployment. */
+const withDeployment = async <T>(
+  measureWith: (deployment: Deployment) => Promise<T>,
+): Promise<T> => {
   const deployment = await Deployment.create(folder);
   try {
     await deployment.start();
     const rollout = await deployment.rollout('bundle.json');
     if (rollout.code !== 0) throw new Error(`rollout: ${rollout.text}`);
     await deployment.ready();
-    const figures: RelayFigures[] = [];
-    for (const streams of sizes)
-      figures.push(await measure(deployment, streams, '127.0.0.1:19400'));
-    return figures;
+    return await measureWith(deployment);
   } finally {
     await deployment.close();
   }
 };
+
+const engineAddress = '127.0.0.1:29400';
+
+/** Measures what relaying costs, with one daemon and four engines as processes of their own. */
+export const measureRelay = (
+  sizes: readonly number[] = [1, 16, 256],
+): Promise<readonly RelayFigures[]> =>
+  withDeployment(async (deployment) => {
+    const figures: RelayFigures[] = [];
+    for (const streams of sizes) figures.push(await measure(deployment, streams, engineAddress));
+    return figures;
+  });
+
+/** Cost of relaying answers of a fixed length, without other load on the daemon. */
+export interface AnswerFigures {
+  readonly streams: number;
+  readonly answerTokens: number;
+  readonly cpuMicrosecondsPerRequest: number;
+  readonly residentBytes: number;
+}
+
+/** Measures a daemon with each number of streams and each length of answers, in that order. */
+export const measureAnswers = (
+  loads: readonly { readonly streams: number; readonly tokens: number }[],
+): Promise<readonly AnswerFigures[]> =>
+  withDeployment(async (deployment) => {
+    const [daemon] = [...deployment.daemons.values()];
+    await runStreams(daemonTarget(daemon.callers, answerTokens), 64, seconds);
+    const figures: AnswerFigures[] = [];
+    for (const { streams, tokens } of loads) {
+      const before = processUsage(daemon.process.pid);
+      const load = runStreams(daemonTarget(daemon.callers, tokens), streams, seconds);
+      await sleep((seconds * 1000) / 2);
+      const { residentBytes } = processUsage(daemon.process.pid);
+      const { requests } = await load;
+      const cpu = processUsage(daemon.process.pid).cpuSeconds - before.cpuSeconds;
+      const cpuMicrosecondsPerRequest = round((cpu / requests) * 1e6);
+      figures.push({ streams, answerTokens: tokens, cpuMicrosecondsPerRequest, residentBytes });
+    }
+    return figures;
+  });
--- /dev/null
+++ b/packages/tooling/bench/src/slopes/index.ts
@@ -0,0 +1,3 @@
+export * from './fit';
+export * from './groups';
+export * from './slope';
