--- a/packages/tooling/fuzz/src/faults.ts
+++ b/packages/tooling/fuzz/src/faults.ts
@@ -1,5 +1,6 @@
 import type { Draw } from './draw';
 import type { Event, Layout, Moment } from './plan';
+import { takeover } from './takeovers';
 
 /** Lines of a fault that starts at `at`. */
 type Fault = (draw: Draw, layout: Layout, at: number) => readonly Moment[];
@@ -80,25 +81,28 @@
 ];
 
 const killEngine: Fault = (draw, { engines }, at) => {
-  const engine = draw.pick(engines);
+  const engine = draw.pick(engines).name;
   const kill = { at, text: `kill engine ${engine}` };
   return [kill, { at: at + duration(draw), text: `restart engine ${engine}` }];
 };
 
 const restartEngine: Fault = (draw, { engines }, at) => [
-  { at, text: `restart engine ${draw.pick(engines)}` },
+  { at, text: `restart engine ${draw.pick(engines).name}` },
 ];
 
 const diesInLoad: Fault = (draw, { engines }, at) => [
-  { at, text: `engine ${draw.pick(engines)} dies in next load` },
+  { at, text: `engine ${draw.pick(engines).name} dies in next load` },
 ];
 
 const lateOrder: Fault = (draw, { engines }, at) => [
-  { at, text: `engine ${draw.pick(engines)} delays next order ${draw.between(500, 30_000)}ms` },
+  {
+    at,
+    text: `engine ${draw.pick(engines).name} delays next order ${draw.between(500, 30_000)}ms`,
+  },
 ];
 
 const lostOrders: Fault = (draw, { engines }, at) => [
-  { at, text: `engine ${draw.pick(engines)} loses answers of ${draw.between(1, 4)} orders` },
+  { at, text: `engine ${draw.pick(engines).name} loses answers of ${draw.between(1, 4)} orders` },
 ];
 
 const silence: Fault = (draw, layout, at) => {
@@ -151,6 +155,12 @@
   lateOrder,
   lostOrders,
   lostOrders,
+  takeover,
+  takeover,
+  takeover,
+  takeover,
+  takeover,
+  takeover,
   silence,
   answers,
   slowWeights,
--- a/packages/tooling/fuzz/src/layout.ts
+++ b/packages/tooling/fuzz/src/layout.ts
@@ -23,23 +23,23 @@
 }
 
 const drawEngines = (draw: Draw, domains: readonly string[]): Place[] =>
-  numbered(draw.between(Math.max(2, domains.length), 5)).map((number) => ({
+  numbered(draw.pick([Math.max(2, domains.length), 4, 5, 5])).map((number) => ({
     name: `writer-${number}`,
     // The first engines give each domain one, so that its allotments can be used.
-    domain: domains[number - 1] ?? draw.pick(domains),
+    domain: domains[number - 1] ?? domains[draw.pick([0, 0, 1])],
   }));
 
 const drawModels = (draw: Draw) =>
   modelNames.slice(0, draw.between(3, 6)).map((name) => ({
     name,
     gigabytes: draw.between(10, 40),
-    replicas: draw.between(1, 3),
+    replicas: draw.pick([1, 1, 1, 2, 3]),
   }));
 
 /** Draws a small deployment whose engines cannot hold all models at once. */
 export const drawLayout = (draw: Draw): Layout => {
   const domains = regions.slice(0, draw.between(2, 3)).map(({ domain, region }) => {
-    const count = draw.between(1, 3);
+    const count = draw.pick([1, 2, 2, 3, 3]);
     const short = domain.split('-').at(-1);
     return { name: domain, region, daemons: numbered(count).map((n) => `${short}-${n}`) };
   });
@@ -65,9 +65,11 @@
     ),
     `adapter ${adapter.name} bytes 300MB replicas ${adapter.replicas}`,
     ...operators.map((name) => `operator ${name}`),
-    ...models
-      .filter(() => draw.chance(0.5))
-      .map(({ name }) => `checkpoint ${name} at ${draw.pick(engines).name} on disk`),
+    ...engines.flatMap((engine) =>
+      models
+        .filter(() => draw.chance(0.6))
+        .map(({ name }) => `checkpoint ${name} at ${engine.name} on disk`),
+    ),
   ];
   return {
     lines,
@@ -77,7 +79,7 @@
       endpoints: [...engines, booking].filter((one) => one.domain === name).map((one) => one.name),
     })),
     daemons: domains.flatMap(({ daemons }) => daemons),
-    engines: engines.map(({ name }) => name),
+    engines,
     endpoints: [...engines, booking].map(({ name }) => name),
     items: [...models, adapter],
     service,
--- a/packages/tooling/fuzz/src/plan.ts
+++ b/packages/tooling/fuzz/src/plan.ts
@@ -8,7 +8,7 @@
     readonly endpoints: readonly string[];
   }[];
   readonly daemons: readonly string[];
-  readonly engines: readonly string[];
+  readonly engines: readonly { readonly name: string; readonly domain: string }[];
   readonly endpoints: readonly string[];
   /** Models and adapters, with the replicas that the first bundle allows. */
   readonly items: readonly { readonly name: string; readonly replicas: number }[];
