--- /dev/null
+++ b/packages/tooling/fuzz/test/fuzz.test.ts
@@ -0,0 +1,38 @@
+import { parseScenario } from '@currantdrift/scenario';
+import { check, planOf, shrink, textOf } from '../src';
+
+const violationsOf = async (seed: number, off?: Parameters<typeof check>[1]) =>
+  (await check(planOf(seed), off))._unsafeUnwrap();
+
+const replicasOrRuns = (violations: readonly string[]) =>
+  violations.filter((text) => /^always (replicas|runs per key)/.test(text));
+
+describe('random scenarios', () => {
+  // Guards against violations of the guarantees under combinations of faults.
+  it.each([2, 3, 4])('seed %i holds', async (seed) => {
+    expect(await violationsOf(seed)).toEqual([]);
+  });
+
+  // Guards against scenarios that cannot violate anything.
+  it.each([
+    [1, 'claim-before-dispatch'],
+    [9, 'engine-fencing'],
+  ] as const)('seed %i fails without %s', async (seed, off) => {
+    expect(replicasOrRuns(await violationsOf(seed, off))).not.toEqual([]);
+  });
+
+  // Guards against seeds that cannot be run again, and lines that the language does not have.
+  it('gives the same text for a seed, and the language reads it', () => {
+    const texts = Array.from({ length: 60 }, (_, seed) => textOf(planOf(seed)));
+    expect(texts[7]).toBe(textOf(planOf(7)));
+    expect(texts.filter((text) => parseScenario('random', text).isErr())).toEqual([]);
+  });
+
+  // Guards against shrinking that keeps what is not needed, or drops what is.
+  it('keeps just the events that a failure needs', async () => {
+    const plan = planOf(3);
+    const needed = [plan.events[1], plan.events[plan.events.length - 1]];
+    const fails = async ({ events }: typeof plan) => needed.every((one) => events.includes(one));
+    expect((await shrink(plan, fails)).events).toEqual(needed);
+  });
+});
