Use one HTTP client for the platform and the endpoints

Cause: connection/platform and connection/endpoint each had an HTTP client that tells whether a failed call had an effect. A test run also stayed open for nine minutes after its last test, because a worker did not end. Change: package connection/http serves both; jest exits once results are in.

--- a/jest.config.js
+++ b/jest.config.js
@@ -17,6 +17,8 @@
   testEnvironment: 'node',
   // Virtual time makes tests independent of the clock; the limit only ends a test that hangs.
   testTimeout: 60_000,
+  // A worker that is slow to end on a busy machine kept a finished run open for minutes.
+  forceExit: true,
   testMatch: ['<rootDir>/packages/*/*/test/**/*.test.ts', '<rootDir>/test/**/*.test.ts'],
   moduleNameMapper: workspaceSources(),
   modulePathIgnorePatterns: ['<rootDir>/packages/.*/dist/'],
--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -11,8 +11,8 @@
   type PlainCall,
   type StreamPart,
 } from '@currantdrift/core';
+import { HttpClient, type WholeAnswer } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
-import { HttpClient, type WholeAnswer } from './http-client';
 import { cacheEventsSchema, reportSchema } from './schemas';
 import type { EndpointSettings } from './settings';
 import { readTokenStream } from './token-stream';
--- a/packages/connection/endpoint/src/schemas.ts
+++ b/packages/connection/endpoint/src/schemas.ts
@@ -19,17 +19,6 @@
   end: z.enum(['stop', 'length']),
 });
 
-/** An answer, or an event of a token stream, that says what became of the call. */
-export const errorSchema = z.object({
-  error: z.object({
-    message: z.string(),
-    outcome: z.enum(['not_run', 'unknown']),
-    retryAfterMs: z.number().nonnegative().optional(),
-  }),
-});
-
-export type ErrorAnswer = z.infer<typeof errorSchema>;
-
 export const reportSchema = z.object({
   endpoint: z.string(),
   bootId: z.string().min(1),
@@ -61,12 +50,3 @@
     }),
   ),
 });
-
-/** The JSON value of `text`; undefined, which no schema accepts, if it is malformed. */
-export const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-};
--- a/packages/connection/endpoint/src/token-stream.ts
+++ b/packages/connection/endpoint/src/token-stream.ts
@@ -1,10 +1,9 @@
 import { StringDecoder } from 'node:string_decoder';
 import { type Failure, FailureKind, type Generation, type StreamPart } from '@currantdrift/core';
+import { errorSchema, type Exchange, type HttpClient, parseJson } from '@currantdrift/http';
 import { createParser, type EventSourceMessage } from 'eventsource-parser';
 import { err, ok, type Result } from 'neverthrow';
-import type { Exchange } from './exchange';
-import type { HttpClient } from './http-client';
-import { endSchema, errorSchema, parseJson, tokensSchema } from './schemas';
+import { endSchema, tokensSchema } from './schemas';
 
 const step = 'endpoint.generate';
 
--- a/packages/connection/endpoint/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -4,12 +4,12 @@
 import { Pool } from 'undici';
 import { z } from 'zod';
 import { Exchange, type Head } from './exchange';
-import { errorSchema, parseJson } from './schemas';
-import type { EndpointSettings } from './settings';
+import { errorSchema, parseJson } from './json';
+import type { HttpSettings } from './settings';
 
 /** One HTTP request. */
 export interface HttpCall {
-  /** Name of the call in failures, for example `endpoint.order`. */
+  /** Name of the call in failures, for example `store.get`. */
   readonly step: string;
   readonly method: string;
   /** Path with query. */
@@ -31,20 +31,20 @@
   readonly body: Buffer;
 }
 
-/** HTTP requests to one endpoint. After a timeout, later requests use new connections. */
+/** HTTP requests to one server. After a timeout, later requests use new connections. */
 export class HttpClient {
   private pool: Pool;
 
   private constructor(
     private readonly origin: string,
     private readonly peer: string,
-    private readonly settings: EndpointSettings,
+    private readonly settings: HttpSettings,
   ) {
     this.pool = this.openPool();
   }
 
-  /** `address` is `ip:port`; `peer` names the endpoint in failures. */
-  static create(address: string, peer: string, settings: EndpointSettings): HttpClient {
+  /** `address` is `ip:port`; `peer` names the server in failures. */
+  static create(address: string, peer: string, settings: HttpSettings): HttpClient {
     return new HttpClient(`http://${address}`, peer, settings);
   }
 
@@ -111,7 +111,7 @@
       : err(this.failure(step, FailureKind.invalid, z.prettifyError(parsed.error)));
   }
 
-  /** What the endpoint says of the call in an error body; undefined if it says nothing. */
+  /** What the server says of the call in an error body; undefined if it says nothing. */
   statedError(step: string, answer: WholeAnswer): Failure | undefined {
     if (answer.status < 400) return undefined;
     const stated = errorSchema.safeParse(parseJson(answer.body.toString('utf8')));
--- a/packages/connection/platform/src/http-store.ts
+++ b/packages/connection/platform/src/http-store.ts
@@ -7,10 +7,10 @@
   type Store,
   type Swap,
 } from '@currantdrift/core';
+import type { WholeAnswer } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import type { HttpAnswer } from './exchange';
-import { type HttpCall, HttpClient } from './http-client';
+import { type PlatformCall, PlatformClient } from './platform-client';
 
 export interface HttpStoreSettings {
   /** `ip:port` of the store. */
@@ -43,12 +43,12 @@
 /** The platform's store over HTTP. Values travel as raw bytes, revisions in `x-revision`. */
 export class HttpStore implements Store {
   private constructor(
-    private readonly client: HttpClient,
+    private readonly client: PlatformClient,
     private readonly timeoutMs: number,
   ) {}
 
   static create(settings: HttpStoreSettings): HttpStore {
-    const client = HttpClient.create(settings.address, `store ${settings.address}`);
+    const client = PlatformClient.create(settings.address, `store ${settings.address}`);
     return new HttpStore(client, settings.timeoutMs ?? defaultTimeoutMs);
   }
 
@@ -141,14 +141,18 @@
     step: string,
     method: string,
     path: string,
-    options: Partial<HttpCall> = {},
-  ): Promise<Result<HttpAnswer, Failure>> {
+    options: Partial<PlatformCall> = {},
+  ): Promise<Result<WholeAnswer, Failure>> {
     return this.client.call({ step, method, path, timeoutMs: this.timeoutMs, ...options }, [
       conflictStatus,
     ]);
   }
 
-  private entry(step: string, key: string, answer: HttpAnswer): Result<Entry | undefined, Failure> {
+  private entry(
+    step: string,
+    key: string,
+    answer: WholeAnswer,
+  ): Result<Entry | undefined, Failure> {
     const revision = headerSchema.safeParse(answer.headers['x-revision']);
     if (!revision.success) {
       return err(this.client.failure(step, FailureKind.invalid, 'the answer has no x-revision'));
