--- a/packages/tooling/bench/test/capacity.test.ts
+++ b/packages/tooling/bench/test/capacity.test.ts
@@ -46,8 +46,8 @@
     const read = fs.readFileSync;
     const differs = (file) => String(file).endsWith('CAPACITY.md');
     fs.readFileSync = (file, ...rest) =>
-      differs(file) ? read(file, ...rest) .replace('| slope |', '| slop |') : read(file, ...rest);
-    process.argv.push('--check');
+      differs(file) ? read(file, ...rest).replace('| slope |', '| slop |') : read(file, ...rest);
+    process.argv.push('capacity', '--check');
     require(${JSON.stringify(join(__dirname, '../bin/capacity.js'))});
   `;
   const { status, stderr } = spawnSync(process.execPath, ['-e', script], { encoding: 'utf8' });
--- a/packages/tooling/bench/test/host-list.test.ts
+++ b/packages/tooling/bench/test/host-list.test.ts
@@ -69,6 +69,7 @@
   const answer = await fetch(`http://${address}/hosts?since=0-0`, {
     headers: { 'if-none-match': '"0-0"' },
   });
-  expect(names((await answer.json()).hosts)).toEqual(['e9 live']);
+  const { hosts } = (await answer.json()) as { hosts: Host[] };
+  expect(names(hosts)).toEqual(['e9 live']);
   expect(standin.shown()).toHaveLength(4);
 });
