Price warm time in the daemon, and load nothing at leaving engines

Cause: daemons kept every idle replica for ten minutes whatever it cost. The gap histogram unloaded an item at once while it had seen no gaps, because it predicts only within what it has seen. Daemons read the whole host list. Change: the controller uses the gap histogram with the prices of the settings; with fewer than 10 gaps between visits an item is kept until its idle time has cost a cold start. Loads need an engine that is live in the host list, its own report and the domain's view. Daemons read their domain's part of the list, and the controller counts idle accelerator seconds.

--- a/packages/process/node/src/process/node-options.ts
+++ b/packages/process/node/src/process/node-options.ts
@@ -22,6 +22,15 @@
   readonly admission?: Pick<AdmissionSettings, 'earlyRefusal'>;
 }
 
+/** What the keep-warm policy weighs; see the settings. */
+export interface Prices {
+  readonly idleHour: number;
+  readonly coldSecond: number;
+  readonly tailExponent?: number;
+  /** Memory of one accelerator, in bytes. */
+  readonly acceleratorBytes?: number;
+}
+
 /** What a daemon's decision code is made of. */
 export interface NodeOptions {
   readonly name: string;
@@ -36,7 +45,7 @@
   readonly trusted: TrustedKeys;
   /** Public keys in PEM by operator, as the settings have them. */
   readonly trustedKeys: Readonly<Record<string, string>>;
-  readonly prices: { readonly idleHour: number; readonly coldSecond: number };
+  readonly prices: Prices;
   readonly weights: {
     readonly loadsPerSecond: number;
     readonly loadsAtOnce: number;
--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -33,6 +33,8 @@
   /** Control bytes at the last report. */
   private reportedBytes = { in: 0, out: 0 };
 
+  private reportedAt: number | undefined;
+
   private constructor(
     private readonly options: NodeOptions,
     private readonly parts: Wiring,
@@ -153,6 +155,18 @@
     telemetry.gauge('currantdrift_bundle_version', holder.version);
     telemetry.gauge('currantdrift_controller', controllers.controller?.isHolder ? 1 : 0);
     telemetry.gauge('currantdrift_in_doubt_orders', inDoubt(this.parts).length);
+    this.countIdleTime(this.options.clock.now());
+  }
+
+  /** Counts the accelerators that idle replicas took since the last report. */
+  private countIdleTime(now: number): void {
+    const { controllers, costOf } = this.parts;
+    const elapsedSeconds = (now - (this.reportedAt ?? now)) / 1000;
+    this.reportedAt = now;
+    const idle = controllers.controller?.status().idleItems ?? [];
+    const accelerators = idle.reduce((sum, name) => sum + costOf(name).accelerators, 0);
+    const metric = 'currantdrift_idle_accelerator_seconds_total';
+    this.options.telemetry.count(metric, undefined, accelerators * elapsedSeconds);
   }
 
   private runTasks(): void {
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -12,7 +12,7 @@
   Watchers,
 } from '@currantdrift/membership';
 import { PeerConnections } from '@currantdrift/peer';
-import { Controller, FixedTtl } from '@currantdrift/placement';
+import { Controller, defaultPlacementSettings, GapHistogram } from '@currantdrift/placement';
 import { Balancer, type Lease, PrefixIndex } from '@currantdrift/routing';
 import { CallerEntry } from '../request/caller-entry';
 import { takePlace } from '../request/replica-chooser';
@@ -21,6 +21,7 @@
 import { DrainMarks } from './drain-marks';
 import { EndpointPool } from './endpoint-pool';
 import { HostTask } from './host-task';
+import { itemCosts } from './item-costs';
 import { KnownDomains } from './known-domains';
 import { MemberState } from './member-state';
 import type { NodeOptions } from './node-options';
@@ -28,9 +29,6 @@
 import { RoutableView } from './routable-view';
 import { serveWakes, WakeClient } from './wake-client';
 
-/** Idle time after which a replica is unloaded, in ms. */
-const keepWarmMs = 600_000;
-
 /** Number of eighths in a level of free memory. */
 const spareLevels = 8;
 
@@ -48,7 +46,7 @@
 const wireDomain = (options: NodeOptions) => {
   const { clock, random, telemetry, network, address, domain, name } = options;
   const store = CountedStore.create(options.store, telemetry);
-  const hosts = HostTask.create({ ...options, clock, random, telemetry });
+  const hosts = HostTask.create({ ...options, clock, random, telemetry, scoped: true });
   const holder = BundleHolder.create(options.trusted, options.protections?.bundle);
   const reader = BundleReader.create(store, holder);
   let exchange: BundleExchange | undefined;
@@ -131,10 +129,17 @@
   const { directory, hosts, holder, membership, peers, state, store, view } = domain;
   const endpoints = EndpointPool.create(options.connector);
   const drains = DrainMarks.create(membership, view);
-  const keepWarm = FixedTtl.create(keepWarmMs);
+  const { prices, weights } = options;
+  const costOf = itemCosts(holder, options);
+  const keepWarm = GapHistogram.create({
+    idleHourPrice: prices.idleHour,
+    coldSecondPrice: prices.coldSecond,
+    ...(prices.tailExponent !== undefined && { tailExponent: prices.tailExponent }),
+    costOf,
+  });
   const fleet = () => ({
     engines: hosts.hosts.filter((host) => isEngine(host) && host.domain === options.domain).length,
-    allEngines: hosts.hosts.filter(isEngine).length,
+    allEngines: hosts.allEngines,
   });
   const createController = (): Controller | undefined => {
     // Without the host's incarnation a successor could not tell when this daemon is replaced.
@@ -158,9 +163,13 @@
       random,
       telemetry,
       settings: {
-        loadsPerSecond: options.weights.loadsPerSecond,
-        loadsAtOnce: options.weights.loadsAtOnce,
-        adapterTransits: options.weights.adapterTransits,
+        loadsPerSecond: weights.loadsPerSecond,
+        loadsAtOnce: weights.loadsAtOnce,
+        adapterTransits: weights.adapterTransits,
+        bytesPerMs: {
+          ...defaultPlacementSettings.bytesPerMs,
+          remote: weights.bytesPerSecond / 1000,
+        },
         ...options.placement,
       },
       ...(options.protections?.placement && { protections: options.protections.placement }),
@@ -182,7 +191,7 @@
   const own = (): Waker | undefined =>
     controllers.controller?.isHolder ? controllers.controller : undefined;
   serveWakes(peers, clock, own);
-  return { endpoints, controllers, wakes };
+  return { endpoints, controllers, wakes, costOf };
 };
 
 /** Makes the parts of a daemon and connects them; nothing runs yet. */
--- a/packages/process/settings/src/settings.ts
+++ b/packages/process/settings/src/settings.ts
@@ -50,6 +50,10 @@
   idleHour: z.number().min(0),
   /** Price of a second that a request waits for a cold start. */
   coldSecond: z.number().min(0),
+  /** Exponent by which long cold starts cost more than in proportion; 0 if they do not. */
+  tailExponent: z.number().min(0).max(4).default(0),
+  /** Memory of one accelerator, in bytes; an item costs its share of it. */
+  acceleratorBytes: z.number().positive().default(80_000_000_000),
 });
 
 const weights = z.strictObject({
--- a/packages/version/placement/src/domain.ts
+++ b/packages/version/placement/src/domain.ts
@@ -140,8 +140,9 @@
       .map(({ item }) => nameOf(item));
   }
 
-  /** Tells whether the present state of the store permits a load on the engine. */
+  /** Tells whether the engine takes new work and the present state of the store permits a load. */
   permits({ id, fencing }: EngineEvidence, item: string): boolean {
+    if (!this.isLive(id)) return false;
     if (!this.parts.ledger.isOutage || !this.parts.protections.intentBeforeOrder) return true;
     if (fencing) return permitsUnrecorded(id, nameOf(item));
     const standing = this.standingOf(id, item);
@@ -257,7 +258,7 @@
       return false;
     }
     const account = this.account(record);
-    if (!acceptsOrders(engine, record.epoch)) return false;
+    if (!this.isLive(engine.id) || !acceptsOrders(engine, record.epoch)) return false;
     if (isExcluded(account, engine.id, intent.item)) return false;
     const claims = claimsOf(account);
     if (claims.has(pairKey(engine.id, intent.item))) return false;
--- a/packages/version/placement/src/gap-histogram.ts
+++ b/packages/version/placement/src/gap-histogram.ts
@@ -72,6 +72,12 @@
 /** Weight, in gaps, of the chance that an item is not used again. */
 const neverWeight = 0.1;
 
+/**
+ * Gaps between visits below which nothing is predicted; an item is then kept until its idle time
+ * has cost as much as a cold start, which costs at most twice what knowing the gap would.
+ */
+const minEvidence = 10;
+
 /** Weight below which a bin is dropped from a copy. */
 const minCopiedWeight = 0.01;
 
@@ -97,6 +103,8 @@
 /** Gap, in ms, after which a request counts as a new visit for the daily rhythm. */
 const visitGapMs = 600_000;
 
+const visitBin = binOf(visitGapMs);
+
 const weightsSchema = z.array(
   z.tuple([
     z
@@ -330,6 +338,10 @@
     const { idleHourPrice, costOf } = this.options;
     const { coldSeconds, accelerators } = costOf(item);
     const idlePerMs = (idleHourPrice * accelerators) / hourMs;
+    const breakEvenMs = this.coldCost(coldSeconds) / idlePerMs;
+    if (idlePerMs === 0 || this.evidence(learnt) < minEvidence) {
+      return [{ fromMs: 0, toMs: Math.min(lastEdgeMs, breakEvenMs) }];
+    }
     const spans = warmPlan(this.distribution(learnt), {
       idlePerMs,
       coldStart: this.coldCost(coldSeconds),
@@ -344,6 +356,13 @@
     return plan;
   }
 
+  /** Weight of the gaps between visits that a plan for the item can go by. */
+  private evidence(learnt: Learnt): number {
+    const visits = (weights: ReadonlyMap<number, number>) =>
+      [...weights].reduce((sum, [bin, weight]) => sum + (bin > visitBin ? weight : 0), 0);
+    return visits(learnt.wall) + visits(this.pool.wall);
+  }
+
   private coldCost(seconds: number): number {
     const { coldSecondPrice, tailExponent = 0 } = this.options;
     return coldSecondPrice * seconds * (seconds / tailReferenceSeconds) ** tailExponent;
