--- a/packages/process/membership/src/watchers.ts
+++ b/packages/process/membership/src/watchers.ts
@@ -51,7 +51,7 @@
  * Time for each member between two publications of levels, in ms. Levels then take the same
  * number of bytes at each daemon in a domain of any size.
  */
-const levelsMsPerMember = 500;
+const levelsMsPerMember = 1000;
 
 /** Time for which a host must be gone from the lagging list before its endpoint is removed, in ms. */
 const removalMs = 15_000;
