--- a/packages/tooling/fuzz/src/faults.ts
+++ b/packages/tooling/fuzz/src/faults.ts
@@ -172,6 +172,20 @@
   leaving,
 ];
 
+/** Faults that keep no daemon from hearing of a leaving endpoint, which is one of them. */
+const hearingFaults: readonly Fault[] = [
+  outage,
+  slowStore,
+  lostWrites,
+  diesInLoad,
+  lostOrders,
+  answers,
+  slowWeights,
+  leaving,
+  leaving,
+  leaving,
+];
+
 /** Longest time between two faults of a pair, in ms. */
 const pairGapMs = 300;
 
@@ -184,8 +198,14 @@
 /** Share of faults that start together with the one before. */
 const pairShare = 0.5;
 
-/** Draws 3 to 10 faults; many start together. */
-export const drawFaults = (draw: Draw, layout: Layout, work: readonly Event[]): Event[] => {
+/** Draws 3 to 10 faults; many start together. `hearing`: daemons hear of leaving endpoints. */
+export const drawFaults = (
+  draw: Draw,
+  layout: Layout,
+  work: readonly Event[],
+  hearing: boolean,
+): Event[] => {
+  const kinds = hearing ? hearingFaults : faults;
   const starts = work.flatMap(({ moments }) => moments.map((moment) => moment.at));
   const single = (): number =>
     draw.chance(workShare)
@@ -194,6 +214,6 @@
   let at = 0;
   return Array.from({ length: draw.between(3, 10) }, () => {
     at = draw.chance(pairShare) ? at + draw.between(0, pairGapMs) : single();
-    return { kind: 'fault', moments: draw.pick(faults)(draw, layout, at), settings: [] };
+    return { kind: 'fault', moments: draw.pick(kinds)(draw, layout, at), settings: [] };
   });
 };
