Check requests that peers forward

Cause: a forwarded request of another version was taken as it came, and a missing field would have failed deep in the request path. Change: schemas for forwarded chat requests and calls; a malformed one is refused as not run.

--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -3,12 +3,14 @@
 import type { Caller, Message, Service, ServiceCall, Span } from '@currantdrift/core';
 import { FailureKind } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
 import { type ChatOrigin, runChat } from './chat-run';
 import {
   EntryMessage,
   type ForwardedAnswer,
   type ForwardedCall,
-  type ForwardedChat,
+  forwardedCallSchema,
+  forwardedChatSchema,
   type ForwardedPart,
 } from './messages';
 import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
@@ -33,6 +35,10 @@
 const unknownItem = (item: string): Refusal =>
   notRun(RefusalCode.unknownItem, `the model ${JSON.stringify(item)} does not exist`);
 
+/** A peer of another version sent something that this daemon does not understand; nothing ran. */
+const malformed = (error: z.ZodError): Refusal =>
+  notRun(RefusalCode.noEndpoint, `the forwarded request is malformed: ${z.prettifyError(error)}`);
+
 interface FoundCall {
   readonly service: Service;
   readonly call: ServiceCall;
@@ -49,11 +55,9 @@
     const entry = new CallerEntry(options);
     const { peers } = options.context;
     peers.onStream(EntryMessage.chat, (message, _from, signal) =>
-      entry.forwardedChat(message as unknown as ForwardedChat, signal),
-    );
-    peers.onRequest(EntryMessage.call, (message) =>
-      entry.forwardedCall(message as unknown as ForwardedCall),
+      entry.forwardedChat(message, signal),
     );
+    peers.onRequest(EntryMessage.call, (message) => entry.forwardedCall(message));
     return entry;
   }
 
@@ -198,15 +202,17 @@
     return ok({ status, contentType, body, replayed });
   }
 
-  private async *forwardedChat(
-    message: ForwardedChat,
-    signal: AbortSignal,
-  ): AsyncGenerator<Message> {
+  private async *forwardedChat(message: Message, signal: AbortSignal): AsyncGenerator<Message> {
+    const parsed = forwardedChatSchema.safeParse(message);
+    if (!parsed.success) {
+      yield { kind: EntryMessage.refused, refusal: malformed(parsed.error) };
+      return;
+    }
     const { clock } = this.options.context;
-    const { caller: name, deadlineMs, resume, kind, ...rest } = message;
+    const { caller: name, deadlineMs, resume, kind, ...rest } = parsed.data;
     const caller = this.options.holder.current?.caller(name);
     if (caller === undefined) {
-      yield { kind: EntryMessage.refused, refusal: unknownItem(message.item) };
+      yield { kind: EntryMessage.refused, refusal: unknownItem(rest.item) };
       return;
     }
     const request: ChatRequest = { ...rest, caller, deadline: clock.now() + deadlineMs };
@@ -227,21 +233,27 @@
       : { kind: EntryMessage.end, offset, finishReason: part.value.finishReason };
   }
 
-  private async forwardedCall(message: ForwardedCall): Promise<Message> {
-    const { context, holder } = this.options;
-    const { caller: name, deadlineMs, kind, ...rest } = message;
-    const caller = holder.current?.caller(name);
-    const request = { ...rest, caller, deadline: context.clock.now() + deadlineMs };
-    const answer = await this.serveForwarded(request as ServiceRequest);
+  private async forwardedCall(message: Message): Promise<Message> {
+    const parsed = forwardedCallSchema.safeParse(message);
+    const answer = parsed.success
+      ? await this.serveForwarded(parsed.data)
+      : err(malformed(parsed.error));
     return answer.match(
       (value): ForwardedAnswer => ({ kind: EntryMessage.answer, ...value }),
       (refusal): ForwardedAnswer => ({ kind: EntryMessage.refused, refusal }),
     );
   }
 
-  private async serveForwarded(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
-    const { context } = this.options;
-    if ((request.caller as Caller | undefined) === undefined) return err(noBundle());
+  private async serveForwarded(forwarded: ForwardedCall): Promise<Result<ServiceAnswer, Refusal>> {
+    const { context, holder } = this.options;
+    const { caller: name, deadlineMs, kind, ...rest } = forwarded;
+    const caller = holder.current?.caller(name);
+    if (caller === undefined) return err(noBundle());
+    const request: ServiceRequest = {
+      ...rest,
+      caller,
+      deadline: context.clock.now() + deadlineMs,
+    };
     const found = this.findCall(request);
     if (found.isErr()) return err(found.error);
     const { service, call } = found.value;
--- a/packages/process/node/src/request/messages.ts
+++ b/packages/process/node/src/request/messages.ts
@@ -1,4 +1,5 @@
-import type { ChatMessage, Message } from '@currantdrift/core';
+import type { Message } from '@currantdrift/core';
+import { z } from 'zod';
 import type { Refusal } from './refusal';
 
 /** Kinds of messages about callers' requests between daemons of different domains. */
@@ -13,23 +14,33 @@
   answer: 'entry.answer',
 } as const;
 
-/** A forwarded chat request. Times are relative: the clocks of hosts differ. */
-export interface ForwardedChat extends Message {
-  readonly kind: typeof EntryMessage.chat;
-  readonly requestId: string;
-  readonly caller: string;
+/** Fields that every forwarded request has. Times are relative: the clocks of hosts differ. */
+const forwarded = {
+  requestId: z.string().min(1),
+  /** Name of the caller in the bundle. */
+  caller: z.string().min(1),
+  priority: z.int().min(0).max(9),
+  deadlineMs: z.number().positive(),
+  traceparent: z.string().optional(),
+};
+
+/** A forwarded chat request. */
+export const forwardedChatSchema = z.object({
+  kind: z.literal(EntryMessage.chat),
+  ...forwarded,
   /** Name of the item; the receiver's bundle decides its version. */
-  readonly item: string;
-  readonly messages: readonly ChatMessage[];
-  readonly maxTokens: number;
-  readonly temperature?: number;
-  readonly seed?: number;
-  readonly priority: number;
-  readonly deadlineMs: number;
+  item: z.string().min(1),
+  messages: z.array(
+    z.object({ role: z.enum(['system', 'user', 'assistant']), content: z.string() }),
+  ),
+  maxTokens: z.int().positive(),
+  temperature: z.number().optional(),
+  seed: z.int().optional(),
   /** Tokens that the caller has already. */
-  readonly resume: readonly string[];
-  readonly traceparent?: string;
-}
+  resume: z.array(z.string()),
+});
+
+export type ForwardedChat = z.infer<typeof forwardedChatSchema>;
 
 /** Parts of the answer to a forwarded chat request. */
 export type ForwardedPart = Message &
@@ -48,21 +59,19 @@
   );
 
 /** A forwarded call of a plain service. */
-export interface ForwardedCall extends Message {
-  readonly kind: typeof EntryMessage.call;
-  readonly requestId: string;
-  readonly caller: string;
-  readonly service: string;
-  readonly call: string;
-  readonly method: string;
-  readonly query: string;
-  readonly contentType: string;
-  readonly body: Uint8Array;
-  readonly idempotencyKey?: string;
-  readonly priority: number;
-  readonly deadlineMs: number;
-  readonly traceparent?: string;
-}
+export const forwardedCallSchema = z.object({
+  kind: z.literal(EntryMessage.call),
+  ...forwarded,
+  service: z.string().min(1),
+  call: z.string().min(1),
+  method: z.string().min(1),
+  query: z.string(),
+  contentType: z.string(),
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'expected bytes'),
+  idempotencyKey: z.string().optional(),
+});
+
+export type ForwardedCall = z.infer<typeof forwardedCallSchema>;
 
 /** Answer to a forwarded call. */
 export type ForwardedAnswer = Message &
