--- a/packages/process/cli/src/run.ts
+++ b/packages/process/cli/src/run.ts
@@ -1,10 +1,10 @@
 import { parseArgs } from 'node:util';
+import { nearestWord } from '@currantdrift/core';
 import { err, ok, Result } from 'neverthrow';
 import type { Command, CommandFailure, CommandOutput, OptionValues } from './command';
 import { commands } from './commands';
 import { ExitCode } from './exit';
 import { commandHelp, generalHelp, usageLine } from './help';
-import { nearestWord } from './nearest';
 
 /** Where the client writes. */
 export interface Output {
--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './hash';
 export * from './hosts';
 export * from './item';
+export * from './nearest';
 export * from './network';
 export * from './random';
 export * from './seeded-random';
--- a/packages/tooling/scenario/src/main.ts
+++ b/packages/tooling/scenario/src/main.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
+import { nearestWord } from '@currantdrift/core';
 import { parseArgs } from 'node:util';
-import { nearestWord } from './nearest';
 import { describeParseError, parseScenario } from './parse';
 import { type Protection, protectionNames } from './protections';
 import { type Report, runScenario } from './run';
--- a/packages/tooling/scenario/src/parse.ts
+++ b/packages/tooling/scenario/src/parse.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
+import { nearestWord } from '@currantdrift/core';
 import { Declared } from './declared';
 import { expectationTemplates, settingTemplates, stepTemplates } from './language';
-import { nearestWord } from './nearest';
 import type { Expectation, Scenario, Statement, Step, Value } from './scenario';
 import { matchTemplate, type Mismatch } from './template';
 
