Forward to another daemon of a domain when one cannot be reached

Cause: a request for another domain went to one random entry daemon; when that one had just died the request was refused although its neighbours served. Change: the entry daemons of a domain are tried in turn while nothing was sent.

--- a/packages/process/node/src/process/domain-directory.ts
+++ b/packages/process/node/src/process/domain-directory.ts
@@ -6,6 +6,6 @@
   options(itemName: string, itemKey: string): readonly DomainOption[];
   /** Names of the other domains with a daemon that can be reached, nearest first. */
   others(): readonly string[];
-  /** Peer address of an entry daemon of another domain; undefined if none is known. */
-  entryAddress(domain: string): string | undefined;
+  /** Peer addresses of entry daemons of another domain, in the order in which to try them. */
+  entryAddresses(domain: string): readonly string[];
 }
--- a/packages/process/node/src/process/known-domains.ts
+++ b/packages/process/node/src/process/known-domains.ts
@@ -46,8 +46,10 @@
       .map(({ name }) => name);
   }
 
-  entryAddress(domain: string): string | undefined {
+  /** Starts at a random one, so that forwarded requests spread over the daemons of the domain. */
+  entryAddresses(domain: string): readonly string[] {
     const entries = this.parts.summaries.summary(domain)?.entries ?? [];
-    return entries[Math.floor(this.parts.random.next() * entries.length)];
+    const first = Math.floor(this.parts.random.next() * entries.length);
+    return [...entries.slice(first), ...entries.slice(0, first)];
   }
 }
--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -143,7 +143,7 @@
     return ok({ service: found, call: foundCall });
   }
 
-  /** Forwards a call to the first other domain that takes it. */
+  /** Forwards a call to the first daemon of another domain that takes it. */
   private async callElsewhere(
     request: ServiceRequest,
     span: Span,
@@ -154,13 +154,11 @@
       `no domain has an endpoint for ${request.service} now`,
       noEndpointRetryMs,
     );
-    for (const domain of domains.others()) {
+    for (const address of domains.others().flatMap((domain) => domains.entryAddresses(domain))) {
       const left = request.deadline - clock.now();
-      const address = domains.entryAddress(domain);
       if (left <= 0) return err(notRun(RefusalCode.deadlinePassed, 'the deadline has passed'));
-      if (address === undefined) continue;
       const answer = await this.callAt(address, request, left, span);
-      // Only an attempt that provably did not run leaves the next domain free to try.
+      // Only an attempt that provably did not run leaves the next daemon free to try.
       if (answer.isOk() || answer.error.code !== RefusalCode.noEndpoint) return answer;
       if (answer.error.outcome === 'unknown') return answer;
       last = answer.error;
--- a/packages/process/node/src/request/domain-endpoint.ts
+++ b/packages/process/node/src/request/domain-endpoint.ts
@@ -17,8 +17,8 @@
 
 export interface DomainEndpointOptions {
   readonly domain: string;
-  /** Peer address of the entry daemon that serves the request. */
-  readonly address: string;
+  /** Peer addresses of entry daemons that may serve the request; tried in order, at least one. */
+  readonly addresses: readonly string[];
   readonly peers: Peers;
   readonly clock: Clock;
   readonly request: ChatRequest;
@@ -53,9 +53,17 @@
     generation: Generation,
     signal: AbortSignal,
   ): Promise<Result<AsyncIterable<Result<StreamPart, Failure>>, Failure>> {
-    const { address, peers } = this.options;
-    const stream = await peers.openStream(address, this.messageOf(generation), signal);
-    return stream.map(({ parts }) => this.read(parts, generation));
+    const { addresses, peers } = this.options;
+    const message = this.messageOf(generation);
+    let last = this.failure(FailureKind.unreachable, 'no entry daemon is known');
+    for (const address of addresses) {
+      const stream = await peers.openStream(address, message, signal);
+      if (stream.isOk()) return ok(this.read(stream.value.parts, generation));
+      last = stream.error;
+      // Only a daemon that got nothing leaves the next one free to try.
+      if (last.kind !== FailureKind.unreachable) break;
+    }
+    return err(last);
   }
 
   call(): Promise<Result<PlainAnswer, Failure>> {
@@ -146,7 +154,7 @@
   }
 
   private failure(kind: FailureKind, message: string): Failure {
-    return { kind, step: 'peer.chat', peer: `${this.domain} ${this.options.address}`, message };
+    return { kind, step: 'peer.chat', peer: this.domain, message };
   }
 
   private async unsupported<T>(what: string): Promise<Result<T, Failure>> {
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -253,13 +253,13 @@
 
   private there(domain: string): Result<Target, Reason> {
     const { domains, peers, clock } = this.context;
-    const address = domains.entryAddress(domain);
-    if (address === undefined) {
+    const addresses = domains.entryAddresses(domain);
+    if (addresses.length === 0) {
       return err(reason(RefusalCode.noEndpoint, `no daemon of ${domain} can be reached`, 2_000));
     }
     const endpoint = DomainEndpoint.create({
       domain,
-      address,
+      addresses,
       peers,
       clock,
       request: this.request,
