--- a/jest.config.js
+++ b/jest.config.js
@@ -19,6 +19,8 @@
   testTimeout: 60_000,
   // A worker that is slow to end on a busy machine kept a finished run open for minutes.
   forceExit: true,
+  // The process tests start a dozen processes beside the workers.
+  maxWorkers: '50%',
   testMatch: ['<rootDir>/packages/*/*/test/**/*.test.ts', '<rootDir>/test/**/*.test.ts'],
   moduleNameMapper: workspaceSources(),
   modulePathIgnorePatterns: ['<rootDir>/packages/.*/dist/'],
