Merge pieces that stood twice

The leases of the prefix store took their ids from the number of open leases, so an id could come twice.

The random histories of placement run on the merged gate.

--- a/packages/process/node/src/process/host-task.ts
+++ b/packages/process/node/src/process/host-task.ts
@@ -21,11 +21,6 @@
   readonly address: string;
   /** Peer addresses from the settings. */
   readonly seeds: readonly string[];
-  /**
-   * Leaves engines and services of other domains out of `hosts`; `allEngines` then still counts
-   * them. Off by default.
-   */
-  readonly scoped?: boolean;
 }
 
 /** Time between two reads of the host list, in ms; half of it is random. */
@@ -88,8 +83,8 @@
   }
 
   private async readList(): Promise<Result<DomainHosts, Failure>> {
-    const { domain, hostList, scoped } = this.options;
-    if (scoped === true && hostList.readDomain !== undefined) return hostList.readDomain(domain);
+    const { domain, hostList } = this.options;
+    if (hostList.readDomain !== undefined) return hostList.readDomain(domain);
     const read = await hostList.read();
     return read.map((hosts) => ({
       hosts,
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -46,7 +46,7 @@
 const wireDomain = (options: NodeOptions) => {
   const { clock, random, telemetry, network, address, domain, name } = options;
   const store = CountedStore.create(options.store, telemetry);
-  const hosts = HostTask.create({ ...options, clock, random, telemetry, scoped: true });
+  const hosts = HostTask.create({ ...options, clock, random, telemetry });
   const holder = BundleHolder.create(options.trusted, options.protections?.bundle);
   const reader = BundleReader.create(store, holder);
   let exchange: BundleExchange | undefined;
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -3,6 +3,7 @@
 import { RouteTable, serviceOf } from '@currantdrift/routes';
 import { ClientExchange } from './client-exchange';
 import { type ClientRequest, endOf } from './client-request';
+import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type Ending, ForwardRun } from './forward-run';
 
@@ -29,12 +30,17 @@
     const arrivedAt = this.context.clock.now();
     const client = ClientExchange.create(request, response);
     this.open += 1;
-    const ending = await this.serve(client, arrivedAt);
+    const fields = this.context.protocol.requestFields(request.headers);
+    const ending = await this.serve(client, fields, arrivedAt);
     this.open -= 1;
-    this.report(client, ending, arrivedAt);
+    this.report(client, fields, ending, arrivedAt);
   }
 
-  private async serve(client: ClientExchange, arrivedAt: number): Promise<Ending> {
+  private async serve(
+    client: ClientExchange,
+    fields: RequestFields | undefined,
+    arrivedAt: number,
+  ): Promise<Ending> {
     const configuration = this.context.configuration();
     if (configuration === undefined) {
       const retryAfterMs = this.context.settings.defaultRetryAfterMs;
@@ -49,7 +55,6 @@
     if (route === undefined) {
       return this.refuse(client, 404, `no route in configuration ${configuration.version}`);
     }
-    const fields = this.context.protocol.requestFields(headers);
     if (fields === undefined) return this.refuse(client, 400, 'the request has no identifier');
     const service = serviceOf(route, fields.id);
     if (fields.model !== undefined) {
@@ -93,10 +98,14 @@
     return { outcome: 'refused', status, reason };
   }
 
-  private report(client: ClientExchange, ending: Ending, arrivedAt: number): void {
-    const { telemetry, protocol, clock } = this.context;
+  private report(
+    client: ClientExchange,
+    fields: RequestFields | undefined,
+    ending: Ending,
+    arrivedAt: number,
+  ): void {
+    const { telemetry, clock } = this.context;
     const elapsedMs = clock.now() - arrivedAt;
-    const fields = protocol.requestFields(client.request.headers);
     telemetry.count('currantdrift_requests_total', { kind: 'forward', outcome: ending.outcome });
     telemetry.observe('currantdrift_forward_seconds', elapsedMs / 1000, {
       outcome: ending.outcome,
--- a/packages/tooling/fakes/src/memory-prefix-store.ts
+++ b/packages/tooling/fakes/src/memory-prefix-store.ts
@@ -1,15 +1,11 @@
 import type { Change, Clock, Entry, Lease } from '@currantdrift/core';
-
-interface HeldLease {
-  readonly ttlMs: number;
-  endsAt: number;
-}
+import { LeaseTable } from './lease-table';
 
 /** Entries, leases and history that the handles of a prefix store share. */
 export class MemoryPrefixStore {
   private readonly entries = new Map<string, { entry: Entry; lease: string | undefined }>();
 
-  private readonly leases = new Map<string, HeldLease>();
+  private readonly leases: LeaseTable;
 
   private history: { readonly revision: number; readonly change: Change }[] = [];
 
@@ -17,7 +13,9 @@
 
   private count = 0;
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(clock: Clock) {
+    this.leases = LeaseTable.create(clock);
+  }
 
   static create(clock: Clock): MemoryPrefixStore {
     return new MemoryPrefixStore(clock);
@@ -71,22 +69,23 @@
   }
 
   grant(ttlMs: number): Lease {
-    const id = String(this.leases.size + 1);
-    this.leases.set(id, { ttlMs, endsAt: this.clock.now() + ttlMs });
-    return { id, ttlMs };
+    return this.leases.grant(ttlMs);
   }
 
+  /** Undefined if the lease has ended. */
   renew(id: string): Lease | undefined {
     this.expire();
-    const lease = this.leases.get(id);
-    if (lease === undefined) return undefined;
-    lease.endsAt = this.clock.now() + lease.ttlMs;
-    return { id, ttlMs: lease.ttlMs };
+    return this.leases.renew(id);
+  }
+
+  hasLease(id: string): boolean {
+    this.expire();
+    return this.leases.has(id);
   }
 
   /** Ends a lease, as its holder does, or as the store does when it turns the holder away. */
   revoke(id: string): void {
-    this.leases.delete(id);
+    this.leases.remove(id);
     [...this.entries.entries()]
       .filter(([, stored]) => stored.lease === id)
       .forEach(([key]) => this.write(key, undefined));
@@ -94,21 +93,15 @@
 
   /** Gives all leases more time, as when they pause while the store is away. */
   extendLeases(ms: number): void {
-    this.leases.forEach((held) => {
-      const lease = held;
-      lease.endsAt += ms;
-    });
+    this.leases.extend(ms);
   }
 
   /** Ends all leases at once. */
   revokeAll(): void {
-    [...this.leases.keys()].forEach((id) => this.revoke(id));
+    this.leases.ids().forEach((id) => this.revoke(id));
   }
 
   private expire(): void {
-    const now = this.clock.now();
-    [...this.leases.entries()]
-      .filter(([, { endsAt }]) => endsAt <= now)
-      .forEach(([id]) => this.revoke(id));
+    this.leases.ended().forEach((id) => this.revoke(id));
   }
 }
--- a/packages/tooling/fakes/src/memory-store.ts
+++ b/packages/tooling/fakes/src/memory-store.ts
@@ -1,9 +1,5 @@
 import type { Clock, Entry, Lease, Swap } from '@currantdrift/core';
-
-interface HeldLease {
-  readonly ttlMs: number;
-  readonly endsAt: number;
-}
+import { LeaseTable } from './lease-table';
 
 interface Stored {
   readonly entry: Entry;
@@ -17,18 +13,18 @@
 export class MemoryStore {
   private readonly entries = new Map<string, Stored>();
 
-  private readonly leases = new Map<string, HeldLease>();
+  private readonly leases: LeaseTable;
 
   private revision = 0;
 
-  private leaseCount = 0;
-
   private waiting = new Set<() => void>();
 
   /** Number of calls by kind, as the platform counts them. */
   readonly calls = new Map<string, number>();
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(clock: Clock) {
+    this.leases = LeaseTable.create(clock);
+  }
 
   static create(clock: Clock): MemoryStore {
     return new MemoryStore(clock);
@@ -63,22 +59,17 @@
   }
 
   grant(ttlMs: number): Lease {
-    this.leaseCount += 1;
-    const id = `lease-${this.leaseCount}`;
-    this.leases.set(id, { ttlMs, endsAt: this.clock.now() + ttlMs });
-    return { id, ttlMs };
+    return this.leases.grant(ttlMs);
   }
 
+  /** Undefined if the lease has ended. */
   renew(id: string): Lease | undefined {
     this.expireLeases();
-    const lease = this.leases.get(id);
-    if (lease === undefined) return undefined;
-    this.leases.set(id, { ttlMs: lease.ttlMs, endsAt: this.clock.now() + lease.ttlMs });
-    return { id, ttlMs: lease.ttlMs };
+    return this.leases.renew(id);
   }
 
   revoke(id: string): void {
-    this.leases.delete(id);
+    this.leases.remove(id);
     [...this.entries.values()]
       .filter((stored) => stored.leaseId === id)
       .forEach((stored) => this.entries.delete(stored.entry.key));
@@ -97,9 +88,9 @@
     });
   }
 
-  private expireLeases(): void {
-    const now = this.clock.now();
-    [...this.leases].filter(([, lease]) => lease.endsAt <= now).forEach(([id]) => this.revoke(id));
+  /** Ends the leases whose time has passed, with their keys. */
+  expireLeases(): void {
+    this.leases.ended().forEach((id) => this.revoke(id));
   }
 
   private wakeWatchers(): void {
--- a/packages/tooling/fakes/src/prefix-store-handle.ts
+++ b/packages/tooling/fakes/src/prefix-store-handle.ts
@@ -23,6 +23,9 @@
   /** While true, calls arrive and their answers are lost. */
   deaf = false;
 
+  /** Calls by kind that were begun, also those that did not arrive. */
+  readonly calls = new Map<string, number>();
+
   private constructor(
     private readonly store: MemoryPrefixStore,
     private readonly clock: Clock,
@@ -46,6 +49,7 @@
     signal?: AbortSignal,
   ): Promise<Result<Changes, Failure>> {
     const endsAt = this.clock.now() + waitMs;
+    this.count('changes');
     for (;;) {
       if (this.cut || this.deaf) return this.lost('changes');
       const changes = this.store.since(prefix, revision);
@@ -87,11 +91,16 @@
   }
 
   private async call<T>(step: string, run: () => T): Promise<Result<T, Failure>> {
+    this.count(step);
     if (this.cut) return this.lost(step);
     const value = run();
     return this.deaf ? this.lost(step) : ok(value);
   }
 
+  private count(step: string): void {
+    this.calls.set(step, (this.calls.get(step) ?? 0) + 1);
+  }
+
   private async lost(step: string): Promise<Result<never, Failure>> {
     await this.clock.sleep(lostCallMs);
     return err(this.failure(step, FailureKind.unknown));
--- a/packages/tooling/standins/src/store-standin.ts
+++ b/packages/tooling/standins/src/store-standin.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type Entry, maxValueBytes } from '@currantdrift/core';
+import { type Entry, maxValueBytes, SystemClock } from '@currantdrift/core';
+import { MemoryStore, StoreHandle } from '@currantdrift/fakes';
 import { Hono } from 'hono';
 import { z } from 'zod';
 import { readBody } from './body';
@@ -13,7 +14,6 @@
   type StandinContext,
   StandinServer,
 } from './standin-server';
-import { StoreState } from './store-state';
 
 export const storeConfigSchema = z.strictObject({
   /** 0 takes a free port. */
@@ -41,11 +41,15 @@
 /** Longest wait of a watch, in ms. */
 const maxWaitMs = 300_000;
 
+const systemClock = SystemClock.create();
+
 const number = z.coerce.number().int().nonnegative();
 
 /** The platform's key-value service in memory. */
 export class StoreStandin implements Standin {
-  private readonly state = StoreState.create();
+  private readonly state = MemoryStore.create(systemClock);
+
+  private readonly watches = StoreHandle.create(this.state, systemClock);
 
   private readonly calls = new Map<string, number>();
 
@@ -73,7 +77,7 @@
 
   async listen(): Promise<string> {
     this.server = await StandinServer.listen(this.app(), this.config.port);
-    this.expiry = setInterval(() => this.state.expireLeases(Date.now()), 50);
+    this.expiry = setInterval(() => this.state.expireLeases(), 50);
     return this.server.address;
   }
 
@@ -167,7 +171,7 @@
   }
 
   private list(context: StandinContext): Response {
-    return context.json({ entries: this.state.list(context.req.query('prefix') ?? '') });
+    return context.json({ entries: this.state.keys(context.req.query('prefix') ?? '') });
   }
 
   private async watch(context: StandinContext): Promise<Response> {
@@ -178,8 +182,9 @@
       return refuse(context, 400, `key, revision or waitMs (at most ${maxWaitMs}) is missing`);
     }
     const { signal } = context.req.raw;
-    const entry = await this.state.watch(key, revision.data, waitMs.data, signal);
-    return this.entry(context, entry, 200);
+    const entry = await this.watches.watch(key, revision.data, waitMs.data, signal);
+    if (entry.isErr()) return refuse(context, 503, entry.error.message, 1000);
+    return this.entry(context, entry.value, 200);
   }
 
   private async swap(context: StandinContext): Promise<Response> {
@@ -203,11 +208,11 @@
   private async grant(context: StandinContext): Promise<Response> {
     const body = await readBody(context, z.object({ ttlMs: z.number().positive() }));
     if ('answer' in body) return body.answer;
-    return context.json(this.state.grant(body.value.ttlMs, Date.now()));
+    return context.json(this.state.grant(body.value.ttlMs));
   }
 
   private renew(context: StandinContext): Response {
-    const lease = this.state.renew(context.req.param('id') ?? '', Date.now());
+    const lease = this.state.renew(context.req.param('id') ?? '');
     return lease === undefined ? refuse(context, 410, 'the lease has ended') : context.json(lease);
   }
 
--- a/packages/version/placement/test/harness.ts
+++ b/packages/version/placement/test/harness.ts
@@ -1,6 +1,5 @@
 import {
   type Bundle,
-  type Clock,
   type DomainView,
   type Endpoint,
   type EndpointState,
@@ -12,7 +11,7 @@
   SeededRandom,
   type Store,
 } from '@currantdrift/core';
-import { FakeEngine, MemoryStore, StoreHandle, VirtualClock } from '@currantdrift/fakes';
+import { FakeEngine, MemoryStore, Process, StoreHandle, VirtualClock } from '@currantdrift/fakes';
 import { err, ok, type Result } from 'neverthrow';
 import { Controller, type ControllerOptions, FixedTtl, type Protections } from '../src';
 
@@ -39,68 +38,6 @@
   ...change,
 });
 
-/** Holds everything a process does while it is frozen, and ends what it does once it is dead. */
-export class Process {
-  private thawed: Promise<void> = Promise.resolve();
-
-  private release: () => void = () => {};
-
-  private isDead = false;
-
-  private isFrozen = false;
-
-  constructor(private readonly inner: Clock) {}
-
-  get dead(): boolean {
-    return this.isDead;
-  }
-
-  freeze(): void {
-    if (this.isFrozen) return;
-    this.isFrozen = true;
-    this.thawed = new Promise((resolve) => {
-      this.release = resolve;
-    });
-  }
-
-  thaw(): void {
-    if (this.isDead) return;
-    this.isFrozen = false;
-    this.release();
-  }
-
-  kill(): void {
-    this.isDead = true;
-    this.freeze();
-  }
-
-  /** Runs a call of the process; both its start and its return wait while the process is frozen. */
-  async gate<T>(call: () => Promise<T>): Promise<T> {
-    await this.thawed;
-    const result = await call();
-    await this.thawed;
-    return result;
-  }
-
-  get clock(): Clock {
-    return {
-      now: () => this.inner.now(),
-      sleep: (ms, signal) => this.gate(() => this.inner.sleep(ms, signal)),
-    };
-  }
-
-  wrap<T extends object>(target: T): T {
-    return new Proxy(target, {
-      get: (object, name) => {
-        const value: unknown = Reflect.get(object, name, object);
-        if (typeof value !== 'function') return value;
-        return (...input: unknown[]) =>
-          this.gate(() => Promise.resolve(Reflect.apply(value, object, input) as unknown));
-      },
-    });
-  }
-}
-
 export interface Member {
   readonly process: Process;
   readonly store: StoreHandle;
@@ -152,7 +89,7 @@
       ...this.hosts.filter((host) => host.name !== name),
       this.host(name, 'daemon', false, incarnation),
     ];
-    const process = new Process(this.clock);
+    const process = Process.create(this.clock);
     const store = StoreHandle.create(this.memory, this.clock);
     this.seed += 1;
     const controller = Controller.create({
--- a/packages/version/placement/test/histories.ts
+++ b/packages/version/placement/test/histories.ts
@@ -66,7 +66,7 @@
   };
   const wake = () =>
     members.forEach(({ controller, process }) => {
-      if (process.dead) return;
+      if (process.isDead) return;
       const item = names[int(names.length)];
       controller.touch(item, world.clock.now());
       controller.wake(item, world.clock.now() + 2_000 + int(30_000)).catch(() => {});
@@ -88,15 +88,15 @@
     wake,
     () => {
       const { process } = members[int(2)];
-      if (process.dead) return;
-      process.freeze();
+      if (process.isDead) return;
+      process.pause();
       later(500 + int(20_000), () => {
-        if (!process.dead) process.thaw();
+        if (!process.isDead) process.resume();
       });
     },
     () => {
       const index = int(2);
-      if (!members[index].process.dead && random.next() < 0.4) replace(index);
+      if (!members[index].process.isDead && random.next() < 0.4) replace(index);
     },
     () => {
       const { faults } = members[int(2)].store;
--- a/packages/version/placement/test/takeover.test.ts
+++ b/packages/version/placement/test/takeover.test.ts
@@ -51,7 +51,7 @@
   const lost = first.controller.wake(item, world.clock.now() + 60_000);
   lost.catch(() => {});
   await world.clock.advance(150);
-  process.freeze();
+  process.pause();
   world.addEngine('e2', { fencing: false });
   const { controller } = world.addController('d2', { keepWarm: FixedTtl.create(5_000) });
   await world.clock.advance(20_000);
@@ -59,7 +59,7 @@
   const blocked = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
   expect(blocked._unsafeUnwrapErr().kind).toBe('no_allotment');
   store.faults.latencyMs = 0;
-  process.thaw();
+  process.resume();
   await world.clock.advance(60_000);
   const woken = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
   expect(woken.isOk()).toBe(true);
