Say how to make key files that the settings name

Cause: the settings of the examples name key files that a fresh clone does not have, and the check answered "expected a public key in PEM".

--- a/packages/process/cli/src/files.ts
+++ b/packages/process/cli/src/files.ts
@@ -1,4 +1,5 @@
-import { readFileSync, writeFileSync } from 'node:fs';
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { dirname } from 'node:path';
 import {
   describeMistake,
   parseBundle,
@@ -22,9 +23,12 @@
   (error) => failed(messageOf(error)),
 );
 
-/** Writes a new file; an existing one is an error. `mode` is its permission bits. */
+/** Writes a new file, and its folder if need be; an existing file is an error. `mode` is its permission bits. */
 export const writeNew = Result.fromThrowable(
-  (file: string, text: string, mode: number) => writeFileSync(file, text, { mode, flag: 'wx' }),
+  (file: string, text: string, mode: number) => {
+    mkdirSync(dirname(file), { recursive: true });
+    writeFileSync(file, text, { mode, flag: 'wx' });
+  },
   (error) => failed(messageOf(error)),
 );
 
--- a/packages/process/settings/src/settings.ts
+++ b/packages/process/settings/src/settings.ts
@@ -88,6 +88,20 @@
   logs: z.string().default('currantdrift:*'),
 });
 
+/** What is wrong with a trusted key; a name still standing here is of a file that was not read. */
+const keyMistake = (key: unknown): string => {
+  if (typeof key !== 'string' || !key.endsWith('.pem')) return 'expected a public key in PEM';
+  const pair = key.replace(/(\.pub)?\.pem$/, '');
+  return (
+    'the file does not exist or cannot be read; ' +
+    `"currantdrift keys generate ${pair}" makes it, run in the folder of the settings`
+  );
+};
+
+const publicKey = z
+  .string()
+  .includes('BEGIN PUBLIC KEY', { error: ({ input }) => keyMistake(input) });
+
 /** Schema of a daemon's settings file. */
 export const settingsSchema = z.strictObject({
   name,
@@ -103,7 +117,7 @@
    * text, or the name of a `.pem` file relative to the settings file.
    */
   trustedKeys: z
-    .record(name, z.string().includes('BEGIN PUBLIC KEY', 'expected a public key in PEM'))
+    .record(name, publicKey)
     .refine((keys) => Object.keys(keys).length >= 2, 'expected the keys of two or more operators'),
   prices,
   weights: weights.prefault({}),
--- a/packages/process/settings/test/settings.test.ts
+++ b/packages/process/settings/test/settings.test.ts
@@ -38,3 +38,10 @@
   const failure = readSettings('/nonexistent/settings.json')._unsafeUnwrapErr();
   expect(failure).toMatchObject({ kind: 'unreadable', file: '/nonexistent/settings.json' });
 });
+
+// Guards against a key file that does not exist being reported as a malformed key.
+test('says how to make a key file that does not exist', () => {
+  const trustedKeys = { nino: '../keys/nino.pub.pem', dato: 'no key' };
+  const mistakes = checkSettings({ ...document, trustedKeys })._unsafeUnwrapErr();
+  expect(mistakes.map(describeMistake)).toMatchSnapshot();
+});
