--- a/jest.config.js
+++ b/jest.config.js
@@ -18,8 +18,6 @@
   testEnvironment: 'node',
   // Virtual time makes tests independent of the clock; the limit only ends a test that hangs.
   testTimeout: 60_000,
-  // A worker that is slow to end on a busy machine kept a finished run open for minutes.
-  forceExit: true,
   // The process tests start a dozen processes beside the workers.
   maxWorkers: '50%',
   testMatch: [
