Plan from an index of the fleet

Cause: on the grown deployments (530 models, 63 engines) each plan looked for the holders and copies of every model in every engine again, for each model and each engine; the controller was busy for longer than its term lasts.

Change: FleetIndex, made once for each list of engines, knows holders, copies, loads and requests in flight by model; the ways to load are worked out once for each plan; the plan ends at the first step found. plan.ts is split by decision. No decision changes; its 18 tests are unchanged.

--- a/packages/version/residency/src/estimate.ts
+++ b/packages/version/residency/src/estimate.ts
@@ -1,5 +1,6 @@
-import { type EngineView, holdsModel } from './engine-view';
-import { neededModels, readyByCopy, type Situation } from './plan';
+import type { EngineView } from './engine-view';
+import { neededModels, readyByCopy } from './needed-models';
+import { fleetOf, type Situation } from './situation';
 
 /** Time that a load is expected to take still once it is overdue, in ms. */
 const overdueLoadMs = 300;
@@ -22,7 +23,7 @@
   const { engines, pool, settings } = situation;
   const model = pool.models.get(name);
   if (model === undefined) return undefined;
-  const replicas = engines.filter((engine) => !engine.leaving && holdsModel(engine, name));
+  const replicas = fleetOf(situation).replicas(name);
   if (replicas.length > 0) return adapter === undefined ? 0 : adapterReadyIn(replicas, now);
   const loading = engines.find(
     ({ operation }) => operation?.kind === 'load' && operation.model === name,
--- a/packages/version/residency/src/index.ts
+++ b/packages/version/residency/src/index.ts
@@ -8,14 +8,14 @@
   sourceOf,
 } from './engine-view';
 export { readyIn } from './estimate';
+export { planAdapter } from './plan-adapter';
+export { planLoad } from './plan-load';
+export { defaultResidencySettings, type ResidencySettings } from './residency-settings';
 export {
   type AdapterStep,
   LoadReason,
   type LoadStep,
-  planAdapter,
-  planLoad,
   type Situation,
   type Step,
-  targetReplicas,
-} from './plan';
-export { defaultResidencySettings, type ResidencySettings } from './residency-settings';
+} from './situation';
+export { targetReplicas } from './target-replicas';
