--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -5,7 +5,7 @@
 import { WebSocketNetwork } from '@currantdrift/peer';
 import { HttpHostList, HttpStore } from '@currantdrift/platform';
 import type { Settings } from '@currantdrift/settings';
-import { enableLogs, ProcessTelemetry } from '@currantdrift/telemetry';
+import { enableLogs, ProcessTelemetry, SpanTracer } from '@currantdrift/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { CallersInterface } from '../request/callers';
 import { HttpServer, type ListenFailure } from './http-server';
@@ -75,7 +75,7 @@
     const telemetry = ProcessTelemetry.create({
       clock,
       common: { host: settings.name, domain: settings.domain },
-      traces: settings.telemetry.traces,
+      tracer: SpanTracer.create(settings.telemetry.traces),
     });
     const node = createNode(settings, trusted.value, clock, telemetry);
     const callers = CallersInterface.create({
--- /dev/null
+++ b/packages/process/gateway/src/connection/endpoint-clients.ts
@@ -0,0 +1,28 @@
+import { defaultForwardSettings } from '@currantdrift/forward';
+import type { EndpointRecord } from '@currantdrift/fleet';
+import { HttpClient } from '@currantdrift/http';
+
+/** One HTTP client for each address of an endpoint. */
+export class EndpointClients {
+  private readonly clients = new Map<string, HttpClient>();
+
+  private constructor() {}
+
+  static create(): EndpointClients {
+    return new EndpointClients();
+  }
+
+  of({ address }: EndpointRecord): HttpClient {
+    const found = this.clients.get(address);
+    if (found !== undefined) return found;
+    const { connectTimeoutMs, highWaterBytes, maxAnswerBytes } = defaultForwardSettings;
+    const client = HttpClient.create(address, address, {
+      connectTimeoutMs,
+      highWaterBytes,
+      maxAnswerBytes,
+      singleUse: true,
+    });
+    this.clients.set(address, client);
+    return client;
+  }
+}
--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -7,6 +7,7 @@
   usage: 'gateway.usage',
   inventory: 'gateway.inventory',
   resigned: 'gateway.resigned',
+  feed: 'gateway.feed',
 } as const;
 
 const optionalText = z
@@ -62,6 +63,12 @@
 export const inventorySchema = z.object({
   kind: z.literal(PeerKind.inventory),
   fence: z.number(),
+  /** Rises with each announcement of one fence. */
+  number: z.number(),
+  /** Whether the receiver passes it on to the members of its failure domain. */
+  passOn: z.boolean(),
+  /** Requests in flight at each engine, over all members; empty if nothing new is known. */
+  loads: z.array(z.object({ endpoint: z.string(), inFlight: z.number() })),
   inventories: z.array(
     z.object({
       endpoint: z.string(),
@@ -71,6 +78,37 @@
   ),
 });
 
+export type InventoryMessage = z.infer<typeof inventorySchema>;
+
+const changeSchema = z.union([
+  z.object({
+    kind: z.literal('put'),
+    entry: z.object({
+      key: z.string(),
+      value: z.instanceof(Uint8Array),
+      revision: z.number(),
+    }),
+  }),
+  z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
+]);
+
+/** What a watcher read from the store; sent to the members of its failure domain. */
+export const feedSchema = z.object({
+  kind: z.literal(PeerKind.feed),
+  host: z.string(),
+  /** Age of the last sign that the store answers, in ms. */
+  contactAgeMs: z.number(),
+  batches: z.array(
+    z.object({
+      prefix: z.string(),
+      after: z.number(),
+      revision: z.number(),
+      changes: z.array(changeSchema),
+    }),
+  ),
+});
+export type FeedMessage = z.infer<typeof feedSchema>;
+
 /** Last message of a controller. */
 export const resignedSchema = z.object({
   kind: z.literal(PeerKind.resigned),
--- /dev/null
+++ b/packages/process/gateway/src/process/announcements.ts
@@ -0,0 +1,116 @@
+import type { Clock } from '@currantdrift/core';
+import type { EndpointDirectory, Inventory } from '@currantdrift/fleet';
+import type { EndpointLoad } from '@currantdrift/routing';
+import { type InventoryMessage, PeerKind } from '../connection/peer-messages';
+import type { Member, Members } from '../version/members';
+
+/** Size of another failure domain up to which the controller tells each of its members itself. */
+const maxDirectMembers = 3;
+
+export interface AnnouncementsOptions {
+  readonly clock: Clock;
+  readonly self: Member;
+  readonly members: Members;
+  readonly directory: EndpointDirectory;
+  /** Takes the requests in flight at engines, over all members. */
+  readonly onLoads: (loads: readonly EndpointLoad[]) => void;
+  /** Whether a member has lately reported to this process, the controller. */
+  readonly isHeard: (host: string) => boolean;
+  readonly send: (address: string, message: InventoryMessage) => void;
+}
+
+const groupByDomain = (members: readonly Member[]): Map<string, Member[]> => {
+  const groups = new Map<string, Member[]>();
+  members.forEach((member) =>
+    groups.set(member.domain, [...(groups.get(member.domain) ?? []), member]),
+  );
+  return groups;
+};
+
+/**
+ * What the controller says of the engines, on its way to all members. In another failure domain, if it
+ * is large, only a watcher hears it from the controller and passes it on.
+ */
+export class Announcements {
+  /** Highest fencing token of a controller that was heard. */
+  private fence = 0;
+
+  private sent = 0;
+
+  /** Number of the newest announcement about each engine under that token. */
+  private readonly numbers = new Map<string, number>();
+
+  private constructor(private readonly options: AnnouncementsOptions) {}
+
+  static create(options: AnnouncementsOptions): Announcements {
+    return new Announcements(options);
+  }
+
+  /** Ignores controllers before the one of this process's own term. */
+  begin(fence: number): void {
+    this.follow(fence);
+  }
+
+  /** Sends what engines serve to all members, and takes it over here. */
+  announce(fence: number, inventories: readonly Inventory[], loads: readonly EndpointLoad[]): void {
+    this.follow(fence);
+    this.sent += 1;
+    const message = {
+      kind: PeerKind.inventory,
+      fence,
+      number: this.sent,
+      inventories: inventories as InventoryMessage['inventories'],
+      loads: [...loads],
+    };
+    this.options.directory.applyInventories(inventories, this.options.clock.now());
+    this.options.onLoads(loads);
+    groupByDomain(this.others()).forEach((group, domain) => {
+      const isLarge = domain !== this.options.self.domain && group.length > maxDirectMembers;
+      const targets = isLarge ? this.relaysOf(domain) : group;
+      this.tell(targets, { ...message, passOn: isLarge });
+    });
+  }
+
+  /** Takes what a controller says, from itself or through a watcher. */
+  heard(message: InventoryMessage): void {
+    const { clock, directory, onLoads, self } = this.options;
+    if (message.fence < this.fence) return;
+    this.follow(message.fence);
+    const { number } = message;
+    const current = message.inventories.filter(
+      ({ endpoint }) => number >= (this.numbers.get(endpoint) ?? 0),
+    );
+    current.forEach(({ endpoint }) => this.numbers.set(endpoint, number));
+    directory.applyInventories(current, clock.now());
+    onLoads(message.loads);
+    if (!message.passOn) return;
+    const near = this.others().filter(({ domain }) => domain === self.domain);
+    this.tell(near, { ...message, passOn: false });
+  }
+
+  /** The first watcher that has lately reported; all of them if none has. */
+  private relaysOf(domain: string): readonly Member[] {
+    const { members, isHeard } = this.options;
+    const watchers = members.watchersOf(domain);
+    const heard = watchers.find(({ host }) => isHeard(host));
+    return heard === undefined ? watchers : [heard];
+  }
+
+  private follow(fence: number): void {
+    if (fence <= this.fence) return;
+    this.fence = fence;
+    this.numbers.clear();
+  }
+
+  private others(): Member[] {
+    const { members, self } = this.options;
+    return members.all().filter(({ host }) => host !== self.host);
+  }
+
+  private tell(targets: readonly Member[], message: InventoryMessage): void {
+    const { self, send } = this.options;
+    targets
+      .filter(({ host }) => host !== self.host)
+      .forEach(({ address }) => send(address, message));
+  }
+}
--- a/packages/process/gateway/src/process/controller-term.ts
+++ b/packages/process/gateway/src/process/controller-term.ts
@@ -20,6 +20,9 @@
 const rankPauseMs = 150;
 const pollMs = 100;
 
+/** Longest pause between two looks while another process is the controller, in ms. */
+const maxIdleMs = 2_000;
+
 /** Age of a process up to which it may be part of the deployment's first start, in ms. */
 const firstStartMs = 10_000;
 
@@ -157,7 +160,7 @@
     if (members.controller !== undefined) {
       this.lastFence = Math.max(this.lastFence, members.controller.fence);
       this.absentSince = undefined;
-      await clock.sleep(pollMs, signal);
+      await this.controllerChanged(signal);
       return;
     }
     this.absentSince ??= now;
@@ -169,6 +172,14 @@
     if (!(await this.take())) await clock.sleep(pollMs, signal);
   }
 
+  /** Waits until another process is the controller, or none is. */
+  private async controllerChanged(signal: AbortSignal): Promise<void> {
+    const done = new AbortController();
+    const stopListening = this.options.members.onController(() => done.abort());
+    await this.options.clock.sleep(maxIdleMs, AbortSignal.any([signal, done.signal]));
+    stopListening();
+  }
+
   /**
    * Tries to create the key, or to replace its own one of revision `from`; true if this process holds
    * it then.
--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -4,6 +4,7 @@
 import {
   adapterKey,
   Demand,
+  type EngineView,
   planAdapter,
   planLoad,
   readyIn,
@@ -11,6 +12,7 @@
   type Situation,
 } from '@currantdrift/residency';
 import type { Configuration, Service } from '@currantdrift/routes';
+import type { EndpointLoad } from '@currantdrift/routing';
 import type { EngineControl } from '../connection/engine-control';
 import type { UsageMessage, WantAnswer } from '../connection/peer-messages';
 import type { Term } from './controller-term';
@@ -19,9 +21,25 @@
 /** Pause between two plans when nothing asks for one earlier, in ms. */
 const planMs = 100;
 
+/** Shortest pause between two plans, in ms, and as a multiple of the time that the last one took. */
+const minPlanPauseMs = 10;
+const planRestRatio = 4;
+
+/** Age up to which the state of the engines is used for another estimate, in ms. */
+const viewLifetimeMs = 25;
+
 /** Time after which what engines serve is announced again without a change, in ms. */
 const announceMs = 2_000;
 
+/** Shortest pause between two announcements, in ms. */
+const minAnnouncePauseMs = 100;
+
+/** Pause between two announcements of the requests in flight, in ms. */
+const loadsMs = 300;
+
+/** Age of a member's last report up to which it counts as heard, in ms. */
+const heardMs = 1_500;
+
 /** Age of a usage report from which its requests in flight no longer count, in ms. */
 const usageLifetimeMs = 5_000;
 
@@ -38,7 +56,11 @@
   readonly holder: string;
   readonly mayOrder: () => boolean;
   /** Sends what engines serve to all daemons. */
-  readonly announce: (fence: number, inventories: readonly Inventory[]) => void;
+  readonly announce: (
+    fence: number,
+    inventories: readonly Inventory[],
+    loads: readonly EndpointLoad[],
+  ) => void;
 }
 
 /** Decides and orders, for one term, which engines hold which models. */
@@ -55,8 +77,19 @@
 
   private wake: (() => void) | undefined;
 
+  /** Whether something has changed since the last plan. */
+  private isDue = false;
+
   private announcedAt = -Infinity;
 
+  private wholeAt = -Infinity;
+
+  private loadsAt = -Infinity;
+
+  private views:
+    | { readonly at: number; readonly engines: ReadonlyMap<string, readonly EngineView[]> }
+    | undefined;
+
   private constructor(
     private readonly options: ControllerOptions,
     private readonly term: Term,
@@ -72,10 +105,12 @@
 
   /** Plans until the term ends. */
   async run(): Promise<void> {
-    const stopListening = this.options.directory.onChange(() => this.wake?.());
+    const stopListening = this.options.directory.onChange(() => this.changed());
+    const { clock } = this.options;
     while (!this.stopped.signal.aborted) {
-      this.tick(this.options.clock.now());
-      await this.pause();
+      const startedAt = clock.now();
+      this.tick(startedAt);
+      await this.pause(clock.now() - startedAt);
     }
     stopListening();
   }
@@ -97,7 +132,7 @@
   want(want: ModelWant): WantAnswer {
     const { clock, settings } = this.options;
     const now = clock.now();
-    const situation = this.situation(want.service, this.inFlight(now), now);
+    const situation = this.situation(want.service, now);
     if (situation === undefined) {
       return { kind: 'refused', reason: 'the service is not known', retryAfterMs: 1000 };
     }
@@ -120,6 +155,7 @@
       seenAt: now,
       refused,
     });
+    this.isDue = true;
     this.wake?.();
     if (!refused) return { kind: 'expected', readyInMs };
     const reason = `${want.model} cannot be ready before ${Math.round(readyInMs)} ms`;
@@ -158,13 +194,33 @@
     });
   }
 
-  private async pause(): Promise<void> {
+  /** Whether a member has reported lately. */
+  isHeard(host: string): boolean {
+    const report = this.usage.get(host);
+    return report !== undefined && this.options.clock.now() - report.at < heardMs;
+  }
+
+  /** Waits for the next plan; what comes during the rest after the last one is planned together. */
+  private async pause(tookMs: number): Promise<void> {
+    const { clock } = this.options;
+    const restMs = Math.min(planMs, Math.max(minPlanPauseMs, tookMs * planRestRatio));
+    await clock.sleep(restMs);
+    if (this.isDue) {
+      this.isDue = false;
+      return;
+    }
     const done = new AbortController();
     this.wake = () => done.abort(null);
-    await this.options.clock.sleep(planMs, done.signal);
+    await clock.sleep(planMs - restMs, done.signal);
     this.wake = undefined;
-    // Several reasons to plan often come together.
-    await this.options.clock.sleep(1);
+    this.isDue = false;
+  }
+
+  /** Asks for a plan. */
+  private changed(): void {
+    this.views = undefined;
+    this.isDue = true;
+    this.wake?.();
   }
 
   private tick(now: number): void {
@@ -212,30 +268,40 @@
       fence: this.term.fence,
       mayOrder,
       quietUntil,
-      onChange: () => this.wake?.(),
+      onChange: () => this.changed(),
     });
     this.lines.set(record.id, created);
     created.start();
   }
 
-  private situation(
-    service: string,
-    inFlight: ReadonlyMap<string, ReadonlyMap<string, number>>,
-    now: number,
-  ): Situation | undefined {
+  private situation(service: string, now: number): Situation | undefined {
     const pool = this.options.configuration()?.services.get(service)?.engines;
     if (pool === undefined) return undefined;
-    const views = [...this.lines.entries()].map(([id, line]) =>
-      line.view(inFlight.get(id) ?? new Map(), now),
-    );
-    const engines = views.filter((view) => view.service === service);
-    const remoteLoads = views.filter(({ operation }) => operation?.remote === true).length;
+    const all = this.engineViews(now);
+    const engines = all.get(service) ?? [];
+    const remoteLoads = [...all.values()]
+      .flat()
+      .filter(({ operation }) => operation?.remote === true).length;
     const { demand } = this;
     const beforeDemand = this.term.isFirst && demand.isIdle(now);
     const { settings } = this.options;
     return { service, pool, engines, demand, remoteLoads, beforeDemand, settings };
   }
 
+  /** The engines by service, as they are or were a moment ago. */
+  private engineViews(now: number): ReadonlyMap<string, readonly EngineView[]> {
+    const { views } = this;
+    if (views !== undefined && now - views.at < viewLifetimeMs) return views.engines;
+    const inFlight = this.inFlight(now);
+    const engines = new Map<string, EngineView[]>();
+    this.lines.forEach((line, id) => {
+      const view = line.view(inFlight.get(id) ?? new Map(), now);
+      engines.set(view.service, [...(engines.get(view.service) ?? []), view]);
+    });
+    this.views = { at: now, engines };
+    return engines;
+  }
+
   private inFlight(now: number): Map<string, Map<string, number>> {
     const byEngine = new Map<string, Map<string, number>>();
     this.usage.forEach(({ message, at }, host) => {
@@ -256,33 +322,60 @@
   }
 
   private plan(service: string, now: number): void {
-    const inFlight = this.inFlight(now);
+    this.views = undefined;
     for (let steps = 0; steps < maxSteps; steps += 1) {
-      const situation = this.situation(service, inFlight, now);
+      const situation = this.situation(service, now);
       const step = situation && planLoad(situation, now);
       if (step === undefined) break;
       this.lines.get(step.engine)?.load(step);
+      this.views = undefined;
     }
     for (let steps = 0; steps < maxSteps; steps += 1) {
-      const situation = this.situation(service, inFlight, now);
+      const situation = this.situation(service, now);
       const step = situation && planAdapter(situation, now);
       if (step === undefined) break;
       this.lines.get(step.engine)?.adapter(step);
+      this.views = undefined;
     }
   }
 
+  /** Tells all members what has changed; changes that come together are told together. */
   private announceChanges(now: number): void {
-    const all: Inventory[] = [...this.lines.entries()]
+    if (now - this.announcedAt < minAnnouncePauseMs) return;
+    const inventories = this.changedInventories(now);
+    const loads = this.currentLoads(now);
+    if (inventories.length === 0 && loads.length === 0) return;
+    this.announcedAt = now;
+    this.options.announce(this.term.fence, inventories, loads);
+  }
+
+  /** What engines serve, if it has changed; from time to time of all. */
+  private changedInventories(now: number): Inventory[] {
+    const whole = now - this.wholeAt >= announceMs;
+    if (whole) this.wholeAt = now;
+    return [...this.lines.entries()]
       .filter(([, line]) => line.isReady)
-      .map(([endpoint, line]) => ({ endpoint, bornAt: line.bornAt, models: line.served }));
-    const whole = now - this.announcedAt >= announceMs;
-    const changed = all.filter((inventory) => {
-      const text = JSON.stringify(inventory);
-      const isNew = this.announced.get(inventory.endpoint) !== text;
-      this.announced.set(inventory.endpoint, text);
-      return isNew || whole;
+      .map(([endpoint, line]) => ({ endpoint, bornAt: line.bornAt, models: line.served }))
+      .filter((inventory) => {
+        const text = JSON.stringify(inventory);
+        const isNew = this.announced.get(inventory.endpoint) !== text;
+        this.announced.set(inventory.endpoint, text);
+        return isNew || whole;
+      });
+  }
+
+  /** Requests in flight at each engine, from time to time. */
+  private currentLoads(now: number): EndpointLoad[] {
+    if (now - this.loadsAt < loadsMs) return [];
+    this.loadsAt = now;
+    const counts = new Map([...this.lines.keys()].map((id) => [id, 0]));
+    this.usage.forEach(({ message, at }) => {
+      if (now - at > usageLifetimeMs) return;
+      message.flights.forEach(({ endpoint, count }) => {
+        const before = counts.get(endpoint);
+        if (before !== undefined) counts.set(endpoint, before + count);
+      });
     });
-    if (whole) this.announcedAt = now;
-    if (changed.length > 0) this.options.announce(this.term.fence, changed);
+    return [...counts].map(([endpoint, inFlight]) => ({ endpoint, inFlight }));
   }
 }
--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -3,6 +3,8 @@
   /** Name of the host; unique in the deployment. */
   readonly host: string;
   readonly domain: string;
+  /** Processor time that the process may use, in cores. */
+  readonly processors: number;
   /** Region of each failure domain. */
   readonly regions: ReadonlyMap<string, string>;
   /** `ip:port` for clients, readiness checks, peers and metrics. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -1,27 +1,27 @@
+import { setMaxListeners } from 'node:events';
 import {
   type Clock,
   type PrefixStore,
-  rendezvousOrder,
   SilentTelemetry,
   SteadyClock,
   SystemRandom,
   type Telemetry,
 } from '@currantdrift/core';
-import { RetryBudget } from '@currantdrift/attempt';
-import { EndpointDirectory, type EndpointRecord, type Inventory } from '@currantdrift/fleet';
+import { EndpointDirectory } from '@currantdrift/fleet';
 import {
   defaultForwardSettings,
   type EndpointProtocol,
   Forwarder,
   ModelUsage,
 } from '@currantdrift/forward';
-import { HttpClient } from '@currantdrift/http';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultResidencySettings } from '@currantdrift/residency';
 import { PredictedChoice } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
+import { EndpointClients } from '../connection/endpoint-clients';
 import type { EngineControl } from '../connection/engine-control';
 import {
+  feedSchema,
   inventorySchema,
   parseMessage,
   PeerKind,
@@ -29,9 +29,11 @@
   usageSchema,
   wantSchema,
 } from '../connection/peer-messages';
+import { dutyOrder } from '../version/duty-order';
 import { type ConfigurationDecoder, ConfigurationHolder } from '../version/configuration-holder';
 import { type EndpointDecoder, EndpointFollower } from '../version/endpoint-follower';
 import { type Member, Members, ownPrefix } from '../version/members';
+import { Announcements } from './announcements';
 import { Controller } from './controller';
 import { ControllerTerm, type Term } from './controller-term';
 import { FrontServer, type ListenFailure } from './front-server';
@@ -39,7 +41,10 @@
 import { ModelRequests } from './model-requests';
 import { PrefixFollower } from './prefix-follower';
 import { Registration } from './registration';
+import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
+import { StoreFeed } from './store-feed';
+import { UsageReports } from './usage-reports';
 
 /** What a gateway needs to know of the platform that it runs on. */
 export interface GatewayPlatform {
@@ -65,18 +70,11 @@
 /** Times of a message to a domain and back, in ms. */
 const roundTripMs = { sameDomain: 0.5, sameRegion: 3, otherRegion: 17 } as const;
 
-/** Pause between two waits for changes of endpoints and of the rest, in ms. */
-const endpointPauseMs = 250;
-const pauseMs = 20;
+/** Pause between two waits for changes, in ms; changes in between come together. */
+const followPauseMs = 250;
 
-/** Pause between two usage reports to the controller, in ms. */
-const usageMs = 250;
-
-/** Part of the shared retry budget that may be used at once. */
-const burstShare = 0.4;
-
-/** Part of the shared retry budget that is granted over a window. */
-const refillShare = 0.4;
+/** Pause between two looks for endpoints that are gone, in ms. */
+const retainMs = 1_000;
 
 /**
  * Time from the end of readiness, in ms, after which no new request is taken: the balancer has
@@ -95,13 +93,11 @@
 
   private readonly directory = EndpointDirectory.create();
 
-  private readonly choice = PredictedChoice.create();
+  private readonly choice: PredictedChoice;
 
   private readonly usage = ModelUsage.create();
 
-  private readonly clients = new Map<string, HttpClient>();
-
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly clients = EndpointClients.create();
 
   private readonly stopped = new AbortController();
 
@@ -123,17 +119,22 @@
 
   private readonly registration: Registration;
 
-  private controller: Controller | undefined;
+  private readonly feed: StoreFeed;
+
+  private readonly announcements: Announcements;
 
-  /** Highest fencing token of a controller that announced what engines serve. */
-  private announcedFence = 0;
+  private controller: Controller | undefined;
 
   private stopping = false;
 
   private constructor(private readonly options: GatewayOptions) {
     const { settings, platform, telemetry } = options;
-    this.self = { host: settings.host, address: settings.peerAddress };
-    this.members = Members.create(telemetry, () => {});
+    // Every request that waits listens to these.
+    setMaxListeners(0, this.stopped.signal, this.closing.signal);
+    const { host, peerAddress: address, domain, processors } = settings;
+    this.self = { host, address, domain, processors };
+    this.members = Members.create(telemetry);
+    this.choice = PredictedChoice.create(SystemRandom.create(), () => this.members.all().length);
     this.holder = ConfigurationHolder.create(
       platform.configurationKey,
       platform.decodeConfiguration,
@@ -146,13 +147,32 @@
       address: settings.peerAddress,
       telemetry: SilentTelemetry.create(),
     });
+    const { clock, self, members, directory } = this;
+    const send = this.peers.notify.bind(this.peers);
+    this.feed = StoreFeed.create({ clock, telemetry, self, members, send });
+    this.announcements = Announcements.create({
+      clock,
+      self,
+      members,
+      directory,
+      send,
+      onLoads: (loads) => this.choice.stateFleet(loads, clock.now()),
+      isHeard: (member) => this.controller?.isHeard(member) ?? false,
+    });
     this.forwarder = this.createForwarder();
     this.front = FrontServer.create(
       (request, response) => this.forwarder.handle(request, response),
       (error) => telemetry.log('request.error', { reason: String(error) }),
     );
     this.term = this.createTerm();
-    this.registration = Registration.create(platform.store, this.clock, telemetry, this.self);
+    this.registration = Registration.create({
+      store: platform.store,
+      clock,
+      telemetry,
+      member: self,
+      isWatcher: () => this.feed.isWatcher(),
+      onConfirmed: (sentAt) => this.feed.confirmed(sentAt),
+    });
   }
 
   static create(options: GatewayOptions): Gateway {
@@ -188,7 +208,7 @@
     this.front.beginStop();
     this.stopped.abort();
     telemetry.log('stop', { openRequests: this.forwarder.openRequests });
-    this.registration.leave().catch(() => {});
+    this.background(this.registration.leave());
     const endsAt = startedAt + settings.graceMs - exitMarginMs;
     while (this.clock.now() < endsAt) {
       if (this.clock.now() - startedAt >= intakeMs) {
@@ -212,7 +232,8 @@
   }
 
   private createForwarder(): Forwarder {
-    const { platform, telemetry } = this.options;
+    const { platform, settings, telemetry } = this.options;
+    const budgets = RetryBudgets.create(settings, () => this.members.all().length);
     return Forwarder.create({
       clock: this.clock,
       telemetry,
@@ -225,8 +246,8 @@
       closing: this.closing.signal,
       waker: ModelRequests.create(this.peers, this.members, this.self, () => this.controller),
       configuration: () => this.holder.configuration,
-      client: (record) => this.clientOf(record),
-      budget: (service) => this.budgetOf(service),
+      client: (record) => this.clients.of(record),
+      budget: (service) => budgets.of(service),
       roundTripMs: (domain) => this.roundTripTo(domain),
     });
   }
@@ -249,33 +270,63 @@
   }
 
   private startTasks(): void {
-    const { platform, telemetry } = this.options;
     const { signal } = this.stopped;
+    // A stopping process still follows, because it still serves; only its roles end.
+    const forever = new AbortController().signal;
+    this.createFollowers().forEach((follower) => this.background(follower.run(forever)));
+    this.background(this.feed.run(forever));
+    this.background(this.createUsageReports().run(forever));
+    this.background(this.forgetEndpoints(forever));
+    this.background(this.registration.run(signal));
+    this.background(this.contend(signal));
+  }
+
+  private createFollowers(): PrefixFollower[] {
+    const { platform, telemetry } = this.options;
+    const { clock, feed } = this;
     const random = SystemRandom.create();
-    const common = { store: platform.store, clock: this.clock, random, telemetry };
+    const { store } = platform;
+    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs };
     const endpoints = EndpointFollower.create(
       platform.endpointPrefix,
       platform.decodeEndpoint,
       this.directory,
       telemetry,
-      this.clock,
+      clock,
     );
-    const followers = [
-      { prefix: platform.configurationPrefix, follower: this.holder, pauseMs },
-      { prefix: ownPrefix, follower: this.members, pauseMs },
+    return [
+      { prefix: platform.configurationPrefix, follower: this.holder },
+      { prefix: ownPrefix, follower: this.members },
       {
         prefix: platform.endpointPrefix,
         follower: endpoints,
-        pauseMs: endpointPauseMs,
         onReturn: (now: number) => endpoints.returned(now),
       },
-    ].map((each) => PrefixFollower.create({ ...common, ...each }));
-    // A stopping process still follows, because it still serves; only its roles end.
-    const forever = new AbortController().signal;
-    followers.forEach((follower) => this.background(follower.run(forever)));
-    this.background(this.registration.run(signal));
-    this.background(this.reportUsage());
-    this.background(this.contend(signal));
+    ].map((each) => {
+      const follower = PrefixFollower.create({ ...common, ...each });
+      feed.attach(each.prefix, follower);
+      return follower;
+    });
+  }
+
+  private createUsageReports(): UsageReports {
+    const { clock, self, members, usage } = this;
+    return UsageReports.create({
+      clock,
+      self,
+      members,
+      usage,
+      isWatcher: () => this.feed.isWatcher(),
+      local: () => this.controller,
+      send: this.peers.notify.bind(this.peers),
+    });
+  }
+
+  private async forgetEndpoints(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.clock.sleep(retainMs, signal);
+      this.choice.retain(new Set(this.directory.all().map(({ id }) => id)));
+    }
   }
 
   /** Takes part in the choice of a controller once the members are known. */
@@ -292,7 +343,7 @@
 
   private beginTerm(term: Term): void {
     const { platform, telemetry, settings } = this.options;
-    this.announcedFence = Math.max(this.announcedFence, term.fence);
+    this.announcements.begin(term.fence);
     const controller = Controller.create(
       {
         clock: this.clock,
@@ -303,7 +354,8 @@
         settings: defaultResidencySettings,
         holder: settings.host,
         mayOrder: () => this.term.mayOrder(this.clock.now()),
-        announce: (fence, inventories) => this.announce(fence, inventories),
+        announce: (fence, inventories, loads) =>
+          this.announcements.announce(fence, inventories, loads),
       },
       term,
     );
@@ -318,11 +370,6 @@
     this.tellPeers({ kind: PeerKind.resigned, fence, orderAges: controller.stop() });
   }
 
-  private announce(fence: number, inventories: readonly Inventory[]): void {
-    this.directory.applyInventories(inventories, this.clock.now());
-    this.tellPeers({ kind: PeerKind.inventory, fence, inventories });
-  }
-
   private tellPeers(message: Parameters<PeerConnections['notify']>[1]): void {
     this.members
       .all()
@@ -343,10 +390,12 @@
     });
     this.peers.onRequest(PeerKind.inventory, (message) => {
       const inventory = parseMessage(inventorySchema, message);
-      if (inventory !== undefined && inventory.fence >= this.announcedFence) {
-        this.announcedFence = inventory.fence;
-        this.directory.applyInventories(inventory.inventories, this.clock.now());
-      }
+      if (inventory !== undefined) this.announcements.heard(inventory);
+      return { kind: 'ok' };
+    });
+    this.peers.onRequest(PeerKind.feed, (message) => {
+      const feed = parseMessage(feedSchema, message);
+      if (feed !== undefined) this.feed.heard(feed);
       return { kind: 'ok' };
     });
     this.peers.onRequest(PeerKind.resigned, (message) => {
@@ -356,63 +405,12 @@
     });
   }
 
-  /** Tells the controller what models are used for, as long as anything is. */
-  private async reportUsage(): Promise<void> {
-    let wasIdle = true;
-    for (;;) {
-      await this.clock.sleep(usageMs);
-      const report = this.usage.take();
-      const isIdle = report.uses.length === 0 && report.flights.length === 0;
-      if (!isIdle || !wasIdle) {
-        const message = { kind: PeerKind.usage, host: this.self.host, ...report } as const;
-        const { controller } = this.members;
-        if (this.controller !== undefined) {
-          this.controller.used({
-            ...message,
-            uses: [...report.uses],
-            flights: [...report.flights],
-          });
-        } else if (controller !== undefined && controller.host !== this.self.host) {
-          this.peers.notify(controller.address, message);
-        }
-      }
-      wasIdle = isIdle;
-      this.choice.retain(new Set(this.directory.all().map(({ id }) => id)));
-    }
-  }
-
   private rank(): number {
-    const hosts = this.members.all().map(({ host }) => host);
-    return Math.max(0, rendezvousOrder('controller', hosts).indexOf(this.self.host));
-  }
-
-  private clientOf(record: EndpointRecord): HttpClient {
-    const found = this.clients.get(record.address);
-    if (found !== undefined) return found;
-    const { connectTimeoutMs, highWaterBytes, maxAnswerBytes } = defaultForwardSettings;
-    const client = HttpClient.create(record.address, record.address, {
-      connectTimeoutMs,
-      highWaterBytes,
-      maxAnswerBytes,
-      singleUse: true,
-    });
-    this.clients.set(record.address, client);
-    return client;
-  }
-
-  private budgetOf(service: string): RetryBudget {
-    const found = this.budgets.get(service);
-    if (found !== undefined) return found;
-    const { retryShare, retrySlack, retryWindowMs } = this.options.settings;
-    const own = retrySlack / Math.max(1, this.members.all().length);
-    const budget = RetryBudget.create({
-      share: retryShare * refillShare,
-      floor: own * burstShare,
-      max: own * burstShare,
-      floorPerSecond: (own * refillShare) / (retryWindowMs / 1000),
-    });
-    this.budgets.set(service, budget);
-    return budget;
+    const order = dutyOrder('controller', this.members.all());
+    return Math.max(
+      0,
+      order.findIndex(({ host }) => host === this.self.host),
+    );
   }
 
   private roundTripTo(domain: string): number {
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -15,6 +15,27 @@
   changed(change: Change): void;
 }
 
+/** Changes below a prefix after one revision and up to another. */
+export interface Batch {
+  readonly prefix: string;
+  readonly after: number;
+  readonly revision: number;
+  readonly changes: readonly Change[];
+}
+
+/** What a follower may learn from other members, and what it tells them. */
+export interface Feed {
+  /**
+   * Time until which other members pass on what they read, so that the store need not be asked;
+   * -Infinity if none do.
+   */
+  fedUntil(now: number): number;
+  /** States that the store answered a call that was sent at `sentAt`. */
+  confirmed(sentAt: number): void;
+  /** Passes on what was read from the store. */
+  passOn(batch: Batch): void;
+}
+
 export interface FollowerOptions {
   readonly store: PrefixStore;
   readonly clock: Clock;
@@ -24,6 +45,7 @@
   readonly follower: Follower;
   /** Pause between two waits, which bounds the calls while entries change often, in ms. */
   readonly pauseMs: number;
+  readonly feed: Feed;
   /** Called with the time at which the store answers again after it did not. */
   readonly onReturn?: (now: number) => void;
 }
@@ -35,10 +57,24 @@
 const minRetryMs = 100;
 const maxRetryMs = 800;
 
-/** Follows the entries below a prefix of the store. */
+/** Longest pause between two looks whether a batch is missing, in ms. */
+const maxFedPauseMs = 500;
+
+/** Longest random pause before the store is asked in place of a feed that has ended, in ms. */
+const feedEndJitterMs = 400;
+
+const revisionOf = (change: Change): number =>
+  change.kind === 'put' ? change.entry.revision : change.revision;
+
+/** Follows the entries below a prefix of the store, or what other members read there. */
 export class PrefixFollower {
   private revision: number | undefined;
 
+  private wasFed = false;
+
+  /** Whether a batch came whose predecessor is missing. */
+  private hasGap = false;
+
   private failures = 0;
 
   private constructor(private readonly options: FollowerOptions) {}
@@ -54,42 +90,83 @@
 
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, pauseMs } = this.options;
-    while (!signal.aborted) {
-      const ok = this.revision === undefined ? await this.list() : await this.wait(signal);
-      if (signal.aborted) return;
-      await clock.sleep(ok ? pauseMs : this.retryPause(), signal);
+    const { clock } = this.options;
+    while (!signal.aborted) await clock.sleep(await this.step(signal), signal);
+  }
+
+  /** Takes what another member read. */
+  receive({ after, revision, changes }: Batch): void {
+    if (this.revision === undefined) return;
+    if (after > this.revision) {
+      this.hasGap = true;
+      return;
     }
+    this.apply(changes, revision);
+  }
+
+  /** Asks the store unless other members do; gives the pause until the next step, in ms. */
+  private async step(signal: AbortSignal): Promise<number> {
+    const { clock, feed, pauseMs, random } = this.options;
+    const now = clock.now();
+    const fedMs = feed.fedUntil(now) - now;
+    if (this.revision !== undefined && !this.hasGap && fedMs > 0) {
+      this.wasFed = true;
+      this.answered();
+      return Math.min(maxFedPauseMs, fedMs);
+    }
+    if (this.wasFed && !this.hasGap) {
+      this.wasFed = false;
+      return random.next() * feedEndJitterMs;
+    }
+    const ok = this.revision === undefined ? await this.list() : await this.wait(signal);
+    return ok ? pauseMs : this.retryPause();
   }
 
   private async list(): Promise<boolean> {
     const { store, prefix, follower } = this.options;
     const listing = await store.listing(prefix);
     if (listing.isErr()) return this.failed(describeFailure(listing.error));
-    this.answered();
+    this.confirm();
     this.revision = listing.value.revision;
+    this.hasGap = false;
     follower.listed(listing.value.entries);
     return true;
   }
 
   private async wait(signal: AbortSignal): Promise<boolean> {
-    const { store, prefix, follower } = this.options;
+    const { store, prefix, feed } = this.options;
     // After a failure a short wait tells whether the store answers at all.
-    const longestMs = this.failures > 0 ? 1 : waitMs;
-    const result = await store.changes(prefix, this.revision ?? 0, longestMs, signal);
+    const longestMs = this.failures > 0 || this.hasGap ? 1 : waitMs;
+    const after = this.revision ?? 0;
+    const result = await store.changes(prefix, after, longestMs, signal);
     if (signal.aborted) return true;
     if (result.isErr()) return this.failed(describeFailure(result.error));
-    this.answered();
+    this.confirm();
     if (result.value.kind === 'compacted') {
       this.options.telemetry.log('store.compacted', { prefix, revision: this.revision });
       this.revision = undefined;
       return this.list();
     }
-    this.revision = result.value.revision;
-    result.value.changes.forEach((change) => follower.changed(change));
+    this.hasGap = false;
+    const { changes, revision } = result.value;
+    this.apply(changes, revision);
+    feed.passOn({ prefix, after, revision, changes });
     return true;
   }
 
+  /** Takes changes that are newer than what is known: a batch and an answer may overlap. */
+  private apply(changes: readonly Change[], revision: number): void {
+    const known = this.revision ?? 0;
+    const newer = changes.filter((change) => revisionOf(change) > known);
+    this.revision = Math.max(known, revision);
+    newer.forEach((change) => this.options.follower.changed(change));
+  }
+
+  private confirm(): void {
+    this.options.feed.confirmed(this.options.clock.now());
+    this.answered();
+  }
+
   private answered(): void {
     if (this.failures === 0) return;
     const { telemetry, prefix, onReturn, clock } = this.options;
--- a/packages/process/gateway/src/process/registration.ts
+++ b/packages/process/gateway/src/process/registration.ts
@@ -1,4 +1,10 @@
-import { type Clock, describeFailure, type PrefixStore, type Telemetry } from '@currantdrift/core';
+import {
+  type Clock,
+  describeFailure,
+  type Failure,
+  type PrefixStore,
+  type Telemetry,
+} from '@currantdrift/core';
 import { encodeMember, type Member, memberPrefix } from '../version/members';
 
 /** Time to live of a member's key, and the pause between two renewals, in ms. */
@@ -6,62 +12,80 @@
 const renewMs = 3_000;
 const retryMs = 500;
 
+/** Pause between two renewals of a watcher, which tell it whether the store still answers, in ms. */
+const watcherRenewMs = 600;
+
+export interface RegistrationOptions {
+  readonly store: PrefixStore;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly member: Member;
+  /** Whether this process follows the store for others. */
+  readonly isWatcher: () => boolean;
+  /** Called with the time at which a renewal was sent that the store answered. */
+  readonly onConfirmed: (sentAt: number) => void;
+}
+
 /** Keeps this process's leased key among the members. */
 export class Registration {
   private lease: string | undefined;
 
-  private constructor(
-    private readonly store: PrefixStore,
-    private readonly clock: Clock,
-    private readonly telemetry: Telemetry,
-    private readonly member: Member,
-  ) {}
+  private constructor(private readonly options: RegistrationOptions) {}
 
-  static create(
-    store: PrefixStore,
-    clock: Clock,
-    telemetry: Telemetry,
-    member: Member,
-  ): Registration {
-    return new Registration(store, clock, telemetry, member);
+  static create(options: RegistrationOptions): Registration {
+    return new Registration(options);
   }
 
   /** Registers and renews until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const { clock, isWatcher } = this.options;
     while (!signal.aborted) {
       const held = this.lease === undefined ? await this.register() : await this.renew(this.lease);
-      await this.clock.sleep(held ? renewMs : retryMs, signal);
+      const pauseMs = isWatcher() ? watcherRenewMs : renewMs;
+      await clock.sleep(held ? pauseMs : retryMs, signal);
     }
   }
 
   /** Removes the key, as when the process stops. */
   async leave(): Promise<void> {
-    if (this.lease !== undefined) await this.store.revokeLease(this.lease);
+    if (this.lease === undefined) return;
+    const ended = await this.options.store.revokeLease(this.lease);
+    if (ended.isErr()) this.failed('leave', ended.error);
   }
 
   private async register(): Promise<boolean> {
-    const lease = await this.store.grantLease(ttlMs);
-    if (lease.isErr()) return false;
-    const key = memberPrefix + this.member.host;
-    const value = encodeMember(this.member);
-    let written = await this.store.compareAndSwap(key, 0, value, lease.value.id);
+    const { store, member } = this.options;
+    const lease = await store.grantLease(ttlMs);
+    if (lease.isErr()) return this.failed('lease', lease.error);
+    const key = memberPrefix + member.host;
+    const value = encodeMember(member);
+    let written = await store.compareAndSwap(key, 0, value, lease.value.id);
     if (written.isOk() && written.value.kind === 'conflict') {
       // The key of an earlier process on this host.
       const revision = written.value.current?.revision ?? 0;
-      written = await this.store.compareAndSwap(key, revision, value, lease.value.id);
-    }
-    if (written.isErr()) {
-      this.telemetry.log('registration.failed', { reason: describeFailure(written.error) });
-      return false;
+      written = await store.compareAndSwap(key, revision, value, lease.value.id);
     }
+    if (written.isErr()) return this.failed('write', written.error);
     if (written.value.kind === 'conflict') return false;
     this.lease = lease.value.id;
     return true;
   }
 
   private async renew(lease: string): Promise<boolean> {
-    const renewed = await this.store.renewLease(lease);
-    if (renewed.isErr() && renewed.error.kind === 'refused') this.lease = undefined;
-    return renewed.isOk();
+    const { store, clock, onConfirmed } = this.options;
+    const sentAt = clock.now();
+    const renewed = await store.renewLease(lease);
+    if (renewed.isOk()) {
+      onConfirmed(sentAt);
+      return true;
+    }
+    if (renewed.error.kind === 'refused') this.lease = undefined;
+    return this.failed('renewal', renewed.error);
+  }
+
+  private failed(call: string, failure: Failure): false {
+    const reason = describeFailure(failure);
+    this.options.telemetry.log('registration.failed', { call, reason });
+    return false;
   }
 }
--- /dev/null
+++ b/packages/process/gateway/src/process/usage-reports.ts
@@ -0,0 +1,66 @@
+import type { Clock } from '@currantdrift/core';
+import type { ModelUsage } from '@currantdrift/forward';
+import { PeerKind, type UsageMessage } from '../connection/peer-messages';
+import type { Member, Members } from '../version/members';
+import type { Controller } from './controller';
+
+/** Shortest pause between two reports, in ms. */
+const minPauseMs = 250;
+
+/** Reports that the controller gets in a second from all members together. */
+const reportsPerSecond = 200;
+
+export interface UsageReportsOptions {
+  readonly clock: Clock;
+  readonly self: Member;
+  readonly members: Members;
+  readonly usage: ModelUsage;
+  /** Whether this process reports also while nothing is used, so that the controller knows it. */
+  readonly isWatcher: () => boolean;
+  /** The controller of this process while it has one. */
+  readonly local: () => Controller | undefined;
+  readonly send: (address: string, message: UsageMessage) => void;
+}
+
+/** Tells the controller what models are used for, as long as anything is. */
+export class UsageReports {
+  private wasIdle = true;
+
+  private constructor(private readonly options: UsageReportsOptions) {}
+
+  static create(options: UsageReportsOptions): UsageReports {
+    return new UsageReports(options);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      await clock.sleep(this.pauseMs(), signal);
+      this.report();
+    }
+  }
+
+  private pauseMs(): number {
+    const count = this.options.members.all().length;
+    return Math.max(minPauseMs, (count * 1000) / reportsPerSecond);
+  }
+
+  private report(): void {
+    const { self, members, usage, local, send } = this.options;
+    const { uses, flights } = usage.take();
+    const isIdle = uses.length === 0 && flights.length === 0;
+    if (isIdle && this.wasIdle && !this.options.isWatcher()) return;
+    this.wasIdle = isIdle;
+    const message = {
+      kind: PeerKind.usage,
+      host: self.host,
+      uses: [...uses],
+      flights: [...flights],
+    };
+    const controller = local();
+    if (controller !== undefined) controller.used(message);
+    else if (members.controller !== undefined && members.controller.host !== self.host) {
+      send(members.controller.address, message);
+    }
+  }
+}
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -1,6 +1,7 @@
 import type { Change, Entry, Telemetry } from '@currantdrift/core';
 import { z } from 'zod';
 import type { Follower } from '../process/prefix-follower';
+import { watchersOf } from './watchers';
 
 export const memberPrefix = 'currantdrift/members/';
 export const controllerKey = 'currantdrift/controller';
@@ -12,6 +13,9 @@
   readonly host: string;
   /** `ip:port` for peers. */
   readonly address: string;
+  readonly domain: string;
+  /** Processor time that its host may use, in cores. */
+  readonly processors: number;
 }
 
 /** The process that holds the right to give orders. */
@@ -21,7 +25,12 @@
   readonly revision: number;
 }
 
-const memberSchema = z.object({ host: z.string().min(1), address: z.string().min(1) });
+const memberSchema = z.object({
+  host: z.string().min(1),
+  address: z.string().min(1),
+  domain: z.string().min(1),
+  processors: z.number().positive(),
+});
 
 export const encodeMember = (member: Member): Uint8Array => Buffer.from(JSON.stringify(member));
 
@@ -38,36 +47,50 @@
 export class Members implements Follower {
   private readonly members = new Map<string, Member>();
 
+  private readonly watchers = new Map<string, readonly Member[]>();
+
   private holder: ControllerEntry | undefined;
 
-  private constructor(
-    private readonly telemetry: Telemetry,
-    private readonly onChange: () => void,
-  ) {}
+  private readonly listeners = new Set<() => void>();
+
+  private constructor(private readonly telemetry: Telemetry) {}
 
-  static create(telemetry: Telemetry, onChange: () => void): Members {
-    return new Members(telemetry, onChange);
+  static create(telemetry: Telemetry): Members {
+    return new Members(telemetry);
   }
 
   all(): Member[] {
     return [...this.members.values()];
   }
 
+  /** Members of a failure domain that follow the store for the others there. */
+  watchersOf(domain: string): readonly Member[] {
+    const found = this.watchers.get(domain) ?? watchersOf(this.all(), domain);
+    this.watchers.set(domain, found);
+    return found;
+  }
+
   get controller(): ControllerEntry | undefined {
     return this.holder;
   }
 
+  /** Calls `listener` when the controller changes; gives a function that ends this. */
+  onController(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
   listed(entries: readonly Entry[]): void {
     this.members.clear();
+    this.watchers.clear();
     this.holder = undefined;
     entries.forEach((entry) => this.put(entry));
-    this.onChange();
+    this.notify();
   }
 
   changed(change: Change): void {
     if (change.kind === 'put') this.put(change.entry);
     else this.remove(change.key);
-    this.onChange();
   }
 
   private put(entry: Entry): void {
@@ -79,8 +102,10 @@
     if (entry.key === controllerKey) {
       this.holder = { ...member, fence: entry.revision, revision: entry.revision };
       this.telemetry.log('controller', { host: member.host, fence: entry.revision });
+      this.notify();
     } else if (entry.key.startsWith(memberPrefix)) {
       this.members.set(entry.key, member);
+      this.watchers.clear();
       this.telemetry.log('member', { host: member.host, address: member.address });
     }
   }
@@ -89,8 +114,14 @@
     if (key === controllerKey) {
       this.telemetry.log('controller.none', { before: this.holder?.host });
       this.holder = undefined;
+      this.notify();
     } else if (this.members.delete(key)) {
+      this.watchers.clear();
       this.telemetry.log('member.removed', { key });
     }
   }
+
+  private notify(): void {
+    this.listeners.forEach((listener) => listener());
+  }
 }
--- a/packages/process/gateway/test/controller-term.test.ts
+++ b/packages/process/gateway/test/controller-term.test.ts
@@ -3,6 +3,7 @@
 import { ControllerTerm, type Resignation, type Term } from '../src/process/controller-term';
 import { PrefixFollower } from '../src/process/prefix-follower';
 import { Members, ownPrefix } from '../src/version/members';
+import { noFeed } from './no-feed';
 
 const holderPauseMs = 3_000;
 
@@ -28,7 +29,7 @@
   hosts.forEach((host, rank) => {
     const handle = PrefixStoreHandle.create(store, clock);
     const telemetry = SilentTelemetry.create();
-    const members = Members.create(telemetry, () => {});
+    const members = Members.create(telemetry);
     const begun: Term[] = [];
     const process: Process = {
       host,
@@ -41,7 +42,7 @@
         clock,
         timeOfDay: () => clock.now() + process.offsetMs,
         telemetry,
-        self: { host, address: host },
+        self: { host, address: host, domain: 'north', processors: 1 },
         members,
         holderPauseMs,
         firstStart,
@@ -59,6 +60,7 @@
       prefix: ownPrefix,
       follower: members,
       pauseMs: 20,
+      feed: noFeed,
     });
     follower.run(process.stop.signal).catch(() => {});
     process.term.run(process.stop.signal).catch(() => {});
--- /dev/null
+++ b/packages/process/gateway/test/duty-order.test.ts
@@ -0,0 +1,40 @@
+import { dutyOrder } from '../src/version/duty-order';
+import type { Member } from '../src/version/members';
+import { watchersOf } from '../src/version/watchers';
+
+const member = (host: string, processors: number, domain = 'north'): Member => ({
+  host,
+  address: host,
+  domain,
+  processors,
+});
+
+const fleet = [
+  ...Array.from({ length: 10 }, (_, index) => member(`small-${index}`, 0.324)),
+  member('large-0', 1.35),
+  member('large-1', 1.35),
+];
+
+describe('hosts differ in size', () => {
+  // Guards against a controller whose plans take all of a small host's processor.
+  test('large hosts take duties first', () => {
+    const firsts = dutyOrder('controller', fleet).slice(0, 2);
+    expect(firsts.map(({ processors }) => processors)).toEqual([1.35, 1.35]);
+    const watchers = watchersOf([...fleet, member('elsewhere', 8, 'south')], 'north');
+    expect(watchers.map(({ host }) => host).sort()).toEqual(['large-0', 'large-1']);
+  });
+
+  // Guards against one host that takes every duty, and one that never takes any.
+  test('hosts of one size share duties, and all have a place', () => {
+    const same = Array.from({ length: 6 }, (_, index) => member(`h${index}`, 0.675));
+    const firsts = Array.from({ length: 40 }, (_, duty) => dutyOrder(`d${duty}`, same)[0].host);
+    expect(new Set(firsts).size).toBe(6);
+    expect(dutyOrder('controller', fleet)).toHaveLength(fleet.length);
+  });
+
+  // Guards against an order that depends on how members became known.
+  test('all members agree on the order', () => {
+    const order = dutyOrder('controller', fleet);
+    expect(dutyOrder('controller', [...fleet].reverse())).toEqual(order);
+  });
+});
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -6,6 +6,7 @@
 import { PrefixFollower } from '../src/process/prefix-follower';
 import { ConfigurationHolder } from '../src/version/configuration-holder';
 import { EndpointFollower } from '../src/version/endpoint-follower';
+import { noFeed } from './no-feed';
 
 const bytes = (text: string) => Buffer.from(text);
 
@@ -43,6 +44,7 @@
     prefix: 'e/',
     follower,
     pauseMs: 20,
+    feed: noFeed,
     onReturn: (now) => follower.returned(now),
   })
     .run(stop.signal)
--- /dev/null
+++ b/packages/process/gateway/test/no-feed.ts
@@ -0,0 +1,8 @@
+import type { Feed } from '../src/process/prefix-follower';
+
+/** A feed without watchers: the follower asks the store itself. */
+export const noFeed: Feed = {
+  fedUntil: () => -Infinity,
+  confirmed: () => {},
+  passOn: () => {},
+};
--- /dev/null
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -0,0 +1,153 @@
+import { type Change, type Entry, SilentTelemetry } from '@currantdrift/core';
+import { MemoryPrefixStore, PrefixStoreHandle, VirtualClock } from '@currantdrift/fakes';
+import { PrefixFollower } from '../src/process/prefix-follower';
+import { Registration } from '../src/process/registration';
+import { StoreFeed } from '../src/process/store-feed';
+import { Members, ownPrefix } from '../src/version/members';
+import { watchersPerDomain } from '../src/version/watchers';
+
+/** Keeps the entries below a prefix. */
+class Entries {
+  readonly values = new Map<string, string>();
+
+  listed(entries: readonly Entry[]): void {
+    this.values.clear();
+    entries.forEach(({ key, value }) => this.values.set(key, Buffer.from(value).toString()));
+  }
+
+  changed(change: Change): void {
+    if (change.kind === 'removed') this.values.delete(change.key);
+    else this.values.set(change.entry.key, Buffer.from(change.entry.value).toString());
+  }
+}
+
+const dataPrefix = 'data/';
+
+/** Members of one failure domain that follow a store and tell each other what they read. */
+const world = async (count: number) => {
+  const clock = VirtualClock.create();
+  const store = MemoryPrefixStore.create(clock);
+  const telemetry = SilentTelemetry.create();
+  const feeds = new Map<string, StoreFeed>();
+  const silent = new Set<string>();
+  const never = new AbortController().signal;
+  const processes = Array.from({ length: count }, (_, index) => {
+    const host = `h${index}`;
+    const handle = PrefixStoreHandle.create(store, clock);
+    const members = Members.create(telemetry);
+    const entries = new Entries();
+    const self = { host, address: host, domain: 'north', processors: 1 };
+    const feed = StoreFeed.create({
+      clock,
+      telemetry,
+      self,
+      members,
+      send: (address, message) => {
+        if (!silent.has(host) && !silent.has(address)) feeds.get(address)?.heard(message);
+      },
+    });
+    feeds.set(host, feed);
+    const random = { next: () => (index + 1) / (count + 1) };
+    const followers = [
+      { prefix: ownPrefix, follower: members },
+      { prefix: dataPrefix, follower: entries },
+    ];
+    followers.forEach((each) => {
+      const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100 };
+      const follower = PrefixFollower.create({ ...common, ...each });
+      feed.attach(each.prefix, follower);
+      follower.run(never).catch(() => {});
+    });
+    feed.run(never).catch(() => {});
+    const isWatcher = () => feed.isWatcher();
+    const onConfirmed = (sentAt: number) => feed.confirmed(sentAt);
+    const options = { store: handle, clock, telemetry, member: self, isWatcher, onConfirmed };
+    Registration.create(options)
+      .run(never)
+      .catch(() => {});
+    return { host, handle, entries, feed, isWatcher };
+  });
+  await clock.advance(5_000);
+  const write = (key: string, value: string) => store.write(dataPrefix + key, Buffer.from(value));
+  const values = (key: string) =>
+    processes.map(({ entries }) => entries.values.get(dataPrefix + key));
+  const watchers = processes.filter(({ isWatcher }) => isWatcher());
+  const others = processes.filter(({ isWatcher }) => !isWatcher());
+  const reads = () =>
+    others.map(
+      ({ handle }) => (handle.calls.get('changes') ?? 0) + (handle.calls.get('listing') ?? 0),
+    );
+  return { clock, store, processes, watchers, others, silent, write, values, reads };
+};
+
+const all = (count: number, value: string) => Array.from({ length: count }, () => value);
+
+describe('many members wait for the same changes', () => {
+  // Guards against calls to the store that grow with the number of daemons.
+  test('only the watchers ask the store, and all members learn of changes', async () => {
+    const { clock, watchers, write, values, reads } = await world(12);
+    expect(watchers).toHaveLength(watchersPerDomain);
+    const before = reads();
+    for (let step = 0; step < 20; step += 1) {
+      write('a', `${step}`);
+      await clock.advance(300);
+      expect(values('a')).toEqual(all(12, `${step}`));
+    }
+    expect(reads()).toEqual(before);
+  });
+
+  // Guards against members that go on with old knowledge because their watchers are gone.
+  test('members whose watchers fall silent ask the store themselves', async () => {
+    const { clock, watchers, silent, write, values, others } = await world(8);
+    watchers.forEach(({ host }) => silent.add(host));
+    await clock.advance(100);
+    write('a', 'new');
+    await clock.advance(2_000);
+    expect(values('a')).toEqual(all(8, 'new'));
+    silent.clear();
+    await clock.advance(3_000);
+    expect(others.every(({ feed }) => feed.fedUntil(clock.now()) > clock.now())).toBe(true);
+  });
+
+  // Guards against watchers that are cut off from the store and still count as current.
+  test('members whose watchers are cut off from the store ask it themselves', async () => {
+    const { clock, watchers, write, others } = await world(8);
+    watchers.forEach(({ handle }) => Object.assign(handle, { cut: true }));
+    await clock.advance(100);
+    write('a', 'new');
+    await clock.advance(2_300);
+    const known = others.map(({ entries }) => entries.values.get(`${dataPrefix}a`));
+    expect(known).toEqual(all(6, 'new'));
+  });
+
+  // Guards against a lost message between members that nobody misses.
+  test('a member that missed a batch reads it from the store', async () => {
+    const { clock, others, silent, write, values } = await world(5);
+    silent.add(others[0].host);
+    write('a', 'missed');
+    await clock.advance(300);
+    silent.clear();
+    write('b', 'heard');
+    await clock.advance(800);
+    expect(values('a')).toEqual(all(5, 'missed'));
+    expect(values('b')).toEqual(all(5, 'heard'));
+  });
+
+  // Guards against followers that keep what went while the store forgot its history.
+  test('a forgotten history reaches the members as a new listing', async () => {
+    const { clock, store, watchers, others, write, values } = await world(6);
+    write('a', 'old');
+    await clock.advance(500);
+    watchers.forEach(({ handle }) => Object.assign(handle, { cut: true }));
+    await clock.advance(50);
+    store.write(`${dataPrefix}a`, undefined);
+    write('b', 'kept');
+    store.compact();
+    await clock.advance(2_300);
+    watchers.forEach(({ handle }) => Object.assign(handle, { cut: false }));
+    await clock.advance(4_000);
+    expect(values('a')).toEqual(Array.from({ length: 6 }, () => undefined));
+    expect(values('b')).toEqual(all(6, 'kept'));
+    expect(others.every(({ feed }) => feed.fedUntil(clock.now()) > clock.now())).toBe(true);
+  });
+});
--- a/packages/process/telemetry/src/index.ts
+++ b/packages/process/telemetry/src/index.ts
@@ -2,3 +2,5 @@
 export * from './log';
 export * from './metrics';
 export * from './process-telemetry';
+export { SpanTracer } from './span-tracer';
+export { NoTracer, type Tracer } from './tracer';
--- a/packages/process/telemetry/src/process-telemetry.ts
+++ b/packages/process/telemetry/src/process-telemetry.ts
@@ -1,14 +1,13 @@
 import type { Clock, Fields, Span, Telemetry } from '@currantdrift/core';
 import { JsonLog, type LineWriter } from './log';
 import { MetricRegistry } from './registry';
-import { Tracer } from './tracer';
+import type { Tracer } from './tracer';
 
 export interface TelemetryOptions {
   readonly clock: Clock;
   /** Fields of every log line, such as the daemon's name and domain. */
   readonly common: Fields;
-  /** File for spans, `stderr` or `none`. */
-  readonly traces: string;
+  readonly tracer: Tracer;
   /** Where log lines go; standard error by default. */
   readonly write?: LineWriter;
 }
@@ -26,7 +25,7 @@
     return new ProcessTelemetry(
       options.clock,
       JsonLog.create('currantdrift:daemon', options.common, options.write),
-      Tracer.create(options.traces),
+      options.tracer,
       MetricRegistry.create(),
     );
   }
--- a/packages/process/telemetry/src/tracer.ts
+++ b/packages/process/telemetry/src/tracer.ts
@@ -1,31 +1,27 @@
-import type { Fields, Span } from '@currantdrift/core';
-import type { Tracer as OpenTracer } from '@opentelemetry/api';
-import { BasicTracerProvider, BatchSpanProcessor } from '@opentelemetry/sdk-trace-base';
-import { SpanWriter } from './span-writer';
-import { contextOf, TracedSpan } from './traced-span';
+import { type Fields, SilentTelemetry, type Span } from '@currantdrift/core';
 
-/** Starts spans and exports them as JSON lines. */
-export class Tracer {
-  private constructor(
-    private readonly provider: BasicTracerProvider,
-    private readonly tracer: OpenTracer,
-  ) {}
+/** Starts the spans of a process. */
+export interface Tracer {
+  start(name: string, parent: string | undefined, fields: Fields | undefined): Span;
+  /** Exports what is finished and stops. */
+  close(): Promise<void>;
+}
+
+/** Records no spans, and needs none of the libraries that do. */
+export class NoTracer implements Tracer {
+  private readonly silent = SilentTelemetry.create();
 
-  /** `target` is a file name, `stderr` or `none`; trace context is passed on in any case. */
-  static create(target: string): Tracer {
-    const spanProcessors =
-      target === 'none' ? [] : [new BatchSpanProcessor(SpanWriter.create(target))];
-    const provider = new BasicTracerProvider({ spanProcessors });
-    return new Tracer(provider, provider.getTracer('currantdrift'));
+  private constructor() {}
+
+  static create(): NoTracer {
+    return new NoTracer();
   }
 
-  start(name: string, parent: string | undefined, fields: Fields | undefined): Span {
-    const span = this.tracer.startSpan(name, { attributes: { ...fields } }, contextOf(parent));
-    return TracedSpan.create(span);
+  start(): Span {
+    return this.silent.span();
   }
 
-  /** Exports what is finished and stops. */
   close(): Promise<void> {
-    return this.provider.shutdown();
+    return Promise.resolve();
   }
 }
--- a/packages/process/telemetry/test/telemetry.test.ts
+++ b/packages/process/telemetry/test/telemetry.test.ts
@@ -2,13 +2,13 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { VirtualClock } from '@currantdrift/fakes';
-import { enableLogs, ProcessTelemetry } from '@currantdrift/telemetry';
+import { enableLogs, ProcessTelemetry, SpanTracer } from '@currantdrift/telemetry';
 
 const create = (traces: string, lines: string[] = []) =>
   ProcessTelemetry.create({
     clock: VirtualClock.create(1_000),
     common: { host: 'vake-1' },
-    traces,
+    tracer: SpanTracer.create(traces),
     write: (line) => lines.push(line),
   });
 
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -8,6 +8,8 @@
   readonly maxAnswerBytes: number;
   /** Time after which the controller is asked again for a model, in ms. */
   readonly askAgainMs: number;
+  /** Part of a request's time for which it waits while there is no controller. */
+  readonly uncontrolledShare: number;
   /** Shortest time left in which a request is still sent, in ms. */
   readonly minTimeLeftMs: number;
   /** Prompt tokens of this process that may be unread at one endpoint. */
@@ -32,6 +34,7 @@
   highWaterBytes: 65_536,
   maxAnswerBytes: 16_000_000,
   askAgainMs: 400,
+  uncontrolledShare: 0.5,
   minTimeLeftMs: 30,
   // Engines stop their streams for about 100 ms while they read as many.
   maxUnreadTokens: 2_000,
--- a/packages/request/forward/src/placement.ts
+++ b/packages/request/forward/src/placement.ts
@@ -136,8 +136,10 @@
     const answer = await this.context.waker.wake(want);
     if (answer.isOk()) return undefined;
     const { kind, message, retryAfterMs } = answer.error;
-    // Without a controller the request waits for the next one: its time has not run out.
-    if (kind === 'no_controller') return undefined;
+    // Without a controller the request waits for the next one, as long as much of its time is left.
+    const waitedMs = now - arrivedAt;
+    const maxWaitMs = this.context.settings.uncontrolledShare * (firstByteBy - arrivedAt);
+    if (kind === 'no_controller' && waitedMs < maxWaitMs) return undefined;
     return { kind: 'refused', reason: message, retryAfterMs };
   }
 
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,6 +1,12 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
 import { type AddressInfo, createServer as createTcpServer, type Socket } from 'node:net';
-import { HostState, SilentTelemetry, SteadyClock, type WakeRefusal } from '@currantdrift/core';
+import {
+  HostState,
+  SeededRandom,
+  SilentTelemetry,
+  SteadyClock,
+  type WakeRefusal,
+} from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
 import { EndpointDirectory, type EndpointRecord, type HeldModel } from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
@@ -267,7 +273,7 @@
       settings: { ...defaultForwardSettings, askAgainMs: 50 },
       protocol,
       directory: this.directory,
-      choice: PredictedChoice.create(),
+      choice: PredictedChoice.create(SeededRandom.create(1), () => 1),
       usage: ModelUsage.create(),
       waker,
       stopping: this.closing.signal,
--- a/packages/request/routing/src/index.ts
+++ b/packages/request/routing/src/index.ts
@@ -3,4 +3,10 @@
 export type { Lease, NoEndpoint, Release } from './lease';
 export { PrefixIndex } from './prefix-index';
 export { type BalancerSettings, defaultBalancerSettings } from './settings';
-export { type Candidate, type Place, type PlaceEnd, PredictedChoice } from './place';
+export {
+  type Candidate,
+  type EndpointLoad,
+  type Place,
+  type PlaceEnd,
+  PredictedChoice,
+} from './place';
--- a/packages/request/routing/src/place.ts
+++ b/packages/request/routing/src/place.ts
@@ -1,3 +1,4 @@
+import type { Random } from '@currantdrift/core';
 import { Outlier } from './outlier';
 import { type BalancerSettings, defaultBalancerSettings } from './settings';
 
@@ -29,6 +30,16 @@
   release(end: PlaceEnd, now: number): void;
 }
 
+/** Requests in flight at an endpoint, over all daemons. */
+export interface EndpointLoad {
+  readonly endpoint: string;
+  readonly inFlight: number;
+}
+
+/** Number of daemons from which each looks at some candidates only, and how many these are. */
+const manyDaemons = 20;
+const sampleSize = 3;
+
 /** Time for which a load that an endpoint stated is believed, in ms. */
 const statedLoadLifetimeMs = 1_000;
 
@@ -71,10 +82,19 @@
 export class PredictedChoice {
   private readonly known = new Map<string, Known>();
 
-  private constructor(private readonly settings: BalancerSettings) {}
-
-  static create(settings: Partial<BalancerSettings> = {}): PredictedChoice {
-    return new PredictedChoice({ ...defaultBalancerSettings, ...settings });
+  private constructor(
+    private readonly random: Random,
+    private readonly daemons: () => number,
+    private readonly settings: BalancerSettings,
+  ) {}
+
+  /** `daemons` is the number of daemons that choose among the same endpoints. */
+  static create(
+    random: Random,
+    daemons: () => number,
+    settings: Partial<BalancerSettings> = {},
+  ): PredictedChoice {
+    return new PredictedChoice(random, daemons, { ...defaultBalancerSettings, ...settings });
   }
 
   /**
@@ -94,7 +114,7 @@
       ({ known: { unreadTokens } }) =>
         unreadTokens === 0 || unreadTokens + promptTokens <= maxUnreadTokens,
     );
-    const predicted = considered.map((one) => ({
+    const predicted = this.sample(considered).map((one) => ({
       ...one,
       ms: PredictedChoice.predict(one.candidate, one.known, now),
     }));
@@ -103,6 +123,28 @@
     return this.lend(best, promptTokens, now);
   }
 
+  /** States the requests in flight at endpoints, over all daemons. */
+  stateFleet(loads: readonly EndpointLoad[], now: number): void {
+    loads.forEach(({ endpoint, inFlight }) => {
+      const known = this.known.get(endpoint);
+      if (known === undefined) return;
+      known.stated = { others: Math.max(0, inFlight - known.inFlight), at: now };
+    });
+  }
+
+  /**
+   * Some of the candidates at random, if many daemons choose. Answers the load pattern "many daemons
+   * choose at once with loads of the same age": the best of all would get the requests of all of them.
+   */
+  private sample<T>(candidates: readonly T[]): readonly T[] {
+    if (candidates.length <= sampleSize || this.daemons() < manyDaemons) return candidates;
+    const left = [...candidates];
+    return Array.from({ length: sampleSize }, () => {
+      const [taken] = left.splice(Math.floor(this.random.next() * left.length), 1);
+      return taken;
+    });
+  }
+
   /** Own requests in flight at an endpoint. */
   inFlight(id: string): number {
     return this.known.get(id)?.inFlight ?? 0;
--- a/packages/request/routing/test/predicted-choice.test.ts
+++ b/packages/request/routing/test/predicted-choice.test.ts
@@ -1,5 +1,8 @@
+import { SeededRandom } from '@currantdrift/core';
 import { PredictedChoice } from '../src';
 
+const create = (daemons = 6) => PredictedChoice.create(SeededRandom.create(1), () => daemons);
+
 const candidate = (id: string, roundTripMs = 1, bornAt = 1) => ({
   id,
   bornAt,
@@ -9,7 +12,7 @@
 
 // Guards against bursts of prompts on one engine while others of the same model are idle.
 test('a burst is spread over the replicas', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   const candidates = ['a', 'b', 'c'].map((id) => candidate(id));
   const taken = Array.from(
     { length: 9 },
@@ -20,7 +23,7 @@
 
 // Guards against crossing the slow link while the own domain has room, and against never doing so.
 test('the nearest endpoint is taken until it is loaded', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   const candidates = [candidate('near', 0.5), candidate('far', 17)];
   const taken = Array.from({ length: 6 }, () => choice.take(candidates, 0, Infinity, 0)?.endpoint);
   expect(taken.slice(0, 2)).toEqual(['near', 'near']);
@@ -29,7 +32,7 @@
 
 // Guards against requests to an endpoint that refuses connections.
 test('an unreachable endpoint is left alone, and is tried when nothing else is left', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   choice.take([candidate('down')], 0, Infinity, 0)?.release('unreachable', 1);
   const both = [candidate('down', 0), candidate('up', 50)];
   expect(choice.take(both, 0, Infinity, 2)?.endpoint).toBe('up');
@@ -39,7 +42,7 @@
 
 // Guards against a model without any replica because its only one failed some requests.
 test('failures eject an endpoint, and only a failed connection makes it unreachable', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   for (let index = 0; index < 5; index += 1) {
     choice.take([candidate('e')], 0, Infinity, index)?.release('failed', index);
   }
@@ -50,7 +53,7 @@
 
 // Guards against holding the faults of a process against the one that replaced it.
 test('a new start of an endpoint begins without its past', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   choice.take([candidate('e')], 0, Infinity, 0)?.release('unreachable', 1);
   choice.take([candidate('e', 1, 2)], 0, Infinity, 2);
   expect(choice.isEjected('e', 3)).toBe(false);
@@ -58,7 +61,7 @@
 
 // Guards against counting the load of other daemons long after it was stated.
 test('a stated load counts for a while', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   const place = choice.take([candidate('a')], 0, Infinity, 0);
   place?.stated(40, 10, 0);
   place?.release('served', 0);
@@ -69,7 +72,7 @@
 
 // Guards against bursts of prompts whose reading stops the streams of an engine for long.
 test('an endpoint gets no further prompt while too much is unread there', () => {
-  const choice = PredictedChoice.create();
+  const choice = create();
   const one = [candidate('a')];
   const place = choice.take(one, 3_000, 2_000, 0);
   expect(place).toBeDefined();
@@ -79,3 +82,38 @@
   expect(choice.take(one, 400, 2_000, 0)).toBeDefined();
   expect(choice.take(one, 400, 2_000, 0)).toBeUndefined();
 });
+
+// Guards against requests to an engine that other daemons have filled.
+test('an endpoint that other daemons use is avoided while they say so', () => {
+  const choice = create();
+  const candidates = ['a', 'b'].map((id) => candidate(id));
+  ['a', 'b'].forEach((id) => {
+    const place = choice.take([candidate(id)], 0, Infinity, 0);
+    place?.release('served', 0);
+  });
+  choice.stateFleet([{ endpoint: 'a', inFlight: 3 }], 100);
+  expect(choice.take(candidates, 0, Infinity, 200)?.endpoint).toBe('b');
+  const later = Array.from({ length: 4 }, () => choice.take(candidates, 0, Infinity, 2_000));
+  expect(later.map((place) => place?.endpoint)).toContain('a');
+});
+
+/** Requests at the fullest of `replicas` when many daemons send one each, knowing the same loads. */
+const fullest = (daemons: number, replicas: number): number => {
+  const candidates = Array.from({ length: replicas }, (_, index) => candidate(`e${index}`));
+  const counts = new Map<string, number>();
+  for (let daemon = 0; daemon < daemons; daemon += 1) {
+    const choice = PredictedChoice.create(SeededRandom.create(daemon + 1), () => daemons);
+    candidates.forEach((one) => choice.take([one], 0, Infinity, 0)?.release('served', 0));
+    const loads = candidates.map(({ id }, index) => ({ endpoint: id, inFlight: index }));
+    choice.stateFleet(loads, 0);
+    const taken = choice.take(candidates, 0, Infinity, 10)?.endpoint ?? '';
+    counts.set(taken, (counts.get(taken) ?? 0) + 1);
+  }
+  return Math.max(...counts.values());
+};
+
+// Guards against all daemons that send a request in one moment choosing the same engine.
+test('many daemons with the same knowledge do not choose the same endpoint', () => {
+  expect(fullest(60, 12)).toBeLessThan(60 / 2);
+  expect(fullest(10, 12)).toBe(10);
+});
--- a/packages/tooling/demo/test/processes.test.ts
+++ b/packages/tooling/demo/test/processes.test.ts
@@ -124,7 +124,9 @@
     body,
     'killed-1',
   );
-  expect(JSON.parse(repeat.text).error).toMatchObject({ outcome: 'unknown' });
+  expect(JSON.parse(repeat.text)).toEqual({
+    error: expect.objectContaining({ outcome: 'unknown' }),
+  });
   await sleep(1000);
   const { runsByKey } = await readStats<ServiceStats>(ledger);
   expect(runsByKey).toEqual({ 'killed-1': 1 });
