Start members from the watchers, and let replicas in use give way

And models whose copies lay on engines with three busy models were awaited until they were refused: a model in use never gave way.

A replica in use may be unloaded if its model has more replicas than its load asks for.

Ruled out: members that do not find each other after the restart (the watchers were heard 0.5 s after it).

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -8,6 +8,7 @@
   inventory: 'gateway.inventory',
   resigned: 'gateway.resigned',
   feed: 'gateway.feed',
+  snapshot: 'gateway.snapshot',
 } as const;
 
 const optionalText = z
@@ -80,15 +81,14 @@
 
 export type InventoryMessage = z.infer<typeof inventorySchema>;
 
+const entrySchema = z.object({
+  key: z.string(),
+  value: z.instanceof(Uint8Array),
+  revision: z.number(),
+});
+
 const changeSchema = z.union([
-  z.object({
-    kind: z.literal('put'),
-    entry: z.object({
-      key: z.string(),
-      value: z.instanceof(Uint8Array),
-      revision: z.number(),
-    }),
-  }),
+  z.object({ kind: z.literal('put'), entry: entrySchema }),
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
 ]);
 
@@ -109,6 +109,18 @@
 });
 export type FeedMessage = z.infer<typeof feedSchema>;
 
+/** Asks a watcher for all entries below a prefix. */
+export const snapshotSchema = z.object({
+  kind: z.literal(PeerKind.snapshot),
+  prefix: z.string(),
+});
+
+/** A watcher's answer to that; `elsewhere` if it has no entries that are current. */
+export const snapshotAnswerSchema = z.union([
+  z.object({ kind: z.literal('listing'), revision: z.number(), entries: z.array(entrySchema) }),
+  z.object({ kind: z.literal('elsewhere') }),
+]);
+
 /** Last message of a controller. */
 export const resignedSchema = z.object({
   kind: z.literal(PeerKind.resigned),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import {
   type Clock,
+  type Listing,
   type PrefixStore,
   SilentTelemetry,
   SteadyClock,
@@ -26,6 +27,8 @@
   parseMessage,
   PeerKind,
   resignedSchema,
+  snapshotAnswerSchema,
+  snapshotSchema,
   usageSchema,
   wantSchema,
 } from '../connection/peer-messages';
@@ -73,6 +76,9 @@
 /** Pause between two waits for changes, in ms; changes in between come together. */
 const followPauseMs = 250;
 
+/** Time for a watcher's answer with all entries below a prefix, in ms. */
+const snapshotTimeoutMs = 2_000;
+
 /** Pause between two looks for endpoints that are gone, in ms. */
 const retainMs = 1_000;
 
@@ -149,7 +155,15 @@
     });
     const { clock, self, members, directory } = this;
     const send = this.peers.notify.bind(this.peers);
-    this.feed = StoreFeed.create({ clock, telemetry, self, members, send });
+    this.feed = StoreFeed.create({
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      self,
+      members,
+      send,
+      ask: (watcher, prefix) => this.askWatcher(watcher, prefix),
+    });
     this.announcements = Announcements.create({
       clock,
       self,
@@ -295,11 +309,13 @@
       clock,
     );
     return [
-      { prefix: platform.configurationPrefix, follower: this.holder },
-      { prefix: ownPrefix, follower: this.members },
+      { prefix: platform.configurationPrefix, follower: this.holder, startsFromFeed: true },
+      // The members tell who the watchers are, so they are read from the store itself.
+      { prefix: ownPrefix, follower: this.members, startsFromFeed: false },
       {
         prefix: platform.endpointPrefix,
         follower: endpoints,
+        startsFromFeed: true,
         onReturn: (now: number) => endpoints.returned(now),
       },
     ].map((each) => {
@@ -322,6 +338,14 @@
     });
   }
 
+  private async askWatcher(address: string, prefix: string): Promise<Listing | undefined> {
+    const message = { kind: PeerKind.snapshot, prefix };
+    const answer = await this.peers.request(address, message, snapshotTimeoutMs);
+    if (answer.isErr()) return undefined;
+    const parsed = parseMessage(snapshotAnswerSchema, answer.value);
+    return parsed?.kind === 'listing' ? parsed : undefined;
+  }
+
   private async forgetEndpoints(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(retainMs, signal);
@@ -398,6 +422,11 @@
       if (feed !== undefined) this.feed.heard(feed);
       return { kind: 'ok' };
     });
+    this.peers.onRequest(PeerKind.snapshot, (message) => {
+      const asked = parseMessage(snapshotSchema, message);
+      const listing = asked && this.feed.entriesFor(asked.prefix);
+      return listing === undefined ? { kind: 'elsewhere' } : { kind: 'listing', ...listing };
+    });
     this.peers.onRequest(PeerKind.resigned, (message) => {
       const resigned = parseMessage(resignedSchema, message);
       if (resigned !== undefined) this.term.resigned(resigned);
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -3,6 +3,7 @@
   type Clock,
   describeFailure,
   type Entry,
+  type Listing,
   type PrefixStore,
   type Random,
   type Telemetry,
@@ -34,6 +35,8 @@
   confirmed(sentAt: number): void;
   /** Passes on what was read from the store. */
   passOn(batch: Batch): void;
+  /** All entries as another member knows them; undefined if the store has to be asked. */
+  snapshot(prefix: string): Promise<Listing | undefined>;
 }
 
 export interface FollowerOptions {
@@ -46,6 +49,8 @@
   /** Pause between two waits, which bounds the calls while entries change often, in ms. */
   readonly pauseMs: number;
   readonly feed: Feed;
+  /** Whether other members are asked for all entries before the store is. */
+  readonly startsFromFeed: boolean;
   /** Called with the time at which the store answers again after it did not. */
   readonly onReturn?: (now: number) => void;
 }
@@ -70,6 +75,8 @@
 export class PrefixFollower {
   private revision: number | undefined;
 
+  private readonly entries = new Map<string, Entry>();
+
   private wasFed = false;
 
   /** Whether a batch came whose predecessor is missing. */
@@ -88,6 +95,12 @@
     return this.revision !== undefined && this.failures === 0;
   }
 
+  /** All entries as this follower knows them; undefined until it has read them. */
+  snapshot(): Listing | undefined {
+    const { revision } = this;
+    return revision === undefined ? undefined : { revision, entries: [...this.entries.values()] };
+  }
+
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
@@ -123,16 +136,27 @@
   }
 
   private async list(): Promise<boolean> {
-    const { store, prefix, follower } = this.options;
+    const { store, prefix, feed, startsFromFeed } = this.options;
+    const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
+    if (known !== undefined) {
+      this.adopt(known);
+      return true;
+    }
     const listing = await store.listing(prefix);
     if (listing.isErr()) return this.failed(describeFailure(listing.error));
     this.confirm();
-    this.revision = listing.value.revision;
-    this.hasGap = false;
-    follower.listed(listing.value.entries);
+    this.adopt(listing.value);
     return true;
   }
 
+  private adopt({ entries, revision }: Listing): void {
+    this.revision = revision;
+    this.hasGap = false;
+    this.entries.clear();
+    entries.forEach((entry) => this.entries.set(entry.key, entry));
+    this.options.follower.listed(entries);
+  }
+
   private async wait(signal: AbortSignal): Promise<boolean> {
     const { store, prefix, feed } = this.options;
     // After a failure a short wait tells whether the store answers at all.
@@ -159,7 +183,11 @@
     const known = this.revision ?? 0;
     const newer = changes.filter((change) => revisionOf(change) > known);
     this.revision = Math.max(known, revision);
-    newer.forEach((change) => this.options.follower.changed(change));
+    newer.forEach((change) => {
+      if (change.kind === 'put') this.entries.set(change.entry.key, change.entry);
+      else this.entries.delete(change.key);
+      this.options.follower.changed(change);
+    });
   }
 
   private confirm(): void {
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -1,4 +1,4 @@
-import type { Clock, Telemetry } from '@currantdrift/core';
+import type { Clock, Listing, Random, Telemetry } from '@currantdrift/core';
 import { type FeedMessage, PeerKind } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
 import type { Batch, Feed, PrefixFollower } from './prefix-follower';
@@ -15,12 +15,22 @@
   readonly read: number;
 }
 
+/** Time for which a new member waits for the entries of a watcher, in ms, and a random addition. */
+const snapshotMs = 2_000;
+const snapshotJitterMs = 2_000;
+
+/** Pause before a watcher is asked again that does not have the entries yet, in ms. */
+const snapshotPauseMs = 150;
+
 export interface StoreFeedOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly telemetry: Telemetry;
   readonly self: Member;
   readonly members: Members;
   readonly send: (address: string, message: FeedMessage) => void;
+  /** Asks a watcher for its entries below a prefix; undefined if it has none to give. */
+  readonly ask: (address: string, prefix: string) => Promise<Listing | undefined>;
 }
 
 /**
@@ -78,6 +88,30 @@
     this.tell([{ prefix, after: told, revision, changes }]);
   }
 
+  /**
+   * All entries below a prefix as a watcher of this domain knows them. Answers the load pattern "all
+   * daemons start at once": a large configuration would cross the link to the store once for each.
+   */
+  async snapshot(prefix: string): Promise<Listing | undefined> {
+    const { clock, random, ask, self, members } = this.options;
+    const endsAt = clock.now() + snapshotMs + random.next() * snapshotJitterMs;
+    while (clock.now() < endsAt && !this.isWatcher()) {
+      const watchers = members.watchersOf(self.domain);
+      for (const { address } of watchers) {
+        const listing = await ask(address, prefix);
+        if (listing !== undefined) return listing;
+      }
+      await clock.sleep(snapshotPauseMs);
+    }
+    return undefined;
+  }
+
+  /** The entries below a prefix for a member that asks; undefined if they may be old. */
+  entriesFor(prefix: string): Listing | undefined {
+    const isCurrent = this.options.clock.now() - this.confirmedAt < contactLifetimeMs;
+    return this.isWatcher() && isCurrent ? this.followers.get(prefix)?.snapshot() : undefined;
+  }
+
   /** Takes what a watcher read. */
   heard({ host, contactAgeMs, batches }: FeedMessage): void {
     this.contacts.set(host, this.options.clock.now() - contactAgeMs);
--- a/packages/process/gateway/test/controller-term.test.ts
+++ b/packages/process/gateway/test/controller-term.test.ts
@@ -61,6 +61,7 @@
       follower: members,
       pauseMs: 20,
       feed: noFeed,
+      startsFromFeed: false,
     });
     follower.run(process.stop.signal).catch(() => {});
     process.term.run(process.stop.signal).catch(() => {});
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -45,6 +45,7 @@
     follower,
     pauseMs: 20,
     feed: noFeed,
+    startsFromFeed: false,
     onReturn: (now) => follower.returned(now),
   })
     .run(stop.signal)
--- a/packages/process/gateway/test/no-feed.ts
+++ b/packages/process/gateway/test/no-feed.ts
@@ -5,4 +5,5 @@
   fedUntil: () => -Infinity,
   confirmed: () => {},
   passOn: () => {},
+  snapshot: () => Promise.resolve(undefined),
 };
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -31,7 +31,7 @@
   const feeds = new Map<string, StoreFeed>();
   const silent = new Set<string>();
   const never = new AbortController().signal;
-  const processes = Array.from({ length: count }, (_, index) => {
+  const start = (index: number) => {
     const host = `h${index}`;
     const handle = PrefixStoreHandle.create(store, clock);
     const members = Members.create(telemetry);
@@ -42,6 +42,9 @@
       telemetry,
       self,
       members,
+      random: { next: () => index / count },
+      ask: async (address, prefix) =>
+        silent.has(address) ? undefined : feeds.get(address)?.entriesFor(prefix),
       send: (address, message) => {
         if (!silent.has(host) && !silent.has(address)) feeds.get(address)?.heard(message);
       },
@@ -49,8 +52,8 @@
     feeds.set(host, feed);
     const random = { next: () => (index + 1) / (count + 1) };
     const followers = [
-      { prefix: ownPrefix, follower: members },
-      { prefix: dataPrefix, follower: entries },
+      { prefix: ownPrefix, follower: members, startsFromFeed: false },
+      { prefix: dataPrefix, follower: entries, startsFromFeed: true },
     ];
     followers.forEach((each) => {
       const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100 };
@@ -66,7 +69,8 @@
       .run(never)
       .catch(() => {});
     return { host, handle, entries, feed, isWatcher };
-  });
+  };
+  const processes = Array.from({ length: count }, (_, index) => start(index));
   await clock.advance(5_000);
   const write = (key: string, value: string) => store.write(dataPrefix + key, Buffer.from(value));
   const values = (key: string) =>
@@ -77,7 +81,7 @@
     others.map(
       ({ handle }) => (handle.calls.get('changes') ?? 0) + (handle.calls.get('listing') ?? 0),
     );
-  return { clock, store, processes, watchers, others, silent, write, values, reads };
+  return { clock, store, start, processes, watchers, others, silent, write, values, reads };
 };
 
 const all = (count: number, value: string) => Array.from({ length: count }, () => value);
@@ -133,6 +137,28 @@
     expect(values('b')).toEqual(all(5, 'heard'));
   });
 
+  // Guards against a large configuration that crosses the link to the store once for each daemon.
+  test('a member that starts gets all entries from a watcher', async () => {
+    const { clock, start, write } = await world(8);
+    write('a', 'large');
+    await clock.advance(500);
+    const late = start(7);
+    await clock.advance(1_000);
+    expect(late.entries.values.get(`${dataPrefix}a`)).toBe('large');
+    // Only the members are read from the store.
+    expect(late.handle.calls.get('listing')).toBe(1);
+  });
+
+  // Guards against a member that never starts because its watchers are gone.
+  test('a member that starts without watchers reads the store', async () => {
+    const { clock, start, watchers, silent, write } = await world(8);
+    watchers.forEach(({ host }) => silent.add(host));
+    write('a', 'new');
+    const late = start(7);
+    await clock.advance(5_000);
+    expect(late.entries.values.get(`${dataPrefix}a`)).toBe('new');
+  });
+
   // Guards against followers that keep what went while the store forgot its history.
   test('a forgotten history reaches the members as a new listing', async () => {
     const { clock, store, watchers, others, write, values } = await world(6);
--- /dev/null
+++ b/packages/tooling/soak/src/checker.ts
@@ -0,0 +1,200 @@
+import type { Disturbances } from './disturbances';
+import { type Attempt, Kind, type Order, type Run } from './observations';
+
+/** A broken promise. */
+export interface Violation {
+  readonly at: number;
+  readonly rule: string;
+  readonly text: string;
+}
+
+/** Bounds of the promises, in ms. */
+export interface CheckerLimits {
+  /** Time without disturbance after which a process is held to bounds of time. */
+  readonly contactMs: number;
+  /** Time after which a leaving endpoint gets no more requests. */
+  readonly drainMs: number;
+  /** Time after which a configuration is in force. */
+  readonly configurationMs: number;
+  /** Shortest time between orders of two holders to one engine. */
+  readonly holderPauseMs: number;
+  /** Part of the requests of the calm end that must be served. */
+  readonly recoveredShare: number;
+}
+
+/** Statuses that promise that a request has not run and never will. */
+const promises: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
+
+const isSuccess = ({ status }: Attempt): boolean =>
+  status !== undefined && status >= 200 && status < 300;
+
+/** Checks what callers and endpoints saw against what the system promises. */
+export class Checker {
+  private readonly attempts: Attempt[] = [];
+
+  private readonly runs = new Map<string, Run[]>();
+
+  private readonly orders: Order[] = [];
+
+  /** Time at which each configuration version was acknowledged. */
+  private readonly versions = new Map<number, number>();
+
+  private constructor(
+    private readonly limits: CheckerLimits,
+    private readonly disturbances: Disturbances,
+  ) {}
+
+  static create(limits: CheckerLimits, disturbances: Disturbances): Checker {
+    return new Checker(limits, disturbances);
+  }
+
+  attempted(attempt: Attempt): void {
+    this.attempts.push(attempt);
+  }
+
+  ran(run: Run): void {
+    this.runs.set(run.id, [...(this.runs.get(run.id) ?? []), run]);
+  }
+
+  ordered(order: Order): void {
+    this.orders.push(order);
+  }
+
+  acknowledged(version: number, at: number): void {
+    this.versions.set(version, at);
+  }
+
+  /** Number of requests by outcome. */
+  counts(): Record<string, number> {
+    const counts: Record<string, number> = { orders: this.orders.length };
+    this.attempts.forEach((attempt) => {
+      const name = `${attempt.kind} ${attempt.status ?? 'closed'}${attempt.complete ? '' : ' cut'}`;
+      counts[name] = (counts[name] ?? 0) + 1;
+    });
+    return counts;
+  }
+
+  /** All broken promises. The requests sent after `calmFrom` show whether the system recovers. */
+  violations(calmFrom: number): Violation[] {
+    return [
+      ...this.attempts.flatMap((attempt) => this.ofAnswer(attempt)),
+      ...this.attempts.flatMap((attempt) => this.ofRuns(attempt)),
+      ...this.attempts.flatMap((attempt) => this.ofConfiguration(attempt)),
+      ...this.ofUnknownRuns(),
+      ...this.ofLeaving(),
+      ...this.ofOrders(),
+      ...this.ofRecovery(calmFrom),
+    ].sort((a, b) => a.at - b.at);
+  }
+
+  private ofAnswer(attempt: Attempt): Violation[] {
+    const { endedAt: at, id, events, expectedEvents } = attempt;
+    const found: Violation[] = [];
+    if (!isSuccess(attempt)) return found;
+    if (!attempt.sealed || (attempt.complete && !attempt.ownBody)) {
+      found.push({ at, rule: 'own answer', text: `${id} got an answer that is not its own` });
+    }
+    if (events.some((event, index) => event !== index + 1)) {
+      found.push({ at, rule: 'order', text: `${id} got the events ${events.join(' ')}` });
+    }
+    if (attempt.complete && events.length !== expectedEvents) {
+      const text = `${id} ended as complete after ${events.length} of ${expectedEvents} events`;
+      found.push({ at, rule: 'order', text });
+    }
+    return found;
+  }
+
+  private ofRuns({ id, kind, status, endedAt }: Attempt): Violation[] {
+    const runs = this.runs.get(id) ?? [];
+    const where = runs.map(({ endpoint, at }) => `${endpoint} at ${Math.round(at)}`).join(', ');
+    const found: Violation[] = [];
+    if ((kind === Kind.unsafe || kind === Kind.stream) && runs.length > 1) {
+      found.push({ at: runs[1].at, rule: 'at most once', text: `${id} ran on ${where}` });
+    }
+    const mayRepeat = kind === Kind.safe || kind === Kind.resumable;
+    if (promises.has(status) && runs.length > 0 && !mayRepeat) {
+      found.push({
+        at: endedAt,
+        rule: 'true refusal',
+        text: `${id} got ${status}, ran on ${where}`,
+      });
+    }
+    return found;
+  }
+
+  private ofConfiguration(attempt: Attempt): Violation[] {
+    const { addedIn, status, sentAt, id, process, start } = attempt;
+    if (addedIn === undefined || status !== 404) return [];
+    const before = this.attempts.find(
+      (one) =>
+        one.process === process &&
+        one.start === start &&
+        (one.addedIn ?? 0) >= addedIn &&
+        one.endedAt < sentAt &&
+        isSuccess(one),
+    );
+    if (before !== undefined) {
+      const text = `${id} got 404 at ${process}, which had served version ${before.addedIn}`;
+      return [{ at: attempt.endedAt, rule: 'configuration never older', text }];
+    }
+    const acknowledgedAt = this.versions.get(addedIn) ?? Infinity;
+    const dueAt = acknowledgedAt + this.limits.configurationMs;
+    if (sentAt < dueAt || !this.inTouch(process, Math.min(acknowledgedAt, sentAt), sentAt))
+      return [];
+    const text = `${id} got 404 at ${process}, version ${addedIn} was acknowledged at ${Math.round(acknowledgedAt)}`;
+    return [{ at: attempt.endedAt, rule: 'configuration in force', text }];
+  }
+
+  /** Runs that no caller asked for. */
+  private ofUnknownRuns(): Violation[] {
+    const ids = new Set(this.attempts.map(({ id }) => id));
+    return [...this.runs.values()]
+      .flat()
+      .filter(({ id }) => !ids.has(id))
+      .map(({ id, endpoint, at }) => ({ at, rule: 'asked for', text: `${endpoint} ran ${id}` }));
+  }
+
+  private ofLeaving(): Violation[] {
+    const processOf = new Map(this.attempts.map(({ id, process }) => [id, process]));
+    return [...this.runs.values()].flat().flatMap(({ id, endpoint, at, leavingSince }) => {
+      const process = processOf.get(id);
+      if (leavingSince === undefined || process === undefined) return [];
+      const lateMs = at - leavingSince - this.limits.drainMs;
+      if (lateMs <= 0 || !this.inTouch(process, leavingSince, at)) return [];
+      const text = `${id} of ${process} reached ${endpoint} ${Math.round(lateMs)} ms too late`;
+      return [{ at, rule: 'leaving endpoint', text }];
+    });
+  }
+
+  private ofOrders(): Violation[] {
+    const last = new Map<string, Order>();
+    return [...this.orders]
+      .sort((a, b) => a.at - b.at)
+      .flatMap((order) => {
+        const before = last.get(order.endpoint);
+        last.set(order.endpoint, order);
+        if (before === undefined || before.holder === order.holder) return [];
+        const pauseMs = order.at - before.at;
+        const pair = `${before.holder} ${before.fence}, ${order.holder} ${order.fence}`;
+        const text = `${order.endpoint}: ${pair}, ${Math.round(pauseMs)} ms apart`;
+        const inOrder = order.fence > before.fence;
+        return inOrder && pauseMs >= this.limits.holderPauseMs
+          ? []
+          : [{ at: order.at, rule: 'one holder', text }];
+      });
+  }
+
+  private ofRecovery(calmFrom: number): Violation[] {
+    const calm = this.attempts.filter(({ sentAt }) => sentAt >= calmFrom);
+    const served = calm.filter((attempt) => isSuccess(attempt) && attempt.complete).length;
+    if (calm.length > 0 && served >= this.limits.recoveredShare * calm.length) return [];
+    const text = `${served} of ${calm.length} requests were served after the last fault`;
+    return [{ at: calmFrom, rule: 'recovery', text }];
+  }
+
+  /** Whether a process and the store were undisturbed from a while before `from` up to `to`. */
+  private inTouch(process: string, from: number, to: number): boolean {
+    const names = [process, 'store'];
+    return !this.disturbances.any(names, from - this.limits.contactMs, to);
+  }
+}
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -36,11 +36,15 @@
       .map(({ model }) => model),
   );
   return (engine, { name }) => {
-    if ((engine.inFlight.get(name) ?? 0) > 0 || awaited.has(name)) return undefined;
+    if (awaited.has(name)) return undefined;
+    const isUsed = (engine.inFlight.get(name) ?? 0) > 0;
     const model = pool.models.get(name);
-    if (model === undefined) return 0;
+    if (model === undefined) return isUsed ? undefined : 0;
     const rate = demand.rate(service, name, now);
-    if (fleet.replicas(name).length > targetReplicas(situation, name, now)) return rate;
+    const isSurplus = fleet.replicas(name).length > targetReplicas(situation, name, now);
+    // Its runs end before it is unloaded, and new requests go to the other replicas.
+    if (isUsed) return isSurplus ? rate + settings.runEndMs : undefined;
+    if (isSurplus) return rate;
     const reloadMs = loadTime(model, sourceOf(engine, name));
     return rate * (settings.evictionHorizonMs / 1000) * reloadMs + 1;
   };
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -19,6 +19,8 @@
   readonly sparePerSecond: number;
   /** Time ahead for which the demand of an unloaded model is counted, in ms. */
   readonly evictionHorizonMs: number;
+  /** Time that the runs of a replica in use are expected to take until it can be unloaded, in ms. */
+  readonly runEndMs: number;
   /** Greatest cost of unloads for a further replica and for a copy, in ms. */
   readonly busyEvictionMs: number;
   readonly copyEvictionMs: number;
@@ -38,6 +40,7 @@
   arrivalsPerReplica: 2,
   sparePerSecond: 0.5,
   evictionHorizonMs: 10_000,
+  runEndMs: 1_000,
   busyEvictionMs: 1_500,
   copyEvictionMs: 1_500,
   busyEngineMs: 400,
--- a/packages/version/residency/test/plan.test.ts
+++ b/packages/version/residency/test/plan.test.ts
@@ -98,6 +98,18 @@
     expect(planLoad(situation([busy], names, { demand }), 0)).toMatchObject({ unload: ['b'] });
   });
 
+  // Guards against requests that wait for a copy on an engine whose models are always in use.
+  test('a replica in use gives way if the others carry its load', () => {
+    const demand = Demand.create();
+    awaitModel(demand, 'd');
+    const inFlight = new Map(['a', 'b', 'c'].map((name) => [name, 1]));
+    const busy = (id: string, copies: readonly string[]) =>
+      engine(id, { models: held('a', 'b', 'c'), copies: onDisk(...copies), inFlight });
+    const engines = [busy('e1', ['d']), busy('e2', []), busy('e3', [])];
+    const step = planLoad(situation(engines, names, { demand }), 0);
+    expect(step).toMatchObject({ engine: 'e1', model: 'd', source: 'disk' });
+  });
+
   // Guards against more memory than an engine has, also while another load is under way.
   test('an engine that is leaving or occupied gets no load', () => {
     const demand = Demand.create();
