--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -10,6 +10,7 @@
   readyIn,
   type ResidencySettings,
   type Situation,
+  WeightStorePace,
 } from '@currantdrift/residency';
 import type { Configuration, Service } from '@currantdrift/routes';
 import type { EndpointLoad } from '@currantdrift/routing';
@@ -67,6 +68,8 @@
 export class Controller {
   private readonly demand = Demand.create();
 
+  private readonly pace = WeightStorePace.create();
+
   private readonly lines = new Map<string, EngineLine>();
 
   private readonly usage = new Map<string, { message: UsageMessage; at: number }>();
@@ -164,7 +167,7 @@
 
   private logWant(
     want: ModelWant,
-    { engines, remoteLoads }: Situation,
+    { engines, remoteLoads, remoteCapacity }: Situation,
     readyInMs: number,
     refused: boolean,
   ): void {
@@ -178,6 +181,7 @@
       engines: engines.filter(({ leaving }) => !leaving).length,
       occupied: engines.filter(({ operation }) => operation !== undefined).length,
       remoteLoads,
+      remoteCapacity,
       readyInMs: Math.round(readyInMs),
       timeLeftMs: Math.round(want.timeLeftMs),
       onTimeLeftMs: Math.round(want.onTimeLeftMs),
@@ -268,6 +272,8 @@
       fence: this.term.fence,
       mayOrder,
       quietUntil,
+      onRemoteLoad: (fullSpeedMs, tookMs) =>
+        this.pace.ended(fullSpeedMs, tookMs, this.remoteLoads(clock.now())),
       onChange: () => this.changed(),
     });
     this.lines.set(record.id, created);
@@ -279,13 +285,28 @@
     if (pool === undefined) return undefined;
     const all = this.engineViews(now);
     const engines = all.get(service) ?? [];
-    const remoteLoads = [...all.values()]
-      .flat()
-      .filter(({ operation }) => operation?.remote === true).length;
+    const remoteLoads = this.remoteLoads(now);
+    const remoteCapacity = this.pace.atOnce;
     const { demand } = this;
     const beforeDemand = this.term.isFirst && demand.isIdle(now);
     const { settings } = this.options;
-    return { service, pool, engines, demand, remoteLoads, beforeDemand, settings };
+    return {
+      service,
+      pool,
+      engines,
+      demand,
+      remoteLoads,
+      remoteCapacity,
+      beforeDemand,
+      settings,
+    };
+  }
+
+  /** Loads from the weight store under way, over all services. */
+  private remoteLoads(now: number): number {
+    return [...this.engineViews(now).values()]
+      .flat()
+      .filter(({ operation }) => operation?.remote === true).length;
   }
 
   /** The engines by service, as they are or were a moment ago. */
--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -47,6 +47,8 @@
   readonly mayOrder: () => boolean;
   /** Earliest time of the first order, in ms. */
   readonly quietUntil: number;
+  /** Called when a load from the weight store has ended, with its time at full speed, in ms. */
+  readonly onRemoteLoad: (fullSpeedMs: number, tookMs: number) => void;
   /** Called after each change of what the engine holds or does. */
   readonly onChange: () => void;
 }
@@ -287,6 +289,9 @@
       const isHeld = (report: EngineReport) =>
         report.models.some(({ name }) => name === step.model);
       await this.settled(isHeld, step.loadMs);
+      if (step.source === 'remote') {
+        this.options.onRemoteLoad(step.loadMs, clock.now() - orderedAt);
+      }
     } else {
       await this.resync();
     }
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -132,6 +132,7 @@
     fence: 7,
     mayOrder: change.mayOrder ?? (() => true),
     quietUntil: 0,
+    onRemoteLoad: () => {},
     onChange: () => {},
   });
   line.start();
--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -18,6 +18,8 @@
   readonly configurationMs: number;
   /** Shortest time between orders of two holders to one engine. */
   readonly holderPauseMs: number;
+  /** Time after which an answer may be ended because its route's time is up. */
+  readonly answerMs: number;
   /** Part of the requests of the calm end that must be served. */
   readonly recoveredShare: number;
 }
@@ -25,6 +27,9 @@
 /** Statuses that promise that a request has not run and never will. */
 const promises: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
 
+/** Name of the planned stops of a process among the disturbances. */
+export const stopOf = (process: string): string => `stop of ${process}`;
+
 const isSuccess = ({ status }: Attempt): boolean =>
   status !== undefined && status >= 200 && status < 300;
 
@@ -80,6 +85,7 @@
       ...this.attempts.flatMap((attempt) => this.ofAnswer(attempt)),
       ...this.attempts.flatMap((attempt) => this.ofRuns(attempt)),
       ...this.attempts.flatMap((attempt) => this.ofConfiguration(attempt)),
+      ...this.attempts.flatMap((attempt) => this.ofLoss(attempt)),
       ...this.ofUnknownRuns(),
       ...this.ofLeaving(),
       ...this.ofOrders(),
@@ -145,6 +151,17 @@
     return [{ at: attempt.endedAt, rule: 'configuration in force', text }];
   }
 
+  /** Requests that were passed on to a sound endpoint by a sound process and got no whole answer. */
+  private ofLoss({ id, process, sentAt, endedAt, status, complete }: Attempt): Violation[] {
+    const runs = this.runs.get(id) ?? [];
+    const isOver = complete || endedAt - sentAt >= this.limits.answerMs;
+    if (isOver || runs.length === 0) return [];
+    const names = [process, ...runs.map(({ endpoint }) => endpoint)];
+    if (this.disturbances.any(names, sentAt - this.limits.contactMs, endedAt)) return [];
+    const text = `${id} of ${process} ended with ${status ?? 'a closed connection'}, not whole`;
+    return [{ at: endedAt, rule: 'no loss', text }];
+  }
+
   /** Runs that no caller asked for. */
   private ofUnknownRuns(): Violation[] {
     const ids = new Set(this.attempts.map(({ id }) => id));
@@ -194,7 +211,7 @@
 
   /** Whether a process and the store were undisturbed from a while before `from` up to `to`. */
   private inTouch(process: string, from: number, to: number): boolean {
-    const names = [process, 'store'];
+    const names = [process, stopOf(process), 'store'];
     return !this.disturbances.any(names, from - this.limits.contactMs, to);
   }
 }
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -1,4 +1,4 @@
-export { Checker, type CheckerLimits, type Violation } from './checker';
+export { Checker, type CheckerLimits, stopOf, type Violation } from './checker';
 export { Child } from './child';
 export { Disturbances } from './disturbances';
 export { FaultSeries, type Fault } from './fault-series';
--- a/packages/version/residency/src/estimate.ts
+++ b/packages/version/residency/src/estimate.ts
@@ -20,7 +20,7 @@
   adapter: string | undefined,
   now: number,
 ): number | undefined => {
-  const { engines, pool, settings } = situation;
+  const { engines, pool } = situation;
   const model = pool.models.get(name);
   if (model === undefined) return undefined;
   const replicas = fleetOf(situation).replicas(name);
@@ -38,6 +38,6 @@
   );
   const position = needed.findIndex((one) => one.name === name);
   const ahead = position < 0 ? needed.length : position;
-  const rounds = (situation.remoteLoads + ahead) / settings.remoteLoadsAtOnce;
+  const rounds = (situation.remoteLoads + ahead) / situation.remoteCapacity;
   return model.remoteLoadMs * (1 + Math.max(0, rounds - 0.5));
 };
--- a/packages/version/residency/src/index.ts
+++ b/packages/version/residency/src/index.ts
@@ -19,3 +19,4 @@
   type Step,
 } from './situation';
 export { targetReplicas } from './target-replicas';
+export { WeightStorePace } from './weight-store-pace';
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -32,7 +32,7 @@
   options: LoadOptions,
   now: number,
 ): LoadStep | undefined => {
-  const remoteAllowed = situation.remoteLoads < situation.settings.remoteLoadsAtOnce;
+  const remoteAllowed = situation.remoteLoads < situation.remoteCapacity;
   return firstStep(neededModels(situation, now), (model) => {
     const all = options.of(model);
     const option = cheapest(
@@ -66,7 +66,8 @@
 ): LoadStep | undefined => {
   const { pool, demand, service, settings } = situation;
   const fleet = fleetOf(situation);
-  const remoteAllowed = situation.remoteLoads < settings.busyLoadsAtOnce;
+  const atOnce = Math.min(settings.busyLoadsAtOnce, situation.remoteCapacity);
+  const remoteAllowed = situation.remoteLoads < atOnce;
   const busy = [...pool.models.values()]
     .map((model) => ({ model, rate: demand.rate(service, model.name, now) }))
     .filter(({ rate }) => rate >= settings.sparePerSecond)
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -1,7 +1,5 @@
 /** Constants of the decisions which models are loaded where. */
 export interface ResidencySettings {
-  /** Loads from the weight store at once for models that requests wait for. */
-  readonly remoteLoadsAtOnce: number;
   /**
    * Loads from the weight store at once, all reasons, up to which copies are fetched ahead: before the
    * first request, and later. A load occupies an engine that may hold the only copy of other models.
@@ -31,7 +29,6 @@
 }
 
 export const defaultResidencySettings: ResidencySettings = {
-  remoteLoadsAtOnce: 4,
   copyLoadsBeforeDemand: 4,
   copyLoadsAtOnce: 1,
   busyLoadsAtOnce: 2,
--- a/packages/version/residency/src/situation.ts
+++ b/packages/version/residency/src/situation.ts
@@ -12,6 +12,8 @@
   readonly demand: Demand;
   /** Loads from the weight store under way, over all services. */
   readonly remoteLoads: number;
+  /** Loads that the weight store carries at once at full speed. */
+  readonly remoteCapacity: number;
   /** True before the first request of the deployment. */
   readonly beforeDemand: boolean;
   readonly settings: ResidencySettings;
--- a/packages/version/residency/test/situation.ts
+++ b/packages/version/residency/test/situation.ts
@@ -53,6 +53,7 @@
   engines,
   demand: Demand.create(),
   remoteLoads: 0,
+  remoteCapacity: 4,
   beforeDemand: false,
   settings: defaultResidencySettings,
   ...change,
