Split the orders of an engine from its line

Change: EngineOrders sends the orders to one engine and keeps their count; EngineLine keeps what the engine holds.

--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -1,4 +1,4 @@
-import { type Clock, describeFailure, HostState, type Telemetry } from '@currantdrift/core';
+import { type Clock, HostState, type Telemetry } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport, HeldModel, ModelCopies } from '@currantdrift/fleet';
 import {
   adapterKey,
@@ -7,22 +7,15 @@
   type LoadStep,
   type Operation,
 } from '@currantdrift/residency';
-import { type EngineControl, type EngineOrder, OrderAnswer } from '../connection/engine-control';
+import type { EngineControl } from '../connection/engine-control';
+import { EngineOrders, reportLagMs, type WantedOrder } from './engine-orders';
 
-/** Pause between two tries of an order, and between two reports while a load ends, in ms. */
-const retryMs = 100;
+/** Pause between two reports while a load ends, in ms. */
 const pollMs = 120;
 
-/** First tries of an order after a conflict, and the pause between them in ms. */
-const quickTries = 2;
-const quickRetryMs = 50;
-
 /** Pause between two reports of an engine that does not answer, in ms. */
 const downPollMs = 400;
 
-/** Age up to which what a report says may be, in ms. */
-const reportLagMs = 600;
-
 /** Time for the first report of an engine, in ms. */
 const startMs = 500;
 
@@ -32,8 +25,7 @@
 /** Time after its order within which an adapter is ready, in ms. */
 const adapterReadyMs = 40;
 
-/** Tries of one order, and time in ms beyond the expected end, after which a step is given up. */
-const maxTries = 40;
+/** Time beyond the expected end after which a step is given up, in ms. */
 const overdueMs = 15_000;
 
 /** What the orders of one engine need from their controller. */
@@ -53,13 +45,6 @@
   readonly onChange: () => void;
 }
 
-/** An order before its count, holder and token are known. */
-interface WantedOrder {
-  readonly kind: 'load' | 'unload';
-  readonly model: string;
-  readonly adapter?: string;
-}
-
 /** One engine under the orders of this controller. Orders to it are sent one after the other. */
 export class EngineLine {
   private models: readonly HeldModel[];
@@ -70,17 +55,11 @@
 
   private operation: Operation | undefined;
 
-  private orderCount: number | undefined;
-
-  private orderedAt: number | undefined;
+  private readonly orders: EngineOrders;
 
-  private acceptedAt = -Infinity;
-
-  /** End of the loads and unloads asked for so far, and of the orders being sent. */
+  /** End of the loads and unloads asked for so far. */
   private tail: Promise<void> = Promise.resolve();
 
-  private sending: Promise<unknown> = Promise.resolve();
-
   /** Adapters whose load was asked for and is not done, as `model/adapter`. */
   private readonly adapterLoads = new Set<string>();
 
@@ -95,6 +74,11 @@
   ) {
     this.models = record.models ?? [];
     this.copies = record.copies;
+    this.orders = EngineOrders.create({
+      ...options,
+      record: () => this.record,
+      isClosed: () => this.closed,
+    });
   }
 
   static create(record: EndpointRecord, options: EngineLineOptions): EngineLine {
@@ -113,12 +97,12 @@
 
   /** Time of the last order, in ms. */
   get lastOrderAt(): number | undefined {
-    return this.orderedAt;
+    return this.orders.lastAt;
   }
 
   /** Whether the engine's own report was read and orders may be planned. */
   get isReady(): boolean {
-    return this.orderCount !== undefined;
+    return this.orders.count !== undefined;
   }
 
   view(inFlight: ReadonlyMap<string, number>, now: number): EngineView {
@@ -227,7 +211,7 @@
       { kind: 'load', model, adapter },
     ];
     for (const order of orders) {
-      if (!(await this.submit(order))) {
+      if (!(await this.orders.submit(order))) {
         await this.rereadAdapters();
         return;
       }
@@ -268,7 +252,7 @@
     const startedAt = clock.now();
     if (step.unload.length > 0) await clock.sleep(settleMs);
     for (const model of step.unload) {
-      if (!(await this.submit({ kind: 'unload', model }))) {
+      if (!(await this.orders.submit({ kind: 'unload', model }))) {
         // What was not unloaded is served again.
         this.unloading = [];
         await this.resync();
@@ -276,7 +260,7 @@
       }
     }
     const orderedAt = clock.now();
-    const accepted = await this.submit({ kind: 'load', model: step.model });
+    const accepted = await this.orders.submit({ kind: 'load', model: step.model });
     if (accepted) {
       // The engine refuses a load while an unload is under way.
       this.unloading = [];
@@ -343,7 +327,7 @@
   private logState(): void {
     this.options.telemetry.log('engine', {
       endpoint: this.record.id,
-      orderCount: this.orderCount,
+      orderCount: this.orders.count,
       models: this.models.map(({ name }) => name).join(','),
       inMemory: this.copies.inMemory.join(','),
       onDisk: this.copies.onDisk.join(','),
@@ -361,78 +345,8 @@
     const own = new Map(this.models.map((held) => [held.name, held]));
     this.models = report.models
       .filter(({ name }) => !leaving.has(name))
-      .map((held) => (this.orderCount === undefined ? held : (own.get(held.name) ?? held)));
+      .map((held) => (this.isReady ? (own.get(held.name) ?? held) : held));
     this.copies = report.copies;
-    // A report lags: it must not take back orders that the engine has accepted.
-    this.orderCount = Math.max(this.orderCount ?? 0, report.orderCount);
-  }
-
-  /** Sends an order until the engine has accepted it; false if it was given up. */
-  private submit(wanted: WantedOrder): Promise<boolean> {
-    const sent = this.sending.then(() => this.send(wanted));
-    this.sending = sent.catch(() => {});
-    return sent;
-  }
-
-  private async send(wanted: WantedOrder): Promise<boolean> {
-    const { clock, control, telemetry, holder, fence, mayOrder } = this.options;
-    for (let tries = 1; tries <= maxTries; tries += 1) {
-      if (this.closed || !mayOrder()) return false;
-      const orderCount = this.orderCount ?? 0;
-      const order: EngineOrder = {
-        kind: wanted.kind,
-        model: wanted.model,
-        adapter: wanted.adapter,
-        orderCount,
-        holder,
-        fence,
-      };
-      this.orderedAt = clock.now();
-      const answer = await control.order(this.record, order, mayOrder);
-      telemetry.log('order', {
-        endpoint: this.record.id,
-        ...order,
-        tries,
-        outcome: answer.isOk() ? answer.value : describeFailure(answer.error),
-      });
-      if (answer.isOk()) {
-        if (answer.value === OrderAnswer.accepted) {
-          this.acceptedAt = clock.now();
-          this.orderCount = orderCount + 1;
-          return true;
-        }
-        if (answer.value === OrderAnswer.holds) {
-          // An adapter is unloaded within the call, which counts as an accepted order.
-          if (wanted.kind === 'unload' && wanted.adapter !== undefined) {
-            this.acceptedAt = clock.now();
-            this.orderCount = orderCount + 1;
-          }
-          return true;
-        }
-        if (answer.value !== OrderAnswer.conflict) return false;
-      }
-      // A conflict soon after an accepted order mostly means that this one is still under way.
-      const isEarly = answer.isOk() && tries <= quickTries;
-      if (!isEarly && (await this.afterDoubt(wanted, orderCount))) return true;
-      await clock.sleep(isEarly ? quickRetryMs : retryMs);
-    }
-    return false;
-  }
-
-  /** Reads the report after an order without a clear answer; true if the order was accepted. */
-  private async afterDoubt(wanted: WantedOrder, orderCount: number): Promise<boolean> {
-    const report = await this.read();
-    if (report === undefined) return false;
-    const sinceAccepted = this.options.clock.now() - this.acceptedAt;
-    // The engine did not count an order that it answered as done.
-    if (sinceAccepted > reportLagMs) this.orderCount = report.orderCount;
-    if (report.orderCount <= orderCount) return false;
-    this.orderCount = report.orderCount;
-    const held = report.models.find(({ name }) => name === wanted.model);
-    const present =
-      wanted.adapter === undefined
-        ? held !== undefined
-        : held?.adapters.includes(wanted.adapter) === true;
-    return report.busy || present === (wanted.kind === 'load');
+    this.orders.reported(report.orderCount);
   }
 }
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -34,7 +34,7 @@
   highWaterBytes: 65_536,
   maxAnswerBytes: 16_000_000,
   askAgainMs: 400,
-  uncontrolledShare: 0.5,
+  uncontrolledShare: 0.3,
   minTimeLeftMs: 30,
   // Engines stop their streams for about 100 ms while they read as many.
   maxUnreadTokens: 2_000,
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -222,6 +222,17 @@
     expect(seen.elapsedMs).toBeLessThan(300);
   });
 
+  // Guards against holding requests to their end while no process may load models.
+  test('without a controller a request waits for a part of its time', async () => {
+    await withEndpoints(good);
+    harness.wake = () => err({ kind: 'no_controller', message: 'none', retryAfterMs: 1_000 });
+    const headers = { ...withModel.headers, deadline: '1600' };
+    const seen = await harness.call('/once/', { ...withModel, headers });
+    expect(seen).toMatchObject({ status: 503, retryAfter: '1.00' });
+    expect(seen.elapsedMs).toBeGreaterThan(400);
+    expect(seen.elapsedMs).toBeLessThan(1_500);
+  });
+
   // Guards against a request without an answer when the process ends while it waits.
   test('a waiting request is refused when the process stops', async () => {
     await withEndpoints(good);
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -68,6 +68,8 @@
   const fleet = fleetOf(situation);
   const atOnce = Math.min(settings.busyLoadsAtOnce, situation.remoteCapacity);
   const remoteAllowed = situation.remoteLoads < atOnce;
+  const isSevere = shortage === Shortage.severe;
+  const maxEvictionMs = isSevere ? settings.severeEvictionMs : settings.busyEvictionMs;
   const busy = [...pool.models.values()]
     .map((model) => ({ model, rate: demand.rate(service, model.name, now) }))
     .filter(({ rate }) => rate >= settings.sparePerSecond)
@@ -78,12 +80,12 @@
     const missing = targetReplicas(situation, model.name, now) - replicas;
     const loading = fleet.loading(model.name);
     if (replicas === 0 || missing <= loading) return undefined;
-    if (shortage === Shortage.severe && (loading > 0 || missing <= replicas)) return undefined;
+    if (isSevere && (loading > 0 || missing <= replicas)) return undefined;
     const allowed = options
       .of(model)
       .filter(
         ({ source, evictionMs }) =>
-          (remoteAllowed || source !== LoadSource.remote) && evictionMs < settings.busyEvictionMs,
+          (remoteAllowed || source !== LoadSource.remote) && evictionMs < maxEvictionMs,
       );
     const option = cheapest(allowed);
     return option && stepOf(option, model, LoadReason.busy);
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -19,8 +19,9 @@
   readonly evictionHorizonMs: number;
   /** Time that the runs of a replica in use are expected to take until it can be unloaded, in ms. */
   readonly runEndMs: number;
-  /** Greatest cost of unloads for a further replica and for a copy, in ms. */
+  /** Greatest cost of unloads for a further replica, in a severe shortage, and for a copy, in ms. */
   readonly busyEvictionMs: number;
+  readonly severeEvictionMs: number;
   readonly copyEvictionMs: number;
   /** Cost of an order at an engine for each request that it expects in a second, in ms. */
   readonly busyEngineMs: number;
@@ -39,6 +40,7 @@
   evictionHorizonMs: 10_000,
   runEndMs: 1_000,
   busyEvictionMs: 1_500,
+  severeEvictionMs: 6_000,
   copyEvictionMs: 1_500,
   busyEngineMs: 400,
   firstByteMs: 400,
--- a/packages/version/residency/test/plan.test.ts
+++ b/packages/version/residency/test/plan.test.ts
@@ -127,6 +127,19 @@
     return demand;
   };
 
+  // Guards against a busy model that stays on one engine because every other holds models that were
+  // asked for a moment ago.
+  test('in a severe shortage models that were used lately give way', () => {
+    const demand = busy(16);
+    ['b', 'c', 'd'].forEach((model) => demand.countArrivals('s', model, 2, 0));
+    const engines = [
+      engine('e1', { models: held('a'), inFlight: new Map([['a', 12]]) }),
+      engine('e2', { models: held('b', 'c', 'd'), copies: onDisk('a', 'b', 'c', 'd') }),
+    ];
+    const step = planLoad(situation(engines, names, { demand }), 0);
+    expect(step).toMatchObject({ engine: 'e2', model: 'a', reason: 'busy' });
+  });
+
   // Guards against one engine that serves a model alone while others are idle.
   test('the model gets more replicas, on engines that are not busy', () => {
     const demand = busy(8);
