Do not take a listing from a watcher that is older than what is known

Cause: found by reading: a follower whose history the store has forgotten asks a watcher for all entries; one that lags could bring back an endpoint that has gone or is leaving.

Change: a listing below the highest revision that the follower has known is not taken; the store is asked. The test fails without the check.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -73,8 +73,12 @@
 
 /** Follows the entries below a prefix of the store, or what other members read there. */
 export class PrefixFollower {
+  /** Revision up to which changes are known; undefined until all entries are known again. */
   private revision: number | undefined;
 
+  /** Highest revision that was ever known. */
+  private highest = 0;
+
   private readonly entries = new Map<string, Entry>();
 
   private wasFed = false;
@@ -138,7 +142,8 @@
   private async list(): Promise<boolean> {
     const { store, prefix, feed, startsFromFeed } = this.options;
     const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
-    if (known !== undefined) {
+    // A watcher that lags must not take back what this follower has known.
+    if (known !== undefined && known.revision >= this.highest) {
       this.adopt(known);
       return true;
     }
@@ -151,6 +156,7 @@
 
   private adopt({ entries, revision }: Listing): void {
     this.revision = revision;
+    this.highest = Math.max(this.highest, revision);
     this.hasGap = false;
     this.entries.clear();
     entries.forEach((entry) => this.entries.set(entry.key, entry));
@@ -183,6 +189,7 @@
     const known = this.revision ?? 0;
     const newer = changes.filter((change) => revisionOf(change) > known);
     this.revision = Math.max(known, revision);
+    this.highest = Math.max(this.highest, this.revision);
     newer.forEach((change) => {
       if (change.kind === 'put') this.entries.set(change.entry.key, change.entry);
       else this.entries.delete(change.key);
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -3,7 +3,7 @@
 import { MemoryPrefixStore, PrefixStoreHandle, VirtualClock } from '@currantdrift/fakes';
 import type { Configuration } from '@currantdrift/routes';
 import { err, ok } from 'neverthrow';
-import { PrefixFollower } from '../src/process/prefix-follower';
+import { type Feed, PrefixFollower } from '../src/process/prefix-follower';
 import { ConfigurationHolder } from '../src/version/configuration-holder';
 import { EndpointFollower } from '../src/version/endpoint-follower';
 import { noFeed } from './no-feed';
@@ -28,7 +28,7 @@
   return ok(record);
 };
 
-const start = () => {
+const start = (feed: Feed = noFeed) => {
   const clock = VirtualClock.create();
   const store = MemoryPrefixStore.create(clock);
   const handle = PrefixStoreHandle.create(store, clock);
@@ -44,8 +44,8 @@
     prefix: 'e/',
     follower,
     pauseMs: 20,
-    feed: noFeed,
-    startsFromFeed: false,
+    feed,
+    startsFromFeed: true,
     onReturn: (now) => follower.returned(now),
   })
     .run(stop.signal)
@@ -69,6 +69,24 @@
     expect(ids()).toEqual(['2 y']);
   });
 
+  // Guards against a watcher that lags and brings back an endpoint that has gone.
+  test('a listing that is older than what is known is not taken', async () => {
+    const old = { revision: 1, entries: [{ key: 'e/1', value: bytes('x'), revision: 1 }] };
+    let isRestarted = false;
+    const snapshot = () => Promise.resolve(isRestarted ? old : undefined);
+    const { clock, store, ids } = start({ ...noFeed, snapshot });
+    store.write('e/1', bytes('x'));
+    await clock.advance(100);
+    store.write('e/1', undefined);
+    store.write('e/2', bytes('y'));
+    await clock.advance(100);
+    isRestarted = true;
+    store.write('e/3', bytes('z'));
+    store.compact();
+    await clock.advance(100);
+    expect(ids()).toEqual(['2 y', '3 z']);
+  });
+
   // Guards against a list that keeps what went while the history was forgotten.
   test('a forgotten history is replaced by a new list', async () => {
     const { clock, store, ids } = start();
