Give an order up when another one came before it

An order that met another count was sent again with the new count, though the load of an earlier holder had taken the room; an order that met a busy engine counted as accepted, and a load that never appeared left the engine's models unread.

The two tests replay the sequence and fail before the change.

Change: after a doubt the report is read until the engine is idle; the order is done if its effect is there, else it is given up and the plan starts from what the engine holds. The same after a load that does not appear.

--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -8,7 +8,7 @@
   type Operation,
 } from '@currantdrift/residency';
 import type { EngineControl } from '../connection/engine-control';
-import { EngineOrders, reportLagMs, type WantedOrder } from './engine-orders';
+import { EngineOrders, OrderEnd, reportLagMs, type WantedOrder } from './engine-orders';
 
 /** Pause between two reports while a load ends, in ms. */
 const pollMs = 120;
@@ -211,7 +211,7 @@
       { kind: 'load', model, adapter },
     ];
     for (const order of orders) {
-      if (!(await this.orders.submit(order))) {
+      if ((await this.orders.submit(order)) === OrderEnd.givenUp) {
         await this.rereadAdapters();
         return;
       }
@@ -252,7 +252,7 @@
     const startedAt = clock.now();
     if (step.unload.length > 0) await clock.sleep(settleMs);
     for (const model of step.unload) {
-      if (!(await this.orders.submit({ kind: 'unload', model }))) {
+      if ((await this.orders.submit({ kind: 'unload', model })) === OrderEnd.givenUp) {
         // What was not unloaded is served again.
         this.unloading = [];
         await this.resync();
@@ -260,8 +260,8 @@
       }
     }
     const orderedAt = clock.now();
-    const accepted = await this.orders.submit({ kind: 'load', model: step.model });
-    if (accepted) {
+    const end = await this.orders.submit({ kind: 'load', model: step.model });
+    if (end !== OrderEnd.givenUp) {
       // The engine refuses a load while an unload is under way.
       this.unloading = [];
       this.operation = {
@@ -272,7 +272,7 @@
       };
       const isHeld = (report: EngineReport) =>
         report.models.some(({ name }) => name === step.model);
-      await this.settled(isHeld, step.loadMs);
+      await this.settled(isHeld, end === OrderEnd.done ? 0 : step.loadMs);
       if (step.source === 'remote') {
         this.options.onRemoteLoad(step.loadMs, clock.now() - orderedAt);
       }
@@ -287,7 +287,7 @@
       source: step.source,
       unloaded: step.unload.join(','),
       fence: this.options.fence,
-      accepted,
+      outcome: end,
       held: this.models.some(({ name }) => name === step.model),
       expectedMs: Math.round(step.loadMs),
       unloadMs: Math.round(orderedAt - startedAt),
@@ -308,6 +308,8 @@
       }
       await clock.sleep(pollMs);
     }
+    // Whatever the engine carried out instead, it is what the next plan has to start from.
+    await this.resync();
   }
 
   private async resync(): Promise<void> {
--- a/packages/process/gateway/src/process/engine-orders.ts
+++ b/packages/process/gateway/src/process/engine-orders.ts
@@ -15,6 +15,21 @@
 /** Tries of one order after which it is given up. */
 const maxTries = 40;
 
+/** Pause between two reports of an engine that is busy with an unknown order, and their number. */
+const pollMs = 120;
+const maxPolls = 400;
+
+/** What became of an order. */
+export const OrderEnd = {
+  /** The engine has accepted it and carries it out. */
+  accepted: 'accepted',
+  /** The engine has carried it out. */
+  done: 'done',
+  /** It was given up, or another order came first; what the engine holds has to be read again. */
+  givenUp: 'given up',
+} as const;
+export type OrderEnd = (typeof OrderEnd)[keyof typeof OrderEnd];
+
 export interface EngineOrdersOptions {
   readonly control: EngineControl;
   readonly clock: Clock;
@@ -34,6 +49,12 @@
   readonly adapter?: string;
 }
 
+/** Whether the engine holds what an order loads or unloads. */
+const isPresent = ({ model, adapter }: WantedOrder, { models }: EngineReport): boolean => {
+  const held = models.find(({ name }) => name === model);
+  return held !== undefined && (adapter === undefined || held.adapters.includes(adapter));
+};
+
 /**
  * The orders to one engine, sent one after the other. Each names the number of orders that the engine
  * must have accepted before, so that one without an answer takes effect at most once.
@@ -68,17 +89,17 @@
     this.accepted = Math.max(this.accepted ?? 0, count);
   }
 
-  /** Sends an order until the engine has accepted it; false if it was given up. */
-  submit(wanted: WantedOrder): Promise<boolean> {
+  /** Sends an order until the engine has accepted it or it is given up. */
+  submit(wanted: WantedOrder): Promise<OrderEnd> {
     const sent = this.sending.then(() => this.send(wanted));
     this.sending = sent.catch(() => {});
     return sent;
   }
 
-  private async send(wanted: WantedOrder): Promise<boolean> {
+  private async send(wanted: WantedOrder): Promise<OrderEnd> {
     const { clock, control, telemetry, holder, fence, mayOrder, record, isClosed } = this.options;
     for (let tries = 1; tries <= maxTries; tries += 1) {
-      if (isClosed() || !mayOrder()) return false;
+      if (isClosed() || !mayOrder()) return OrderEnd.givenUp;
       const orderCount = this.accepted ?? 0;
       const order: EngineOrder = {
         kind: wanted.kind,
@@ -100,7 +121,7 @@
         if (answer.value === OrderAnswer.accepted) {
           this.acceptedAt = clock.now();
           this.accepted = orderCount + 1;
-          return true;
+          return OrderEnd.accepted;
         }
         if (answer.value === OrderAnswer.holds) {
           // An adapter is unloaded within the call, which counts as an accepted order.
@@ -108,34 +129,52 @@
             this.acceptedAt = clock.now();
             this.accepted = orderCount + 1;
           }
-          return true;
+          return OrderEnd.accepted;
         }
-        if (answer.value !== OrderAnswer.conflict) return false;
+        if (answer.value !== OrderAnswer.conflict) return OrderEnd.givenUp;
       }
       // A conflict soon after an accepted order mostly means that this one is still under way.
       const isEarly = answer.isOk() && tries <= quickTries;
-      if (!isEarly && (await this.afterDoubt(wanted, orderCount))) return true;
+      const end = isEarly ? undefined : await this.afterDoubt(wanted, orderCount);
+      if (end !== undefined) return end;
       await clock.sleep(isEarly ? quickRetryMs : retryMs);
     }
-    return false;
+    return OrderEnd.givenUp;
   }
 
-  /** Reads the report after an order without a clear answer; true if the order was accepted. */
-  private async afterDoubt(wanted: WantedOrder, orderCount: number): Promise<boolean> {
-    const { control, record } = this.options;
-    const read = await control.report(record());
-    if (read.isErr()) return false;
-    const report: EngineReport = read.value;
+  /**
+   * Reads the report after an order without a clear answer; undefined if the order is to be sent again.
+   * An order of an earlier holder, or an own one that was given up, may be carried out in between: then
+   * the plan behind this order no longer fits what the engine holds.
+   */
+  private async afterDoubt(wanted: WantedOrder, orderCount: number): Promise<OrderEnd | undefined> {
+    const first = await this.read();
+    if (first === undefined) return undefined;
     const sinceAccepted = this.options.clock.now() - this.acceptedAt;
     // The engine did not count an order that it answered as done.
-    if (sinceAccepted > reportLagMs) this.accepted = report.orderCount;
-    if (report.orderCount <= orderCount) return false;
+    if (sinceAccepted > reportLagMs) this.accepted = first.orderCount;
+    if (first.orderCount <= orderCount) return undefined;
+    const report = await this.whenIdle(first);
     this.accepted = report.orderCount;
-    const held = report.models.find(({ name }) => name === wanted.model);
-    const present =
-      wanted.adapter === undefined
-        ? held !== undefined
-        : held?.adapters.includes(wanted.adapter) === true;
-    return report.busy || present === (wanted.kind === 'load');
+    return isPresent(wanted, report) === (wanted.kind === 'load')
+      ? OrderEnd.done
+      : OrderEnd.givenUp;
+  }
+
+  /** The report once the engine is idle: only then it shows which order it had accepted. */
+  private async whenIdle(first: EngineReport): Promise<EngineReport> {
+    const { clock, isClosed } = this.options;
+    let report = first;
+    for (let polls = 0; report.busy && polls < maxPolls && !isClosed(); polls += 1) {
+      await clock.sleep(pollMs);
+      report = (await this.read()) ?? report;
+    }
+    return report;
+  }
+
+  private async read(): Promise<EngineReport | undefined> {
+    const { control, record } = this.options;
+    const report = await control.report(record());
+    return report.isOk() ? report.value : undefined;
   }
 }
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -87,6 +87,19 @@
     return answers;
   }
 
+  /** Carries out a load of an earlier holder, whose order was held up until its count fits. */
+  foreignLoad(model: string): OrderAnswer {
+    const orderCount = this.count;
+    return this.carryOut({
+      kind: 'load',
+      model,
+      adapter: undefined,
+      orderCount,
+      holder: 'h0',
+      fence: 6,
+    });
+  }
+
   private carryOut(order: EngineOrder): OrderAnswer {
     if (order.orderCount !== this.count) return OrderAnswer.conflict;
     if (this.clock.now() < this.busyUntil) return OrderAnswer.conflict;
@@ -188,6 +201,26 @@
   expect(engine.accepted).toEqual(['unload a', 'load c']);
 });
 
+// Guards against a load beyond the engine's memory: the order met a count that an earlier holder's late
+// order had raised, and was sent again with the new count.
+test.each([
+  ['before the order arrives', 0],
+  ['while the engine still loads for it', 20],
+])(
+  'a load is given up when a late order of an earlier holder took the room, %s',
+  async (_name, ms) => {
+    const { clock, engine, line } = await start(['a']);
+    engine.foreignLoad('x');
+    await clock.advance(1_000 - ms);
+    line.load(swap([], 'c'));
+    await clock.advance(30_000);
+    expect(engine.mistakes).toEqual([]);
+    expect(engine.accepted).toEqual(['load x']);
+    expect(served(line)).toEqual(['a', 'x']);
+    expect(line.view(new Map(), clock.now()).operation).toBeUndefined();
+  },
+);
+
 // Guards against every later order meeting a conflict after an adapter was unloaded.
 test('the unload of an adapter counts as an order', async () => {
   const { clock, engine, line } = await start(['a', 'b']);
