--- a/packages/tooling/soak/src/child.ts
+++ b/packages/tooling/soak/src/child.ts
@@ -16,6 +16,8 @@
 
   private startCount = 0;
 
+  private startedAt = -Infinity;
+
   private constructor(
     readonly name: string,
     private readonly command: readonly string[],
@@ -34,6 +36,11 @@
     return this.startCount;
   }
 
+  /** Time since the last start, in ms. */
+  get ageMs(): number {
+    return performance.now() - this.startedAt;
+  }
+
   get isRunning(): boolean {
     return this.process !== undefined;
   }
@@ -41,6 +48,7 @@
   start(): void {
     if (this.process !== undefined) return;
     this.startCount += 1;
+    this.startedAt = performance.now();
     const [program, ...args] = this.command;
     const child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'], env: {} });
     child.stdout.pipe(this.log, { end: false });
