Simplify the gateway after reading it again

Cause: reading the whole change. The follower kept its highest revision beside the present one; the controller summed the requests in flight twice and had two loops of one shape with resets that each order causes anyway; four handlers of messages were copies; the members but oneself were picked out in three places; one getter and one method had no caller.

Change: one revision and whether all entries are known; flights(), order(), onNotification() and Members.others() in one place each; Demand.served and PrefixFollower.isCurrent are gone. Behaviour is meant to be the same.

--- a/packages/process/gateway/src/process/announcements.ts
+++ b/packages/process/gateway/src/process/announcements.ts
@@ -53,6 +53,7 @@
 
   /** Sends what engines serve to all members, and takes it over here. */
   announce(fence: number, inventories: readonly Inventory[], loads: readonly EndpointLoad[]): void {
+    const { clock, directory, members, onLoads, self } = this.options;
     this.follow(fence);
     this.sent += 1;
     const message = {
@@ -62,10 +63,10 @@
       inventories: inventories as InventoryMessage['inventories'],
       loads: [...loads],
     };
-    this.options.directory.applyInventories(inventories, this.options.clock.now());
-    this.options.onLoads(loads);
-    groupByDomain(this.others()).forEach((group, domain) => {
-      const isLarge = domain !== this.options.self.domain && group.length > maxDirectMembers;
+    directory.applyInventories(inventories, clock.now());
+    onLoads(loads);
+    groupByDomain(members.others(self.host)).forEach((group, domain) => {
+      const isLarge = domain !== self.domain && group.length > maxDirectMembers;
       const targets = isLarge ? this.relaysOf(domain) : group;
       this.tell(targets, { ...message, passOn: isLarge });
     });
@@ -73,7 +74,7 @@
 
   /** Takes what a controller says, from itself or through a watcher. */
   heard(message: InventoryMessage): void {
-    const { clock, directory, onLoads, self } = this.options;
+    const { clock, directory, members, onLoads, self } = this.options;
     if (message.fence < this.fence) return;
     this.follow(message.fence);
     const { number } = message;
@@ -84,7 +85,7 @@
     directory.applyInventories(current, clock.now());
     onLoads(message.loads);
     if (!message.passOn) return;
-    const near = this.others().filter(({ domain }) => domain === self.domain);
+    const near = members.others(self.host).filter(({ domain }) => domain === self.domain);
     this.tell(near, { ...message, passOn: false });
   }
 
@@ -102,15 +103,7 @@
     this.numbers.clear();
   }
 
-  private others(): Member[] {
-    const { members, self } = this.options;
-    return members.all().filter(({ host }) => host !== self.host);
-  }
-
   private tell(targets: readonly Member[], message: InventoryMessage): void {
-    const { self, send } = this.options;
-    targets
-      .filter(({ host }) => host !== self.host)
-      .forEach(({ address }) => send(address, message));
+    targets.forEach(({ address }) => this.options.send(address, message));
   }
 }
--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -10,6 +10,7 @@
   readyIn,
   type ResidencySettings,
   type Situation,
+  type Step,
   WeightStorePace,
 } from '@currantdrift/residency';
 import type { Configuration, Service } from '@currantdrift/routes';
@@ -158,8 +159,7 @@
       seenAt: now,
       refused,
     });
-    this.isDue = true;
-    this.wake?.();
+    this.askForPlan();
     if (!refused) return { kind: 'expected', readyInMs };
     const reason = `${want.model} cannot be ready before ${Math.round(readyInMs)} ms`;
     return { kind: 'refused', reason, retryAfterMs: readyInMs };
@@ -220,9 +220,13 @@
     this.isDue = false;
   }
 
-  /** Asks for a plan. */
+  /** Takes note that engines or what is known of them have changed. */
   private changed(): void {
     this.views = undefined;
+    this.askForPlan();
+  }
+
+  private askForPlan(): void {
     this.isDue = true;
     this.wake?.();
   }
@@ -325,38 +329,44 @@
 
   private inFlight(now: number): Map<string, Map<string, number>> {
     const byEngine = new Map<string, Map<string, number>>();
-    this.usage.forEach(({ message, at }, host) => {
-      if (now - at > usageLifetimeMs) {
-        this.usage.delete(host);
-        return;
-      }
-      message.flights.forEach(({ endpoint, model, adapter, count }) => {
-        const counts = byEngine.get(endpoint) ?? new Map<string, number>();
-        byEngine.set(endpoint, counts);
-        counts.set(model, (counts.get(model) ?? 0) + count);
-        if (adapter === undefined) return;
-        const key = adapterKey(model, adapter);
-        counts.set(key, (counts.get(key) ?? 0) + count);
-      });
+    this.flights(now).forEach(({ endpoint, model, adapter, count }) => {
+      const counts = byEngine.get(endpoint) ?? new Map<string, number>();
+      byEngine.set(endpoint, counts);
+      counts.set(model, (counts.get(model) ?? 0) + count);
+      if (adapter === undefined) return;
+      const key = adapterKey(model, adapter);
+      counts.set(key, (counts.get(key) ?? 0) + count);
     });
     return byEngine;
   }
 
+  /** Requests in flight as the members last reported them; forgets old reports. */
+  private flights(now: number): UsageMessage['flights'] {
+    this.usage.forEach(({ at }, host) => {
+      if (now - at > usageLifetimeMs) this.usage.delete(host);
+    });
+    return [...this.usage.values()].flatMap(({ message }) => message.flights);
+  }
+
   private plan(service: string, now: number): void {
     this.views = undefined;
+    this.order(service, now, planLoad, (line, step) => line.load(step));
+    this.order(service, now, planAdapter, (line, step) => line.adapter(step));
+  }
+
+  /** Orders the steps of one kind; each order changes the views that the next step is planned from. */
+  private order<T extends Step>(
+    service: string,
+    now: number,
+    plan: (situation: Situation, now: number) => T | undefined,
+    give: (line: EngineLine, step: T) => void,
+  ): void {
     for (let steps = 0; steps < maxSteps; steps += 1) {
       const situation = this.situation(service, now);
-      const step = situation && planLoad(situation, now);
-      if (step === undefined) break;
-      this.lines.get(step.engine)?.load(step);
-      this.views = undefined;
-    }
-    for (let steps = 0; steps < maxSteps; steps += 1) {
-      const situation = this.situation(service, now);
-      const step = situation && planAdapter(situation, now);
-      if (step === undefined) break;
-      this.lines.get(step.engine)?.adapter(step);
-      this.views = undefined;
+      const step = situation && plan(situation, now);
+      const line = step && this.lines.get(step.engine);
+      if (step === undefined || line === undefined) return;
+      give(line, step);
     }
   }
 
@@ -390,12 +400,9 @@
     if (now - this.loadsAt < loadsMs) return [];
     this.loadsAt = now;
     const counts = new Map([...this.lines.keys()].map((id) => [id, 0]));
-    this.usage.forEach(({ message, at }) => {
-      if (now - at > usageLifetimeMs) return;
-      message.flights.forEach(({ endpoint, count }) => {
-        const before = counts.get(endpoint);
-        if (before !== undefined) counts.set(endpoint, before + count);
-      });
+    this.flights(now).forEach(({ endpoint, count }) => {
+      const before = counts.get(endpoint);
+      if (before !== undefined) counts.set(endpoint, before + count);
     });
     return [...counts].map(([endpoint, inFlight]) => ({ endpoint, inFlight }));
   }
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   type Listing,
+  type Message,
   type PrefixStore,
   SilentTelemetry,
   SteadyClock,
@@ -129,6 +130,9 @@
 
   private readonly announcements: Announcements;
 
+  private readonly send = (address: string, message: Message): void =>
+    this.peers.notify(address, message);
+
   private controller: Controller | undefined;
 
   private stopping = false;
@@ -153,8 +157,7 @@
       address: settings.peerAddress,
       telemetry: SilentTelemetry.create(),
     });
-    const { clock, self, members, directory } = this;
-    const send = this.peers.notify.bind(this.peers);
+    const { clock, self, members, directory, send } = this;
     this.feed = StoreFeed.create({
       clock,
       random: SystemRandom.create(),
@@ -334,7 +337,7 @@
       usage,
       isWatcher: () => this.feed.isWatcher(),
       local: () => this.controller,
-      send: this.peers.notify.bind(this.peers),
+      send: this.send,
     });
   }
 
@@ -394,11 +397,8 @@
     this.tellPeers({ kind: PeerKind.resigned, fence, orderAges: controller.stop() });
   }
 
-  private tellPeers(message: Parameters<PeerConnections['notify']>[1]): void {
-    this.members
-      .all()
-      .filter(({ host }) => host !== this.self.host)
-      .forEach(({ address }) => this.peers.notify(address, message));
+  private tellPeers(message: Message): void {
+    this.members.others(this.self.host).forEach(({ address }) => this.send(address, message));
   }
 
   private handlePeers(): void {
@@ -407,29 +407,30 @@
       if (want === undefined || this.controller === undefined) return { kind: 'elsewhere' };
       return this.controller.want(want);
     });
-    this.peers.onRequest(PeerKind.usage, (message) => {
-      const usage = parseMessage(usageSchema, message);
-      if (usage !== undefined) this.controller?.used(usage);
-      return { kind: 'ok' };
-    });
-    this.peers.onRequest(PeerKind.inventory, (message) => {
-      const inventory = parseMessage(inventorySchema, message);
-      if (inventory !== undefined) this.announcements.heard(inventory);
-      return { kind: 'ok' };
-    });
-    this.peers.onRequest(PeerKind.feed, (message) => {
-      const feed = parseMessage(feedSchema, message);
-      if (feed !== undefined) this.feed.heard(feed);
-      return { kind: 'ok' };
-    });
+    this.onNotification(PeerKind.usage, usageSchema, (usage) => this.controller?.used(usage));
+    this.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
+      this.announcements.heard(inventory),
+    );
+    this.onNotification(PeerKind.feed, feedSchema, (feed) => this.feed.heard(feed));
+    this.onNotification(PeerKind.resigned, resignedSchema, (resigned) =>
+      this.term.resigned(resigned),
+    );
     this.peers.onRequest(PeerKind.snapshot, (message) => {
       const asked = parseMessage(snapshotSchema, message);
       const listing = asked && this.feed.entriesFor(asked.prefix);
       return listing === undefined ? { kind: 'elsewhere' } : { kind: 'listing', ...listing };
     });
-    this.peers.onRequest(PeerKind.resigned, (message) => {
-      const resigned = parseMessage(resignedSchema, message);
-      if (resigned !== undefined) this.term.resigned(resigned);
+  }
+
+  /** Takes messages of a kind that need no answer; malformed ones are ignored. */
+  private onNotification<T>(
+    kind: string,
+    schema: Parameters<typeof parseMessage<T>>[0],
+    take: (parsed: T) => void,
+  ): void {
+    this.peers.onRequest(kind, (message) => {
+      const parsed = parseMessage(schema, message);
+      if (parsed !== undefined) take(parsed);
       return { kind: 'ok' };
     });
   }
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -73,11 +73,11 @@
 
 /** Follows the entries below a prefix of the store, or what other members read there. */
 export class PrefixFollower {
-  /** Revision up to which changes are known; undefined until all entries are known again. */
-  private revision: number | undefined;
+  /** Revision up to which changes are known. */
+  private revision = 0;
 
-  /** Highest revision that was ever known. */
-  private highest = 0;
+  /** Whether all entries are known at that revision. */
+  private isListed = false;
 
   private readonly entries = new Map<string, Entry>();
 
@@ -94,15 +94,10 @@
     return new PrefixFollower(options);
   }
 
-  /** Whether the store answered the last call. */
-  get isCurrent(): boolean {
-    return this.revision !== undefined && this.failures === 0;
-  }
-
   /** All entries as this follower knows them; undefined until it has read them. */
   snapshot(): Listing | undefined {
-    const { revision } = this;
-    return revision === undefined ? undefined : { revision, entries: [...this.entries.values()] };
+    const { revision, entries } = this;
+    return this.isListed ? { revision, entries: [...entries.values()] } : undefined;
   }
 
   /** Follows until `signal` aborts. */
@@ -113,7 +108,7 @@
 
   /** Takes what another member read. */
   receive({ after, revision, changes }: Batch): void {
-    if (this.revision === undefined) return;
+    if (!this.isListed) return;
     if (after > this.revision) {
       this.hasGap = true;
       return;
@@ -126,7 +121,7 @@
     const { clock, feed, pauseMs, random } = this.options;
     const now = clock.now();
     const fedMs = feed.fedUntil(now) - now;
-    if (this.revision !== undefined && !this.hasGap && fedMs > 0) {
+    if (this.isListed && !this.hasGap && fedMs > 0) {
       this.wasFed = true;
       this.answered();
       return Math.min(maxFedPauseMs, fedMs);
@@ -135,7 +130,7 @@
       this.wasFed = false;
       return random.next() * feedEndJitterMs;
     }
-    const ok = this.revision === undefined ? await this.list() : await this.wait(signal);
+    const ok = this.isListed ? await this.wait(signal) : await this.list();
     return ok ? pauseMs : this.retryPause();
   }
 
@@ -143,7 +138,7 @@
     const { store, prefix, feed, startsFromFeed } = this.options;
     const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
     // A watcher that lags must not take back what this follower has known.
-    if (known !== undefined && known.revision >= this.highest) {
+    if (known !== undefined && known.revision >= this.revision) {
       this.adopt(known);
       return true;
     }
@@ -156,7 +151,7 @@
 
   private adopt({ entries, revision }: Listing): void {
     this.revision = revision;
-    this.highest = Math.max(this.highest, revision);
+    this.isListed = true;
     this.hasGap = false;
     this.entries.clear();
     entries.forEach((entry) => this.entries.set(entry.key, entry));
@@ -167,14 +162,14 @@
     const { store, prefix, feed } = this.options;
     // After a failure a short wait tells whether the store answers at all.
     const longestMs = this.failures > 0 || this.hasGap ? 1 : waitMs;
-    const after = this.revision ?? 0;
+    const after = this.revision;
     const result = await store.changes(prefix, after, longestMs, signal);
     if (signal.aborted) return true;
     if (result.isErr()) return this.failed(describeFailure(result.error));
     this.confirm();
     if (result.value.kind === 'compacted') {
       this.options.telemetry.log('store.compacted', { prefix, revision: this.revision });
-      this.revision = undefined;
+      this.isListed = false;
       return this.list();
     }
     this.hasGap = false;
@@ -186,10 +181,9 @@
 
   /** Takes changes that are newer than what is known: a batch and an answer may overlap. */
   private apply(changes: readonly Change[], revision: number): void {
-    const known = this.revision ?? 0;
+    const known = this.revision;
     const newer = changes.filter((change) => revisionOf(change) > known);
     this.revision = Math.max(known, revision);
-    this.highest = Math.max(this.highest, this.revision);
     newer.forEach((change) => {
       if (change.kind === 'put') this.entries.set(change.entry.key, change.entry);
       else this.entries.delete(change.key);
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -143,7 +143,7 @@
     const message = { kind: PeerKind.feed, host: self.host, contactAgeMs, batches: [...batches] };
     const watchers = new Set(members.watchersOf(self.domain).map(({ host }) => host));
     members
-      .all()
+      .others(self.host)
       .filter(({ domain, host }) => domain === self.domain && !watchers.has(host))
       .forEach(({ address }) => send(address, message as FeedMessage));
   }
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -63,6 +63,11 @@
     return [...this.members.values()];
   }
 
+  /** All members but the one on `host`. */
+  others(host: string): Member[] {
+    return this.all().filter((member) => member.host !== host);
+  }
+
   /** Members of a failure domain that follow the store for the others there. */
   watchersOf(domain: string): readonly Member[] {
     const found = this.watchers.get(domain) ?? watchersOf(this.all(), domain);
--- a/packages/version/residency/src/demand.ts
+++ b/packages/version/residency/src/demand.ts
@@ -86,10 +86,6 @@
     this.waiting.set(waiting.request, waiting);
   }
 
-  served(request: string): void {
-    this.waiting.delete(request);
-  }
-
   /** Requests that wait at `now`, those told to come back included until they are due. */
   current(now: number): Waiting[] {
     this.waiting.forEach((one, request) => {
