Make endpoint records of tests in one place

Change: endpointRecord() in the fakes; the tests put records one by one; replace is gone. Assertions are unchanged.

--- a/packages/process/gateway/test/announcements.test.ts
+++ b/packages/process/gateway/test/announcements.test.ts
@@ -1,5 +1,5 @@
-import { HostState, SilentTelemetry } from '@currantdrift/core';
-import { VirtualClock } from '@currantdrift/fakes';
+import { SilentTelemetry } from '@currantdrift/core';
+import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
 import { EndpointDirectory } from '@currantdrift/fleet';
 import { Announcements } from '../src/process/announcements';
 import { encodeMember, memberPrefix, Members } from '../src/version/members';
@@ -28,18 +28,7 @@
     const members = Members.create(SilentTelemetry.create());
     members.listed(entries);
     const directory = EndpointDirectory.create();
-    directory.put({
-      id: 'e1',
-      service: 's',
-      address: 'a',
-      domain: 'north',
-      slots: 1,
-      state: HostState.live,
-      bornAt: 1,
-      remainingMs: undefined,
-      models: [],
-      copies: { inMemory: [], onDisk: [] },
-    });
+    directory.put(endpointRecord());
     const announcements = Announcements.create({
       clock,
       self,
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -1,6 +1,6 @@
-import { type Failure, FailureKind, HostState, SilentTelemetry } from '@currantdrift/core';
+import { type Failure, FailureKind, SilentTelemetry } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport, HeldModel } from '@currantdrift/fleet';
-import { VirtualClock } from '@currantdrift/fakes';
+import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
 import { err, ok, type Result } from 'neverthrow';
 import {
   type EngineControl,
@@ -9,18 +9,7 @@
 } from '../src/connection/engine-control';
 import { EngineLine } from '../src/process/engine-line';
 
-const record: EndpointRecord = {
-  id: 'e1',
-  service: 's',
-  address: '127.0.0.1:1',
-  domain: 'north',
-  slots: 4,
-  state: HostState.live,
-  bornAt: 1,
-  remainingMs: undefined,
-  models: [],
-  copies: { inMemory: [], onDisk: [] },
-};
+const record = endpointRecord();
 
 const failure = (kind: FailureKind): Failure => ({
   kind,
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -1,6 +1,11 @@
 import { type Entry, HostState, SilentTelemetry } from '@currantdrift/core';
-import { EndpointDirectory, type EndpointRecord } from '@currantdrift/fleet';
-import { MemoryPrefixStore, PrefixStoreHandle, VirtualClock } from '@currantdrift/fakes';
+import { EndpointDirectory } from '@currantdrift/fleet';
+import {
+  endpointRecord,
+  MemoryPrefixStore,
+  PrefixStoreHandle,
+  VirtualClock,
+} from '@currantdrift/fakes';
 import type { Configuration } from '@currantdrift/routes';
 import { err, ok } from 'neverthrow';
 import { type Feed, PrefixFollower } from '../src/process/prefix-follower';
@@ -13,18 +18,11 @@
 const decodeEndpoint = ({ key, value }: Entry) => {
   const text = Buffer.from(value).toString();
   if (text === 'malformed') return err('service: missing');
-  const record: EndpointRecord = {
+  const record = endpointRecord({
     id: key.slice('e/'.length),
-    service: 's',
     address: text,
-    domain: 'north',
-    slots: 1,
     state: text === 'leaving' ? HostState.leaving : HostState.live,
-    bornAt: 1,
-    remainingMs: undefined,
-    models: undefined,
-    copies: { inMemory: [], onDisk: [] },
-  };
+  });
   return ok(record);
 };
 
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,13 +1,8 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
 import { type AddressInfo, createServer as createTcpServer, type Socket } from 'node:net';
-import {
-  HostState,
-  SeededRandom,
-  SilentTelemetry,
-  SteadyClock,
-  type WakeRefusal,
-} from '@currantdrift/core';
+import { SeededRandom, SilentTelemetry, SteadyClock, type WakeRefusal } from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
+import { endpointRecord } from '@currantdrift/fakes';
 import { EndpointDirectory, type EndpointRecord, type HeldModel } from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
 import { type Configuration, RequestKind, type Route } from '@currantdrift/routes';
@@ -94,18 +89,8 @@
   }
 
   record(models?: readonly HeldModel[]): EndpointRecord {
-    return {
-      id: this.id,
-      service: 's',
-      address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
-      domain: 'north',
-      slots: 4,
-      state: HostState.live,
-      bornAt: 1,
-      remainingMs: undefined,
-      models,
-      copies: { inMemory: [], onDisk: [] },
-    };
+    const { port } = this.server.address() as AddressInfo;
+    return endpointRecord({ id: this.id, address: `127.0.0.1:${port}`, models });
   }
 
   close(): void {
@@ -200,7 +185,7 @@
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
-    harness.directory.replace(endpoints.map((endpoint) => endpoint.record()));
+    endpoints.forEach((endpoint) => harness.directory.put(endpoint.record()));
     return harness;
   }
 
--- a/packages/tooling/fakes/src/index.ts
+++ b/packages/tooling/fakes/src/index.ts
@@ -1,3 +1,4 @@
+export * from './endpoint-record';
 export * from './endpoint-run';
 export * from './engine';
 export * from './fake-service';
--- a/packages/version/fleet/src/directory.ts
+++ b/packages/version/fleet/src/directory.ts
@@ -13,7 +13,7 @@
 
 /** Endpoints as this process knows them. */
 export class EndpointDirectory {
-  private known = new Map<string, Known>();
+  private readonly known = new Map<string, Known>();
 
   private readonly listeners = new Set<() => void>();
 
@@ -23,16 +23,15 @@
     return new EndpointDirectory();
   }
 
-  /** Replaces all records, as after a listing; inventories of the same starts are kept. */
-  replace(records: readonly EndpointRecord[]): void {
-    const before = this.known;
-    this.known = new Map();
-    records.forEach((record) => this.store(record, before.get(record.id)));
-    this.notify();
-  }
-
+  /** Takes an endpoint's record; the inventory of the same start is kept. */
   put(record: EndpointRecord): void {
-    this.store(record, this.known.get(record.id));
+    const before = this.known.get(record.id);
+    const sameStart = before?.record.bornAt === record.bornAt;
+    this.known.set(record.id, {
+      record,
+      inventory: sameStart ? before?.inventory : undefined,
+      inventoryAt: sameStart && before !== undefined ? before.inventoryAt : -Infinity,
+    });
     this.notify();
   }
 
@@ -112,15 +111,6 @@
     return () => this.listeners.delete(listener);
   }
 
-  private store(record: EndpointRecord, before: Known | undefined): void {
-    const sameStart = before?.record.bornAt === record.bornAt;
-    this.known.set(record.id, {
-      record,
-      inventory: sameStart ? before?.inventory : undefined,
-      inventoryAt: sameStart && before !== undefined ? before.inventoryAt : -Infinity,
-    });
-  }
-
   private notify(): void {
     [...this.listeners].forEach((listener) => listener());
   }
--- a/packages/version/fleet/test/directory.test.ts
+++ b/packages/version/fleet/test/directory.test.ts
@@ -1,19 +1,9 @@
 import { HostState } from '@currantdrift/core';
+import { endpointRecord } from '@currantdrift/fakes';
 import { EndpointDirectory, type EndpointRecord } from '../src';
 
-const record = (change: Partial<EndpointRecord>): EndpointRecord => ({
-  id: 'e1',
-  service: 's',
-  address: '127.0.0.1:1',
-  domain: 'north',
-  slots: 4,
-  state: HostState.live,
-  bornAt: 1,
-  remainingMs: undefined,
-  models: [{ name: 'm1', adapters: [] }],
-  copies: { inMemory: [], onDisk: [] },
-  ...change,
-});
+const record = (change: Partial<EndpointRecord>): EndpointRecord =>
+  endpointRecord({ models: [{ name: 'm1', adapters: [] }], ...change });
 
 const replicas = (directory: EndpointDirectory, model: string, now: number) =>
   directory.replicas('s', model, undefined, now).map(({ id }) => id);
@@ -46,11 +36,11 @@
 // Guards against requests to endpoints that leave, and to those of another service.
 test('leaving endpoints are no replicas', () => {
   const directory = EndpointDirectory.create();
-  directory.replace([
+  [
     record({ id: 'e1', state: HostState.leaving }),
     record({ id: 'e2' }),
     record({ id: 'e3', service: 'other' }),
-  ]);
+  ].forEach((one) => directory.put(one));
   expect(replicas(directory, 'm1', 1)).toEqual(['e2']);
 });
 
