List the sources of the workspace in one script

Cause: jest.config.js and scripts/bundle.mjs walked the packages with the same code.

Change: scripts/workspace-sources.js, which both use.

Figures: the bundle and the tests build from it.

--- a/jest.config.js
+++ b/jest.config.js
@@ -1,18 +1,10 @@
-const { readdirSync } = require('node:fs');
 const { join } = require('node:path');
+const workspaceSources = require('./scripts/workspace-sources');
 
-/** Maps each workspace package to its source, so that tests need no build. */
-const workspaceSources = () => {
-  const root = join(__dirname, 'packages');
-  const entries = readdirSync(root).flatMap((span) =>
-    readdirSync(join(root, span)).map((name) => [
-      `^@currantdrift/${name}$`,
-      join(root, span, name, 'src', 'index.ts'),
-    ]),
-  );
-  entries.push(['^@currantdrift/users-platform$', join(__dirname, 'platform', 'src', 'index.ts')]);
-  return Object.fromEntries(entries);
-};
+const sources = [
+  ...workspaceSources,
+  ['@currantdrift/users-platform', join(__dirname, 'platform', 'src', 'index.ts')],
+];
 
 module.exports = {
   testEnvironment: 'node',
@@ -25,7 +17,7 @@
     '<rootDir>/platform/test/**/*.test.ts',
     '<rootDir>/test/**/*.test.ts',
   ],
-  moduleNameMapper: workspaceSources(),
+  moduleNameMapper: Object.fromEntries(sources.map(([name, source]) => [`^${name}$`, source])),
   modulePathIgnorePatterns: ['<rootDir>/packages/.*/dist/'],
   transform: {
     '^.+\\.ts$': [
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,7 @@
 // Bundles programs into files below target/: node scripts/bundle.mjs NAME...
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, readdirSync } from 'node:fs';
+import { copyFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
@@ -8,20 +9,11 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const target = join(root, 'target');
 
+const workspaceSources = createRequire(import.meta.url)('./workspace-sources');
+
 /** Options with which deploy/system.toml starts the gateway; compiled code is valid for these only. */
 const gatewayOptions = ['--max-old-space-size=192'];
 
-/** Maps each workspace package to its source, so that the bundle needs no other build. */
-const workspaceSources = () =>
-  Object.fromEntries(
-    readdirSync(join(root, 'packages')).flatMap((span) =>
-      readdirSync(join(root, 'packages', span)).map((name) => [
-        `@currantdrift/${name}`,
-        join(root, 'packages', span, name, 'src', 'index.ts'),
-      ]),
-    ),
-  );
-
 /** Leaves the parts of undici out that the HTTP client does not use; they are most of a start. */
 const undiciPool = {
   name: 'undici-pool',
@@ -46,7 +38,7 @@
     platform: 'node',
     target: 'node20',
     format: 'cjs',
-    alias: workspaceSources(),
+    alias: Object.fromEntries(workspaceSources),
     plugins,
     // Optional native parts of ws and msgpackr; both work without them.
     external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract'],
