--- a/packages/tooling/bench/src/slopes/report-slopes.ts
+++ b/packages/tooling/bench/src/slopes/report-slopes.ts
@@ -3,7 +3,7 @@
 import { dirname, join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { HttpEndpointConnector } from '@currantdrift/endpoint';
-import { ManagedProcess } from '@currantdrift/demo';
+import { ManagedProcess } from '@currantdrift/standins';
 import { type Slope, slopeOf } from './slope';
 
 /** Numbers of reports that are read one after the other. */
--- a/packages/tooling/demo/src/deployment.ts
+++ b/packages/tooling/demo/src/deployment.ts
@@ -3,8 +3,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { tmpdir } from 'node:os';
 import { type ExitCode, run } from '@currantdrift/cli';
+import { type Exit, ManagedProcess } from '@currantdrift/standins';
 import { request } from 'undici';
-import { type Exit, ManagedProcess } from './managed-process';
 
 /** Token whose hash stands in the settings of the examples. */
 export const operatorToken = 'example-operator-token';
--- a/packages/tooling/soak/src/child.ts
+++ b/packages/tooling/soak/src/child.ts
@@ -1,18 +1,8 @@
-import { type ChildProcess, spawn } from 'node:child_process';
-import { createWriteStream, type WriteStream } from 'node:fs';
-
-export interface ChildEnd {
-  readonly code: number | null;
-  readonly signal: NodeJS.Signals | null;
-}
+import { type Exit, ManagedProcess } from '@currantdrift/standins';
 
 /** A program that the soak starts, signals and starts again. */
 export class Child {
-  private process: ChildProcess | undefined;
-
-  private ended: Promise<ChildEnd> = Promise.resolve({ code: 0, signal: null });
-
-  private readonly log: WriteStream;
+  private process: ManagedProcess | undefined;
 
   private startCount = 0;
 
@@ -20,15 +10,13 @@
 
   private constructor(
     readonly name: string,
-    private readonly command: readonly string[],
-    logFile: string,
-  ) {
-    this.log = createWriteStream(logFile, { flags: 'a' });
-  }
+    private readonly args: readonly string[],
+    private readonly log: string,
+  ) {}
 
-  /** `command` is the program and its arguments; what it writes goes to `logFile`. */
-  static create(name: string, command: readonly string[], logFile: string): Child {
-    return new Child(name, command, logFile);
+  /** `args` are the script for Node and its arguments; what it writes is added to the file `log`. */
+  static create(name: string, args: readonly string[], log: string): Child {
+    return new Child(name, args, log);
   }
 
   /** Number of starts so far. */
@@ -41,40 +29,26 @@
     return performance.now() - this.startedAt;
   }
 
-  get isRunning(): boolean {
-    return this.process !== undefined;
-  }
-
   start(): void {
-    if (this.process !== undefined) return;
+    if (this.process?.isRunning === true) return;
+    const { name, args, log } = this;
     this.startCount += 1;
     this.startedAt = performance.now();
-    const [program, ...args] = this.command;
-    const child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'], env: {} });
-    child.stdout.pipe(this.log, { end: false });
-    child.stderr.pipe(this.log, { end: false });
-    this.process = child;
-    this.ended = new Promise((resolve) => {
-      child.once('exit', (code, signal) => {
-        if (this.process === child) this.process = undefined;
-        resolve({ code, signal });
-      });
-    });
+    this.process = ManagedProcess.start({ name, args, log });
   }
 
   /** Sends a signal to the program, if it runs. */
   signal(name: NodeJS.Signals): void {
-    this.process?.kill(name);
+    if (this.process?.isRunning === true) this.process.signal(name);
   }
 
-  /** Resolves when the program has ended. */
-  end(): Promise<ChildEnd> {
-    return this.ended;
+  /** Sends SIGTERM and waits for the end. */
+  stop(): Promise<Exit | undefined> {
+    return Promise.resolve(this.process?.stop());
   }
 
   /** Ends the program at once, also while it is paused. */
   async kill(): Promise<void> {
-    this.signal('SIGKILL');
-    await this.ended;
+    await this.process?.kill();
   }
 }
--- a/packages/tooling/standins/src/managed-process.ts
+++ b/packages/tooling/standins/src/managed-process.ts
@@ -12,7 +12,7 @@
   readonly name: string;
   /** Script for Node and its arguments. */
   readonly args: readonly string[];
-  /** File that takes the process's output. */
+  /** File to which the process's output is added. */
   readonly log: string;
 }
 
@@ -39,7 +39,7 @@
 
   static start({ name, args, log }: ProcessOptions): ManagedProcess {
     const child = spawn(process.execPath, [...args], { stdio: ['ignore', 'pipe', 'pipe'] });
-    const output = createWriteStream(log);
+    const output = createWriteStream(log, { flags: 'a' });
     child.stdout?.pipe(output, { end: false });
     child.stderr?.pipe(output, { end: false });
     return new ManagedProcess(name, child);
