Look up earlier bookings with a key before a call is answered as not run

The test killed the daemon after 700 ms, whether or not the booking had reached the service; in one run it had not. And a call that no domain takes ("this domain has no endpoint") was refused before anybody looked whether an earlier call with its key had run.

Ruled out: a claim that cannot be read. Neither run shows a failed claim.

Change: a call with a key that nobody takes is answered by what became of its key, if an earlier call had claimed it. The test kills the daemon once the service runs the booking, and shows the output of a rollout that fails.

--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -15,7 +15,7 @@
 } from './messages';
 import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
 import type { ChatRequest, ChatStream, Entry, ServiceAnswer, ServiceRequest } from './request';
-import { hasPool, runService, type ServiceContext } from './service-run';
+import { findEarlier, hasPool, runService, type ServiceContext } from './service-run';
 
 export interface CallerEntryOptions {
   readonly holder: BundleHolder;
@@ -93,7 +93,7 @@
     return this.serve('service', request, async (span) =>
       hasPool(this.options.context.view, service.pool)
         ? runService(this.options.context, request, service.pool, call, span, signal)
-        : this.callElsewhere(request, span),
+        : this.callOrFind(request, call, span),
     );
   }
 
@@ -143,6 +143,17 @@
     return ok({ service: found, call: foundCall });
   }
 
+  /** Forwards a call; if nobody takes it, an earlier one with its key may still have run. */
+  private async callOrFind(
+    request: ServiceRequest,
+    call: ServiceCall,
+    span: Span,
+  ): Promise<Result<ServiceAnswer, Refusal>> {
+    const answer = await this.callElsewhere(request, span);
+    if (call.repeatable || answer.isOk() || answer.error.outcome === 'unknown') return answer;
+    return (await findEarlier(this.options.context, request)) ?? answer;
+  }
+
   /** Forwards a call to the first daemon of another domain that takes it. */
   private async callElsewhere(
     request: ServiceRequest,
--- a/packages/process/node/src/request/service-run.ts
+++ b/packages/process/node/src/request/service-run.ts
@@ -153,6 +153,21 @@
   return answerOf(ended);
 };
 
+/**
+ * What became of an earlier call with the same key, for a call that no endpoint takes now; undefined if
+ * there was none or the call has no key.
+ */
+export const findEarlier = async (
+  { ledger, clock }: ServiceContext,
+  request: ServiceRequest,
+): Promise<Result<ServiceAnswer, Refusal> | undefined> => {
+  const { caller, idempotencyKey: key, deadline } = request;
+  if (key === undefined) return undefined;
+  const claim = { caller: caller.name, key, call: request, deadline };
+  const standing = await ledger.find(claim, clock.now());
+  return standing && answerOf(standing);
+};
+
 /** Runs a call of a plain service in this domain. */
 export const runService = async (
   context: ServiceContext,
--- a/packages/request/booking/src/claim-ledger.ts
+++ b/packages/request/booking/src/claim-ledger.ts
@@ -10,7 +10,7 @@
   SystemRandom,
   type Telemetry,
 } from '@currantdrift/core';
-import { bucketKey } from './bucket';
+import { bucketKey, decodeBucket, isExpired } from './bucket';
 import { BucketWriter, type Change, type WriteFailure } from './bucket-writer';
 import { type Claim, claimLifeMs, ClaimState, type RecordedOutcome } from './claim';
 import type { ClaimRecorder } from './claim-recorder';
@@ -116,6 +116,30 @@
     return answer ?? this.refusal(`the store did not confirm the claim in time; ${sameKey}`);
   }
 
+  /**
+   * What became of the key of a booking without claiming it; undefined if nobody holds it or the store
+   * does not tell by the deadline. `now` is in ms since the epoch.
+   */
+  async find(
+    { caller, key, call, deadline }: ClaimRequest,
+    now: number,
+  ): Promise<Standing | undefined> {
+    const { store, clock } = this.options;
+    const hash = keyHash(caller, key);
+    const settled = new AbortController();
+    const late = clock.sleep(Math.max(0, deadline - now), settled.signal).then(() => undefined);
+    const entry = await Promise.race([store.get(bucketKey(hash)), late]);
+    settled.abort();
+    if (entry?.isErr()) {
+      this.telemetry.log('booking.find_failed', { ...entry.error });
+    }
+    const bucket = entry?.isOk() ? decodeBucket(entry.value) : undefined;
+    const held = this.unrecorded.get(hash) ?? bucket?.get(hash);
+    return held === undefined || isExpired(held, now)
+      ? undefined
+      : standingOf(held, callDigest(call), now, this.isGone);
+  }
+
   private async recordDone(claim: Claim, outcome: RecordedOutcome): Promise<void> {
     this.unrecorded.set(claim.keyHash, { ...claim, state: ClaimState.done, outcome });
     await this.write({ kind: 'outcome', claim, outcome });
--- a/packages/request/booking/test/ledger.test.ts
+++ b/packages/request/booking/test/ledger.test.ts
@@ -49,6 +49,27 @@
   expect(decided).toMatchSnapshot();
 });
 
+// Guards against the answer "not run" to a repeat whose first call ran, when no endpoint takes it.
+test('an earlier call is found without a claim', async () => {
+  const world = new World();
+  const first = world.daemon('a');
+  const second = world.daemon('b');
+  const find = (key: string, body = 'body') => {
+    const deadline = world.clock.now() + 1_000;
+    const claim = { caller: 'hall', key, call: callOf(body), deadline };
+    return world.clock.settle(second.ledger.find(claim, world.clock.now()));
+  };
+  await world.clock.settle(first.book('ran', 'body'));
+  await world.clock.settle(first.book('lost', 'body', 1, 'lost'));
+  expect(await find('none')).toBeUndefined();
+  expect(await find('ran')).toMatchObject({ kind: 'repeat', state: 'done' });
+  expect(await find('ran', 'another body')).toEqual({ kind: 'conflict', reason: 'other_body' });
+  expect(await find('lost')).toEqual({ kind: 'repeat', state: 'unknown' });
+  expect(await find('none')).toBeUndefined();
+  second.faults.latencyMs = 5_000;
+  expect(await find('ran')).toBeUndefined();
+});
+
 test('claims that wait for one bucket are written together', async () => {
   const world = new World();
   const { book, faults } = world.daemon('a');
--- a/packages/tooling/demo/test/processes.test.ts
+++ b/packages/tooling/demo/test/processes.test.ts
@@ -22,7 +22,7 @@
   deployment = await Deployment.create(join(examples, 'mtkvari'));
   await deployment.start();
   const rollout = await deployment.rollout('bundle.json');
-  expect(rollout).toMatchObject({ code: 0 });
+  expect(rollout).toEqual({ code: 0, text: expect.any(String) });
   await deployment.ready();
 });
 
@@ -106,7 +106,7 @@
 
 // Guards against a booking that runs twice when its daemon dies and its caller repeats it (G6).
 test('a booking whose daemon is killed runs at most once', async () => {
-  await postStandin(ledger, '/faults', { delayMs: 1500 });
+  await postStandin(ledger, '/faults', { delayMs: 10_000 });
   const body = { lanterns: 3 };
   const first = CallerClient.create(daemonNamed('vake-1').callers, key)
     .call('POST', 'shipments/book', body, 'killed-1')
@@ -114,7 +114,10 @@
       ({ status }) => status,
       () => 'closed',
     );
-  await sleep(700);
+  await deployment.until('the booking runs', async () => {
+    const { runsByKey } = await readStats<ServiceStats>(ledger);
+    return runsByKey['killed-1'] === 1;
+  });
   await daemonNamed('vake-1').process.kill();
   expect(await first).toBe('closed');
   await postStandin(ledger, '/faults', { delayMs: 0 });
