Follow the store by two members of the fleet, and pass on by relays

Cause: two watchers in each failure domain followed the store, so that its calls grew with the domains: the endpoints' entries change several times a second and each watcher read each change.

Ruled out: renewals of members as the main part; they cost a tenth of a call.

Change: two watchers in different failure domains follow the store for the fleet. Two relays in each domain hear from them and tell the other members. A relay that hears of no contact with the store for 1.3 s asks it itself, the members behind it after 1.6 s, so that a loss of both watchers brings a dozen readers and not the whole fleet.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -92,7 +92,7 @@
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
 ]);
 
-/** What a watcher read from the store; sent to the members of its failure domain. */
+/** What a watcher read from the store; sent to the relays, and by them to their failure domain. */
 export const feedSchema = z.object({
   kind: z.literal(PeerKind.feed),
   host: z.string(),
@@ -109,13 +109,13 @@
 });
 export type FeedMessage = z.infer<typeof feedSchema>;
 
-/** Asks a watcher for all entries below a prefix. */
+/** Asks a watcher or a relay for all entries below a prefix. */
 export const snapshotSchema = z.object({
   kind: z.literal(PeerKind.snapshot),
   prefix: z.string(),
 });
 
-/** A watcher's answer to that; `elsewhere` if it has no entries that are current. */
+/** The answer to that; `elsewhere` if it has no entries that are current. */
 export const snapshotAnswerSchema = z.union([
   z.object({ kind: z.literal('listing'), revision: z.number(), entries: z.array(entrySchema) }),
   z.object({ kind: z.literal('elsewhere') }),
--- a/packages/process/gateway/src/process/announcements.ts
+++ b/packages/process/gateway/src/process/announcements.ts
@@ -29,7 +29,7 @@
 
 /**
  * What the controller says of the engines, on its way to all members. In another failure domain, if it
- * is large, only a watcher hears it from the controller and passes it on.
+ * is large, only a relay hears it from the controller and passes it on.
  */
 export class Announcements {
   /** Highest fencing token of a controller that was heard. */
@@ -72,7 +72,7 @@
     });
   }
 
-  /** Takes what a controller says, from itself or through a watcher. */
+  /** Takes what a controller says, from itself or through a relay. */
   heard(message: InventoryMessage): void {
     const { clock, directory, members, onLoads, self } = this.options;
     if (message.fence < this.fence) return;
@@ -89,12 +89,12 @@
     this.tell(near, { ...message, passOn: false });
   }
 
-  /** The first watcher that has lately reported; all of them if none has. */
+  /** The first relay that has lately reported; all of them if none has. */
   private relaysOf(domain: string): readonly Member[] {
     const { members, isHeard } = this.options;
-    const watchers = members.watchersOf(domain);
-    const heard = watchers.find(({ host }) => isHeard(host));
-    return heard === undefined ? watchers : [heard];
+    const relays = members.relaysOf(domain);
+    const heard = relays.find(({ host }) => isHeard(host));
+    return heard === undefined ? relays : [heard];
   }
 
   private follow(fence: number): void {
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -77,7 +77,7 @@
 /** Pause between two waits for changes, in ms; changes in between come together. */
 const followPauseMs = 250;
 
-/** Time for a watcher's answer with all entries below a prefix, in ms. */
+/** Time for another member's answer with all entries below a prefix, in ms. */
 const snapshotTimeoutMs = 2_000;
 
 /** Pause between two looks for endpoints that are gone, in ms. */
@@ -165,7 +165,7 @@
       self,
       members,
       send,
-      ask: (watcher, prefix) => this.askWatcher(watcher, prefix),
+      ask: (address, prefix) => this.askForEntries(address, prefix),
     });
     this.announcements = Announcements.create({
       clock,
@@ -335,13 +335,13 @@
       self,
       members,
       usage,
-      isWatcher: () => this.feed.isWatcher(),
+      isRelay: () => this.feed.isRelay(),
       local: () => this.controller,
       send: this.send,
     });
   }
 
-  private async askWatcher(address: string, prefix: string): Promise<Listing | undefined> {
+  private async askForEntries(address: string, prefix: string): Promise<Listing | undefined> {
     const message = { kind: PeerKind.snapshot, prefix };
     const answer = await this.peers.request(address, message, snapshotTimeoutMs);
     if (answer.isErr()) return undefined;
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -113,7 +113,15 @@
       this.hasGap = true;
       return;
     }
-    this.apply(changes, revision);
+    const before = this.revision;
+    if (revision <= before) return;
+    const newer = this.apply(changes, revision);
+    this.options.feed.passOn({
+      prefix: this.options.prefix,
+      after: before,
+      revision,
+      changes: newer,
+    });
   }
 
   /** Asks the store unless other members do; gives the pause until the next step, in ms. */
@@ -179,8 +187,8 @@
     return true;
   }
 
-  /** Takes changes that are newer than what is known: a batch and an answer may overlap. */
-  private apply(changes: readonly Change[], revision: number): void {
+  /** Takes and gives the changes that are newer than what is known: a batch and an answer may overlap. */
+  private apply(changes: readonly Change[], revision: number): readonly Change[] {
     const known = this.revision;
     const newer = changes.filter((change) => revisionOf(change) > known);
     this.revision = Math.max(known, revision);
@@ -189,6 +197,7 @@
       else this.entries.delete(change.key);
       this.options.follower.changed(change);
     });
+    return newer;
   }
 
   private confirm(): void {
--- a/packages/process/gateway/src/process/registration.ts
+++ b/packages/process/gateway/src/process/registration.ts
@@ -13,7 +13,7 @@
 const retryMs = 500;
 
 /** Pause between two renewals of a watcher, which tell it whether the store still answers, in ms. */
-const watcherRenewMs = 600;
+const watcherRenewMs = 400;
 
 export interface RegistrationOptions {
   readonly store: PrefixStore;
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -3,11 +3,15 @@
 import type { Member, Members } from '../version/members';
 import type { Batch, Feed, PrefixFollower } from './prefix-follower';
 
-/** Pause between two messages of a watcher that has nothing new, in ms. */
+/** Pause between two messages of a watcher or a relay that has nothing new, in ms. */
 const heartbeatMs = 400;
 
-/** Age of the store's last answer to a watcher up to which its messages count as current, in ms. */
-const contactLifetimeMs = 1_500;
+/**
+ * Age of the store's last answer to a watcher up to which what it said counts as current, in ms. Relays
+ * ask the store first, so that the members behind them need not.
+ */
+const relayLifetimeMs = 1_300;
+const memberLifetimeMs = 1_600;
 
 /** How far this process has read below a prefix, and up to where it has told the others. */
 interface Progress {
@@ -15,11 +19,11 @@
   readonly read: number;
 }
 
-/** Time for which a new member waits for the entries of a watcher, in ms, and a random addition. */
+/** Time for which a new member waits for the entries of another one, in ms, and a random addition. */
 const snapshotMs = 2_000;
 const snapshotJitterMs = 2_000;
 
-/** Pause before a watcher is asked again that does not have the entries yet, in ms. */
+/** Pause before a member is asked again that does not have the entries yet, in ms. */
 const snapshotPauseMs = 150;
 
 export interface StoreFeedOptions {
@@ -29,20 +33,20 @@
   readonly self: Member;
   readonly members: Members;
   readonly send: (address: string, message: FeedMessage) => void;
-  /** Asks a watcher for its entries below a prefix; undefined if it has none to give. */
+  /** Asks another member for its entries below a prefix; undefined if it has none to give. */
   readonly ask: (address: string, prefix: string) => Promise<Listing | undefined>;
 }
 
 /**
- * Lets two members of each failure domain follow the store for the others. A member that hears of no
- * watcher in contact with the store asks the store itself.
+ * Lets two members follow the store for the whole fleet, and two relays in each failure domain pass on
+ * what these watchers read. A member that hears of no recent contact with the store asks it itself.
  */
 export class StoreFeed implements Feed {
   private readonly followers = new Map<string, PrefixFollower>();
 
   private readonly progress = new Map<string, Progress>();
 
-  /** Time of the store's last answer to each watcher that was heard, on the own clock. */
+  /** Time of the store's last answer as each member that was heard knows it, on the own clock. */
   private readonly contacts = new Map<string, number>();
 
   private confirmedAt = -Infinity;
@@ -55,7 +59,7 @@
     return new StoreFeed(options);
   }
 
-  /** Adds the follower of a prefix, which then takes what watchers read. */
+  /** Adds the follower of a prefix, which then takes what others read. */
   attach(prefix: string, follower: PrefixFollower): void {
     this.followers.set(prefix, follower);
   }
@@ -63,12 +67,19 @@
   /** Whether this process follows the store for others. */
   isWatcher(): boolean {
     const { members, self } = this.options;
-    return members.watchersOf(self.domain).some(({ host }) => host === self.host);
+    return members.watchers.some(({ host }) => host === self.host);
+  }
+
+  /** Whether this process passes on what it hears to the members of its failure domain. */
+  isRelay(): boolean {
+    const { members, self } = this.options;
+    return members.relaysOf(self.domain).some(({ host }) => host === self.host);
   }
 
   fedUntil(now: number): number {
     if (this.isWatcher()) return -Infinity;
-    const until = Math.max(-Infinity, ...this.contacts.values()) + contactLifetimeMs;
+    const lifetimeMs = this.isRelay() ? relayLifetimeMs : memberLifetimeMs;
+    const until = Math.max(-Infinity, ...this.contacts.values()) + lifetimeMs;
     return until > now ? until : -Infinity;
   }
 
@@ -89,15 +100,14 @@
   }
 
   /**
-   * All entries below a prefix as a watcher of this domain knows them. Answers the load pattern "all
-   * daemons start at once": a large configuration would cross the link to the store once for each.
+   * All entries below a prefix as another member knows them. Answers the load pattern "all daemons start
+   * at once": a large configuration would cross the link to the store once for each.
    */
   async snapshot(prefix: string): Promise<Listing | undefined> {
-    const { clock, random, ask, self, members } = this.options;
+    const { clock, random, ask } = this.options;
     const endsAt = clock.now() + snapshotMs + random.next() * snapshotJitterMs;
     while (clock.now() < endsAt && !this.isWatcher()) {
-      const watchers = members.watchersOf(self.domain);
-      for (const { address } of watchers) {
+      for (const { address } of this.sources()) {
         const listing = await ask(address, prefix);
         if (listing !== undefined) return listing;
       }
@@ -108,17 +118,18 @@
 
   /** The entries below a prefix for a member that asks; undefined if they may be old. */
   entriesFor(prefix: string): Listing | undefined {
-    const isCurrent = this.options.clock.now() - this.confirmedAt < contactLifetimeMs;
-    return this.isWatcher() && isCurrent ? this.followers.get(prefix)?.snapshot() : undefined;
+    const isCurrent = this.options.clock.now() - this.contactAt() < memberLifetimeMs;
+    const mayTell = this.isWatcher() || this.isRelay();
+    return mayTell && isCurrent ? this.followers.get(prefix)?.snapshot() : undefined;
   }
 
-  /** Takes what a watcher read. */
+  /** Takes what another member read or heard. */
   heard({ host, contactAgeMs, batches }: FeedMessage): void {
     this.contacts.set(host, this.options.clock.now() - contactAgeMs);
     batches.forEach((batch) => this.followers.get(batch.prefix)?.receive(batch));
   }
 
-  /** Tells the others, as long as this process is a watcher, that nothing is missing. */
+  /** Tells those that rely on this process that nothing is missing. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
@@ -136,19 +147,40 @@
     });
   }
 
+  /** Time of the last sign that the store answers, to this process or to one that it heard. */
+  private contactAt(): number {
+    return Math.max(this.confirmedAt, ...this.contacts.values());
+  }
+
+  /** Members from which this one takes what they read. */
+  private sources(): readonly Member[] {
+    const { members, self } = this.options;
+    const found = this.isRelay() ? members.watchers : members.relaysOf(self.domain);
+    return found.filter(({ host }) => host !== self.host);
+  }
+
+  /** Members that take from this one what it read or heard. */
+  private targets(): readonly Member[] {
+    const { members, self } = this.options;
+    const relays = members.relays.map(({ host }) => host);
+    const skipped = new Set([self.host, ...members.watchers.map(({ host }) => host)]);
+    // The relays of a failure domain hear from the watchers, not from each other.
+    const near = this.isRelay() ? members.inDomain(self.domain) : [];
+    const behind = near.filter(({ host }) => !relays.includes(host));
+    const direct = this.isWatcher() ? members.relays : [];
+    return [...direct, ...behind].filter(({ host }) => !skipped.has(host));
+  }
+
   private tell(batches: readonly Batch[]): void {
-    if (!this.isWatcher()) return;
-    const { clock, self, members, send } = this.options;
-    const contactAgeMs = Math.min(1e9, clock.now() - this.confirmedAt);
+    const { clock, self, send } = this.options;
+    const targets = this.targets();
+    if (targets.length === 0) return;
+    const contactAgeMs = Math.min(1e9, clock.now() - this.contactAt());
     const message = { kind: PeerKind.feed, host: self.host, contactAgeMs, batches: [...batches] };
-    const watchers = new Set(members.watchersOf(self.domain).map(({ host }) => host));
-    members
-      .others(self.host)
-      .filter(({ domain, host }) => domain === self.domain && !watchers.has(host))
-      .forEach(({ address }) => send(address, message as FeedMessage));
+    targets.forEach(({ address }) => send(address, message as FeedMessage));
   }
 
-  /** Logs when the watchers of this domain are lost or heard again. */
+  /** Logs when the contact with the store through others is lost or regained. */
   private noteState(now: number): void {
     const fed = this.fedUntil(now) > now;
     if (fed === this.wasFed) return;
--- a/packages/process/gateway/src/process/usage-reports.ts
+++ b/packages/process/gateway/src/process/usage-reports.ts
@@ -16,7 +16,7 @@
   readonly members: Members;
   readonly usage: ModelUsage;
   /** Whether this process reports also while nothing is used, so that the controller knows it. */
-  readonly isWatcher: () => boolean;
+  readonly isRelay: () => boolean;
   /** The controller of this process while it has one. */
   readonly local: () => Controller | undefined;
   readonly send: (address: string, message: UsageMessage) => void;
@@ -49,7 +49,7 @@
     const { self, members, usage, local, send } = this.options;
     const { uses, flights } = usage.take();
     const isIdle = uses.length === 0 && flights.length === 0;
-    if (isIdle && this.wasIdle && !this.options.isWatcher()) return;
+    if (isIdle && this.wasIdle && !this.options.isRelay()) return;
     this.wasIdle = isIdle;
     const message = {
       kind: PeerKind.usage,
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -1,6 +1,7 @@
 import type { Change, Entry, Telemetry } from '@currantdrift/core';
 import { z } from 'zod';
 import type { Follower } from '../process/prefix-follower';
+import { relaysOf } from './relays';
 import { watchersOf } from './watchers';
 
 export const memberPrefix = 'currantdrift/members/';
@@ -47,7 +48,10 @@
 export class Members implements Follower {
   private readonly members = new Map<string, Member>();
 
-  private readonly watchers = new Map<string, readonly Member[]>();
+  /** Duties as the members share them, until these change. */
+  private readonly domainRelays = new Map<string, readonly Member[]>();
+
+  private fleetWatchers: readonly Member[] | undefined;
 
   private holder: ControllerEntry | undefined;
 
@@ -68,13 +72,30 @@
     return this.all().filter((member) => member.host !== host);
   }
 
-  /** Members of a failure domain that follow the store for the others there. */
-  watchersOf(domain: string): readonly Member[] {
-    const found = this.watchers.get(domain) ?? watchersOf(this.all(), domain);
-    this.watchers.set(domain, found);
+  /** Members of one failure domain. */
+  inDomain(domain: string): readonly Member[] {
+    return this.all().filter((member) => member.domain === domain);
+  }
+
+  /** Members that follow the store for the others. */
+  get watchers(): readonly Member[] {
+    this.fleetWatchers ??= watchersOf(this.all());
+    return this.fleetWatchers;
+  }
+
+  /** Members of a failure domain that pass on there what they hear. */
+  relaysOf(domain: string): readonly Member[] {
+    const found = this.domainRelays.get(domain) ?? relaysOf(this.all(), domain);
+    this.domainRelays.set(domain, found);
     return found;
   }
 
+  /** The relays of all failure domains. */
+  get relays(): readonly Member[] {
+    const domains = new Set(this.all().map(({ domain }) => domain));
+    return [...domains].flatMap((domain) => this.relaysOf(domain));
+  }
+
   get controller(): ControllerEntry | undefined {
     return this.holder;
   }
@@ -87,7 +108,7 @@
 
   listed(entries: readonly Entry[]): void {
     this.members.clear();
-    this.watchers.clear();
+    this.forgetDuties();
     this.holder = undefined;
     entries.forEach((entry) => this.put(entry));
     this.notify();
@@ -110,7 +131,7 @@
       this.notify();
     } else if (entry.key.startsWith(memberPrefix)) {
       this.members.set(entry.key, member);
-      this.watchers.clear();
+      this.forgetDuties();
       this.telemetry.log('member', { host: member.host, address: member.address });
     }
   }
@@ -121,11 +142,16 @@
       this.holder = undefined;
       this.notify();
     } else if (this.members.delete(key)) {
-      this.watchers.clear();
+      this.forgetDuties();
       this.telemetry.log('member.removed', { key });
     }
   }
 
+  private forgetDuties(): void {
+    this.domainRelays.clear();
+    this.fleetWatchers = undefined;
+  }
+
   private notify(): void {
     this.listeners.forEach((listener) => listener());
   }
--- a/packages/process/gateway/src/version/watchers.ts
+++ b/packages/process/gateway/src/version/watchers.ts
@@ -1,16 +1,19 @@
 import { dutyOrder } from './duty-order';
 import type { Member } from './members';
 
-/** Members of each failure domain that follow the store; two, so that one may fail unnoticed. */
-export const watchersPerDomain = 2;
+/** Members of the fleet that follow the store; two, so that one may fail unnoticed. */
+export const watcherCount = 2;
 
 /**
- * Members of a failure domain that follow the store and pass what they read on to the others. Answers
- * the load pattern "many daemons wait for the same changes": the calls to the store grow with the
- * domains, not with the daemons.
+ * Members that follow the store for the whole fleet, in different failure domains if there are several.
+ * Answers the load pattern "many daemons wait for the same changes": the calls to the store grow neither
+ * with the daemons nor with the failure domains.
  */
-export const watchersOf = (members: readonly Member[], domain: string): readonly Member[] =>
-  dutyOrder(
-    `watchers ${domain}`,
-    members.filter((member) => member.domain === domain),
-  ).slice(0, watchersPerDomain);
+export const watchersOf = (members: readonly Member[]): readonly Member[] => {
+  const order = dutyOrder('watchers', members);
+  const [first] = order;
+  if (first === undefined) return [];
+  const elsewhere = order.filter(({ domain }) => domain !== first.domain);
+  const near = order.filter(({ domain, host }) => domain === first.domain && host !== first.host);
+  return [first, ...elsewhere, ...near].slice(0, watcherCount);
+};
--- a/packages/process/gateway/test/duty-order.test.ts
+++ b/packages/process/gateway/test/duty-order.test.ts
@@ -1,5 +1,6 @@
 import { dutyOrder } from '../src/version/duty-order';
 import type { Member } from '../src/version/members';
+import { relaysOf } from '../src/version/relays';
 import { watchersOf } from '../src/version/watchers';
 
 const member = (host: string, processors: number, domain = 'north'): Member => ({
@@ -20,8 +21,20 @@
   test('large hosts take duties first', () => {
     const firsts = dutyOrder('controller', fleet).slice(0, 2);
     expect(firsts.map(({ processors }) => processors)).toEqual([1.35, 1.35]);
-    const watchers = watchersOf([...fleet, member('elsewhere', 8, 'south')], 'north');
-    expect(watchers.map(({ host }) => host).sort()).toEqual(['large-0', 'large-1']);
+    const all = [...fleet, member('elsewhere', 8, 'south')];
+    const relays = relaysOf(all, 'north');
+    expect(relays.map(({ host }) => host).sort()).toEqual(['large-0', 'large-1']);
+    expect(watchersOf(all)[0].host).toBe('elsewhere');
+  });
+
+  // Guards against a fleet that loses both watchers with one failure domain.
+  test('watchers are in different failure domains', () => {
+    const south = Array.from({ length: 3 }, (_, index) => member(`south-${index}`, 0.324, 'south'));
+    const watchers = watchersOf([...fleet, ...south]);
+    expect(watchers.map(({ domain }) => domain).sort()).toEqual(['north', 'south']);
+    expect(watchersOf(fleet)).toHaveLength(2);
+    expect(watchersOf(fleet.slice(0, 1))).toHaveLength(1);
+    expect(watchersOf([])).toEqual([]);
   });
 
   // Guards against one host that takes every duty, and one that never takes any.
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -4,7 +4,8 @@
 import { Registration } from '../src/process/registration';
 import { StoreFeed } from '../src/process/store-feed';
 import { Members, ownPrefix } from '../src/version/members';
-import { watchersPerDomain } from '../src/version/watchers';
+import { relaysOf } from '../src/version/relays';
+import { watcherCount } from '../src/version/watchers';
 
 /** Keeps the entries below a prefix. */
 class Entries {
@@ -23,8 +24,8 @@
 
 const dataPrefix = 'data/';
 
-/** Members of one failure domain that follow a store and tell each other what they read. */
-const world = async (count: number) => {
+/** Members that follow a store and tell each other what they read. */
+const world = async (count: number, domains = 1) => {
   const clock = VirtualClock.create();
   const store = MemoryPrefixStore.create(clock);
   const telemetry = SilentTelemetry.create();
@@ -36,7 +37,7 @@
     const handle = PrefixStoreHandle.create(store, clock);
     const members = Members.create(telemetry);
     const entries = new Entries();
-    const self = { host, address: host, domain: 'north', processors: 1 };
+    const self = { host, address: host, domain: `d${index % domains}`, processors: 1 };
     const feed = StoreFeed.create({
       clock,
       telemetry,
@@ -68,7 +69,7 @@
     Registration.create(options)
       .run(never)
       .catch(() => {});
-    return { host, handle, entries, feed, isWatcher };
+    return { host, self, handle, entries, feed, isWatcher };
   };
   const processes = Array.from({ length: count }, (_, index) => start(index));
   await clock.advance(5_000);
@@ -77,11 +78,29 @@
     processes.map(({ entries }) => entries.values.get(dataPrefix + key));
   const watchers = processes.filter(({ isWatcher }) => isWatcher());
   const others = processes.filter(({ isWatcher }) => !isWatcher());
+  const isRelay = ({ self }: (typeof processes)[number]) =>
+    relaysOf(
+      processes.map((each) => each.self),
+      self.domain,
+    ).includes(self);
+  const relays = others.filter(isRelay);
   const reads = () =>
     others.map(
       ({ handle }) => (handle.calls.get('changes') ?? 0) + (handle.calls.get('listing') ?? 0),
     );
-  return { clock, store, start, processes, watchers, others, silent, write, values, reads };
+  return {
+    clock,
+    store,
+    start,
+    processes,
+    watchers,
+    relays,
+    others,
+    silent,
+    write,
+    values,
+    reads,
+  };
 };
 
 const all = (count: number, value: string) => Array.from({ length: count }, () => value);
@@ -90,7 +109,7 @@
   // Guards against calls to the store that grow with the number of daemons.
   test('only the watchers ask the store, and all members learn of changes', async () => {
     const { clock, watchers, write, values, reads } = await world(12);
-    expect(watchers).toHaveLength(watchersPerDomain);
+    expect(watchers).toHaveLength(watcherCount);
     const before = reads();
     for (let step = 0; step < 20; step += 1) {
       write('a', `${step}`);
@@ -100,6 +119,47 @@
     expect(reads()).toEqual(before);
   });
 
+  // Guards against calls to the store that grow with the failure domains.
+  test('two members of different domains ask the store for all domains', async () => {
+    const { clock, watchers, write, values, reads } = await world(24, 6);
+    expect(watchers).toHaveLength(watcherCount);
+    expect(new Set(watchers.map(({ self }) => self.domain)).size).toBe(2);
+    const before = reads();
+    for (let step = 0; step < 20; step += 1) {
+      write('a', `${step}`);
+      await clock.advance(300);
+      expect(values('a')).toEqual(all(24, `${step}`));
+    }
+    expect(reads()).toEqual(before);
+  });
+
+  // Guards against a domain that hears nothing because one of its relays is gone.
+  test('a domain hears from its other relay', async () => {
+    const { clock, relays, silent, write, processes, reads } = await world(24, 4);
+    silent.add(relays[0].host);
+    const before = reads();
+    write('a', 'new');
+    await clock.advance(600);
+    const heard = processes.filter(({ host }) => !silent.has(host));
+    expect(heard.map(({ entries }) => entries.values.get(`${dataPrefix}a`))).toEqual(
+      all(23, 'new'),
+    );
+    expect(reads()).toEqual(before);
+  });
+
+  // Guards against a fleet whose daemons all ask the store at once when the watchers are gone.
+  test('without watchers the relays ask the store and the others hear from them', async () => {
+    const { clock, watchers, relays, silent, write, values, reads } = await world(40, 4);
+    watchers.forEach(({ host }) => silent.add(host));
+    const before = reads();
+    const asked = () => reads().filter((count, index) => count > before[index]);
+    await clock.advance(1_800);
+    write('a', 'new');
+    await clock.advance(600);
+    expect(values('a').filter((value) => value === 'new').length).toBeGreaterThanOrEqual(38);
+    expect(asked().length).toBeLessThanOrEqual(relays.length);
+  });
+
   // Guards against members that go on with old knowledge because their watchers are gone.
   test('members whose watchers fall silent ask the store themselves', async () => {
     const { clock, watchers, silent, write, values, others } = await world(8);
