--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -165,7 +165,7 @@
       self,
       members,
       send,
-      ask: (address, prefix) => this.askForEntries(address, prefix),
+      ask: (source, prefix) => this.askForEntries(source, prefix),
     });
     this.announcements = Announcements.create({
       clock,
