Confirm loads by their order and wait for unloads at the pace that engines show

And a load counted as done when the engine's report showed it, but reports are some hundred ms old: a load from a disk that takes 0.78 s was served after 1.04 to 1.2 s, and its engine took no other order meanwhile.

Ruled out: loads that take longer than stated; loads from the weight store, at full speed, ended 1.01 to 1.08 times after their time, that is with the same lag.

Change: after its expected time a load is confirmed by the same order, which an engine answers with "holds" and whose count keeps it from taking effect late; every fifth question is a report. The first order after an unload waits for the pause that orders to all engines have taught.

--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -19,6 +19,7 @@
 import type { UsageMessage, WantAnswer } from '../connection/peer-messages';
 import type { Term } from './controller-term';
 import { EngineLine } from './engine-line';
+import { UnloadPace } from './unload-pace';
 
 /** Pause between two plans when nothing asks for one earlier, in ms. */
 const planMs = 100;
@@ -71,6 +72,8 @@
 
   private readonly pace = WeightStorePace.create();
 
+  private readonly unloads = UnloadPace.create();
+
   private readonly lines = new Map<string, EngineLine>();
 
   private readonly usage = new Map<string, { message: UsageMessage; at: number }>();
@@ -274,6 +277,7 @@
       telemetry,
       holder,
       fence: this.term.fence,
+      unloads: this.unloads,
       mayOrder,
       quietUntil,
       onRemoteLoad: (fullSpeedMs, tookMs) =>
--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -9,10 +9,15 @@
 } from '@currantdrift/residency';
 import type { EngineControl } from '../connection/engine-control';
 import { EngineOrders, OrderEnd, reportLagMs, type WantedOrder } from './engine-orders';
+import type { UnloadPace } from './unload-pace';
 
-/** Pause between two reports while a load ends, in ms. */
+/** Pause between two reports of a busy engine, in ms. */
 const pollMs = 120;
 
+/** Pause between two questions whether a load is done, in ms, and how many come between reports. */
+const confirmMs = 60;
+const confirmsPerReport = 5;
+
 /** Pause between two reports of an engine that does not answer, in ms. */
 const downPollMs = 400;
 
@@ -35,6 +40,8 @@
   readonly telemetry: Telemetry;
   readonly holder: string;
   readonly fence: number;
+  /** How long unloads take, as far as the orders to all engines have shown. */
+  readonly unloads: UnloadPace;
   /** Whether an order may be sent now. */
   readonly mayOrder: () => boolean;
   /** Earliest time of the first order, in ms. */
@@ -270,9 +277,7 @@
         endsAt: clock.now() + step.loadMs,
         remote: step.source === 'remote',
       };
-      const isHeld = (report: EngineReport) =>
-        report.models.some(({ name }) => name === step.model);
-      await this.settled(isHeld, end === OrderEnd.done ? 0 : step.loadMs);
+      await this.settled(step.model, end === OrderEnd.done ? 0 : step.loadMs);
       if (step.source === 'remote') {
         this.options.onRemoteLoad(step.loadMs, clock.now() - orderedAt);
       }
@@ -295,23 +300,42 @@
     });
   }
 
-  /** Waits until the engine is idle and reports what `done` asks for, then takes its report. */
-  private async settled(done: (report: EngineReport) => boolean, expectedMs: number) {
+  /** Waits until the engine says that it holds the model, then takes what it holds. */
+  private async settled(model: string, expectedMs: number): Promise<void> {
     const { clock } = this.options;
     const endsAt = clock.now() + expectedMs * 3 + overdueMs;
     await clock.sleep(expectedMs);
-    while (!this.closed && clock.now() < endsAt) {
-      const report = await this.read();
-      if (report !== undefined && !report.busy && done(report)) {
-        this.take(report);
+    for (let tries = 1; !this.closed && clock.now() < endsAt; tries += 1) {
+      if (await this.orders.confirm({ kind: 'load', model })) {
+        this.loaded(model);
         return;
       }
-      await clock.sleep(pollMs);
+      if (tries % confirmsPerReport === 0 && (await this.isReported(model))) return;
+      await clock.sleep(confirmMs);
     }
     // Whatever the engine carried out instead, it is what the next plan has to start from.
     await this.resync();
   }
 
+  /** Whether the report shows the load as done; takes the report then. */
+  private async isReported(model: string): Promise<boolean> {
+    const report = await this.read();
+    const isHeld = report?.models.some(({ name }) => name === model) ?? false;
+    if (report === undefined || report.busy || !isHeld) return false;
+    this.take(report);
+    return true;
+  }
+
+  /** Takes note of a load that is done; it leaves copies in memory and on the disk. */
+  private loaded(model: string): void {
+    if (!this.models.some(({ name }) => name === model)) {
+      this.models = [...this.models, { name: model, adapters: [] }];
+    }
+    const { inMemory, onDisk } = this.copies;
+    const add = (names: readonly string[]) => [...new Set([...names, model])];
+    this.copies = { inMemory: add(inMemory), onDisk: add(onDisk) };
+  }
+
   private async resync(): Promise<void> {
     const { clock } = this.options;
     while (!this.closed) {
--- a/packages/process/gateway/src/process/engine-orders.ts
+++ b/packages/process/gateway/src/process/engine-orders.ts
@@ -1,6 +1,7 @@
 import { type Clock, describeFailure, type Telemetry } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport } from '@currantdrift/fleet';
 import { type EngineControl, type EngineOrder, OrderAnswer } from '../connection/engine-control';
+import type { UnloadPace } from './unload-pace';
 
 /** Pause between two tries of an order, in ms. */
 const retryMs = 100;
@@ -36,6 +37,7 @@
   readonly telemetry: Telemetry;
   readonly holder: string;
   readonly fence: number;
+  readonly unloads: UnloadPace;
   /** Whether an order may be sent now. */
   readonly mayOrder: () => boolean;
   readonly record: () => EndpointRecord;
@@ -66,6 +68,9 @@
 
   private acceptedAt = -Infinity;
 
+  /** Time of the last unload of a model, until the order after it was answered. */
+  private unloadedAt: number | undefined;
+
   private sending: Promise<unknown> = Promise.resolve();
 
   private constructor(private readonly options: EngineOrdersOptions) {}
@@ -96,45 +101,41 @@
     return sent;
   }
 
+  /**
+   * Whether the engine has carried out a load. Asks by the same order again: its answer is current, while
+   * reports lag, and the count keeps it from taking effect after a later one.
+   */
+  confirm(load: WantedOrder): Promise<boolean> {
+    const asked = this.sending.then(async () => {
+      const { isClosed, mayOrder } = this.options;
+      if (isClosed() || !mayOrder()) return false;
+      const orderCount = this.accepted ?? 0;
+      const answer = await this.attempt(load, orderCount, 1);
+      // The engine had dropped the model in between and loads it again.
+      if (answer === OrderAnswer.accepted) this.counted(orderCount);
+      return answer === OrderAnswer.holds;
+    });
+    this.sending = asked.catch(() => {});
+    return asked;
+  }
+
   private async send(wanted: WantedOrder): Promise<OrderEnd> {
-    const { clock, control, telemetry, holder, fence, mayOrder, record, isClosed } = this.options;
+    const { clock, mayOrder, isClosed } = this.options;
+    await this.awaitUnload();
     for (let tries = 1; tries <= maxTries; tries += 1) {
       if (isClosed() || !mayOrder()) return OrderEnd.givenUp;
       const orderCount = this.accepted ?? 0;
-      const order: EngineOrder = {
-        kind: wanted.kind,
-        model: wanted.model,
-        adapter: wanted.adapter,
-        orderCount,
-        holder,
-        fence,
-      };
-      this.sentAt = clock.now();
-      const answer = await control.order(record(), order, mayOrder);
-      telemetry.log('order', {
-        endpoint: record().id,
-        ...order,
-        tries,
-        outcome: answer.isOk() ? answer.value : describeFailure(answer.error),
-      });
-      if (answer.isOk()) {
-        if (answer.value === OrderAnswer.accepted) {
-          this.acceptedAt = clock.now();
-          this.accepted = orderCount + 1;
-          return OrderEnd.accepted;
-        }
-        if (answer.value === OrderAnswer.holds) {
-          // An adapter is unloaded within the call, which counts as an accepted order.
-          if (wanted.kind === 'unload' && wanted.adapter !== undefined) {
-            this.acceptedAt = clock.now();
-            this.accepted = orderCount + 1;
-          }
-          return OrderEnd.accepted;
-        }
-        if (answer.value !== OrderAnswer.conflict) return OrderEnd.givenUp;
+      const answer = await this.attempt(wanted, orderCount, tries);
+      this.noteUnload(wanted, answer);
+      if (answer === OrderAnswer.accepted || answer === OrderAnswer.holds) {
+        // An adapter is unloaded within the call, which counts as an accepted order.
+        const isUnloaded = wanted.kind === 'unload' && wanted.adapter !== undefined;
+        if (answer === OrderAnswer.accepted || isUnloaded) this.counted(orderCount);
+        return OrderEnd.accepted;
       }
+      if (answer !== undefined && answer !== OrderAnswer.conflict) return OrderEnd.givenUp;
       // A conflict soon after an accepted order mostly means that this one is still under way.
-      const isEarly = answer.isOk() && tries <= quickTries;
+      const isEarly = answer === OrderAnswer.conflict && tries <= quickTries;
       const end = isEarly ? undefined : await this.afterDoubt(wanted, orderCount);
       if (end !== undefined) return end;
       await clock.sleep(isEarly ? quickRetryMs : retryMs);
@@ -142,6 +143,48 @@
     return OrderEnd.givenUp;
   }
 
+  /** Sends an order once; undefined if it has no answer. */
+  private async attempt(
+    { kind, model, adapter }: WantedOrder,
+    orderCount: number,
+    tries: number,
+  ): Promise<OrderAnswer | undefined> {
+    const { clock, control, telemetry, holder, fence, mayOrder, record } = this.options;
+    const order: EngineOrder = { kind, model, adapter, orderCount, holder, fence };
+    this.sentAt = clock.now();
+    const answer = await control.order(record(), order, mayOrder);
+    telemetry.log('order', {
+      endpoint: record().id,
+      ...order,
+      tries,
+      outcome: answer.isOk() ? answer.value : describeFailure(answer.error),
+    });
+    return answer.isOk() ? answer.value : undefined;
+  }
+
+  /** Counts an order that the engine has accepted. */
+  private counted(orderCount: number): void {
+    this.acceptedAt = this.options.clock.now();
+    this.accepted = orderCount + 1;
+  }
+
+  /** Waits for the end of an unload that was just accepted. */
+  private async awaitUnload(): Promise<void> {
+    if (this.unloadedAt === undefined) return;
+    const { clock, unloads } = this.options;
+    await clock.sleep(Math.max(0, this.unloadedAt + unloads.pauseMs - clock.now()));
+  }
+
+  /** Learns from the first answer after an unload how long that takes. */
+  private noteUnload({ kind, adapter }: WantedOrder, answer: OrderAnswer | undefined): void {
+    const now = this.options.clock.now();
+    if (this.unloadedAt !== undefined && answer !== undefined) {
+      this.options.unloads.answered(answer === OrderAnswer.conflict, now - this.unloadedAt);
+    }
+    const isUnload = kind === 'unload' && adapter === undefined;
+    this.unloadedAt = isUnload && answer === OrderAnswer.accepted ? now : undefined;
+  }
+
   /**
    * Reads the report after an order without a clear answer; undefined if the order is to be sent again.
    * An order of an earlier holder, or an own one that was given up, may be carried out in between: then
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -8,6 +8,7 @@
   OrderAnswer,
 } from '../src/connection/engine-control';
 import { EngineLine } from '../src/process/engine-line';
+import { UnloadPace } from '../src/process/unload-pace';
 
 const record = endpointRecord();
 
@@ -31,6 +32,12 @@
 
   down = false;
 
+  /** Age of what reports say about a load, in ms. */
+  reportLagMs = 0;
+
+  /** Orders that met another one under way or a count that differs. */
+  conflicts = 0;
+
   private count = 0;
 
   private busyUntil = -1;
@@ -48,10 +55,11 @@
   async report(): Promise<Result<EngineReport, Failure>> {
     await this.clock.sleep(2);
     if (this.down) return err(failure(FailureKind.unreachable));
+    const isBusy = this.clock.now() - this.reportLagMs < this.busyUntil;
     return ok({
       bornAt: 1,
-      models: this.clock.now() < this.busyUntil ? this.models.slice(0, -1) : this.models,
-      busy: this.clock.now() < this.busyUntil,
+      models: isBusy ? this.models.slice(0, -1) : this.models,
+      busy: isBusy,
       orderCount: this.count,
       copies: { inMemory: [], onDisk: [] },
     });
@@ -90,9 +98,11 @@
   }
 
   private carryOut(order: EngineOrder): OrderAnswer {
-    if (order.orderCount !== this.count) return OrderAnswer.conflict;
-    if (this.clock.now() < this.busyUntil) return OrderAnswer.conflict;
-    if (this.isAbsent(order)) return OrderAnswer.holds;
+    if (order.orderCount !== this.count || this.clock.now() < this.busyUntil) {
+      this.conflicts += 1;
+      return OrderAnswer.conflict;
+    }
+    if (this.isAbsent(order) || this.isLoaded(order)) return OrderAnswer.holds;
     this.count += 1;
     this.accepted.push(`${order.kind} ${order.model}${order.adapter ? `/${order.adapter}` : ''}`);
     if (order.adapter !== undefined) return this.adapterOrder(order, order.adapter);
@@ -113,6 +123,11 @@
     return kind === 'unload' && adapter !== undefined && !held?.adapters.includes(adapter);
   }
 
+  private isLoaded({ kind, model, adapter }: EngineOrder): boolean {
+    const isHeld = this.models.some(({ name }) => name === model);
+    return kind === 'load' && adapter === undefined && isHeld;
+  }
+
   private adapterOrder({ kind, model }: EngineOrder, adapter: string): OrderAnswer {
     this.models = this.models.map((held) => {
       if (held.name !== model) return held;
@@ -132,6 +147,7 @@
     telemetry: SilentTelemetry.create(),
     holder: 'h1',
     fence: 7,
+    unloads: UnloadPace.create(),
     mayOrder: change.mayOrder ?? (() => true),
     quietUntil: 0,
     onRemoteLoad: () => {},
@@ -165,6 +181,41 @@
   expect(line.view(new Map(), clock.now()).operation).toBeUndefined();
 });
 
+// Guards against requests that wait for a loaded model because reports lag.
+test('a load counts as done when the engine says so, not when its report does', async () => {
+  const { clock, engine, line } = await start(['a', 'b']);
+  engine.reportLagMs = 500;
+  line.load(swap(['a'], 'c'));
+  await clock.advance(1_200);
+  expect(served(line)).toEqual(['b', 'c']);
+  expect(engine.accepted).toEqual(['unload a', 'load c']);
+});
+
+// Guards against a load of unknown length that is taken for done.
+test('a load that takes longer than expected is served when it ends', async () => {
+  const { clock, line } = await start(['a', 'b']);
+  line.load({ ...swap(['a'], 'c'), loadMs: 300 });
+  await clock.advance(900);
+  expect(served(line)).toEqual(['b']);
+  await clock.advance(300);
+  expect(served(line)).toEqual(['b', 'c']);
+});
+
+// Guards against an order for each unload that the engine can only refuse.
+test('orders after unloads wait until engines take them', async () => {
+  const { clock, engine, line } = await start(['a', 'b']);
+  const swaps = async (count: number) => {
+    for (let step = 0; step < count; step += 1) {
+      const [model] = served(line);
+      line.load(swap([model], model === 'c' ? 'a' : 'c'));
+      await clock.advance(1_500);
+    }
+    return engine.conflicts;
+  };
+  const learnt = await swaps(4);
+  expect((await swaps(8)) - learnt).toBeLessThanOrEqual(1);
+});
+
 // Guards against an order that is carried out twice, or given up, because its answer was lost.
 test.each([
   ['lost on its way', ['lost']],
