Let models in use give way to requests that wait for a copy

Change: what may be unloaded is decided in residency/evictions.ts. The time until an engine with a copy has room counts in the estimate and in the choice between a copy and the weight store; an engine that only busy models fill is not waited for.

--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -165,6 +165,7 @@
     model,
     unload,
     source: 'disk',
+    drainMs: 0,
     loadMs: 1_000,
     reason: 'waiting',
   }) as const;
--- a/packages/version/residency/src/demand.ts
+++ b/packages/version/residency/src/demand.ts
@@ -9,7 +9,8 @@
   /** Latest time at which the model must be ready for an answer that is on time, in ms. */
   readonly onTimeBy: number;
   readonly priority: number;
-  /** Time of the last sign that the request still waits. */
+  /** Times of the first and of the last sign that the request waits. */
+  readonly since: number;
   readonly seenAt: number;
   /** True if the request was told to come back later. */
   readonly refused: boolean;
@@ -82,8 +83,10 @@
     return this.waiting.has(request);
   }
 
-  wait(waiting: Waiting): void {
-    this.waiting.set(waiting.request, waiting);
+  /** Takes a sign that a request waits. */
+  wait(sign: Omit<Waiting, 'since'>): void {
+    const since = this.waiting.get(sign.request)?.since ?? sign.seenAt;
+    this.waiting.set(sign.request, { ...sign, since });
   }
 
   /** Requests that wait at `now`, those told to come back included until they are due. */
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -1,8 +1,7 @@
 import type { Model } from '@currantdrift/routes';
 import { type EngineView, holdsModel, type LoadSource, sourceOf } from './engine-view';
-import { type EvictionCost, makeRoom } from './room';
+import { Evictions } from './evictions';
 import { fleetOf, loadTime, type Situation } from './situation';
-import { targetReplicas } from './target-replicas';
 
 /** A way to load a model now. */
 export interface LoadOption {
@@ -11,6 +10,8 @@
   readonly loadMs: number;
   readonly victims: readonly string[];
   readonly evictionMs: number;
+  /** Whether runs of the victims have to end first, in place of which no other replica serves. */
+  readonly isDraining: boolean;
   /** Load, evictions and disturbance of the engine together. */
   readonly costMs: number;
 }
@@ -21,35 +22,6 @@
     undefined,
   );
 
-/**
- * Cost of unloading in ms: the waiting that is expected until the model would be used again. A model
- * that requests wait for stays, also just after its load: otherwise two models that wait for one place
- * would displace each other before either is used.
- */
-const evictionCost = (situation: Situation, now: number): EvictionCost => {
-  const { settings, pool, demand, service } = situation;
-  const fleet = fleetOf(situation);
-  const awaited = new Set(
-    demand
-      .current(now)
-      .filter(({ refused }) => !refused)
-      .map(({ model }) => model),
-  );
-  return (engine, { name }) => {
-    if (awaited.has(name)) return undefined;
-    const isUsed = (engine.inFlight.get(name) ?? 0) > 0;
-    const model = pool.models.get(name);
-    if (model === undefined) return isUsed ? undefined : 0;
-    const rate = demand.rate(service, name, now);
-    const isSurplus = fleet.replicas(name).length > targetReplicas(situation, name, now);
-    // Its runs end before it is unloaded, and new requests go to the other replicas.
-    if (isUsed) return isSurplus ? rate + settings.runEndMs : undefined;
-    if (isSurplus) return rate;
-    const reloadMs = loadTime(model, sourceOf(engine, name));
-    return rate * (settings.evictionHorizonMs / 1000) * reloadMs + 1;
-  };
-};
-
 /** Requests that an engine may expect in a second for the models that it holds. */
 const engineRate = (situation: Situation, engine: EngineView, now: number): number =>
   engine.models.reduce((sum, { name }) => {
@@ -69,22 +41,25 @@
   ).length;
 };
 
+/** An engine that carries out no other order. */
+interface FreeEngine {
+  readonly engine: EngineView;
+  /** Cost of an order for the requests that the engine expects, in ms. */
+  readonly busyMs: number;
+  readonly soleCopies: number;
+}
+
 /** Ways to load models on engines that carry out no other order. */
 export class LoadOptions {
-  private readonly free: readonly {
-    readonly engine: EngineView;
-    /** Cost of an order for the requests that the engine expects, in ms. */
-    readonly busyMs: number;
-    readonly soleCopies: number;
-  }[];
+  private readonly free: readonly FreeEngine[];
 
-  private readonly eviction: EvictionCost;
+  private readonly evictions: Evictions;
 
   private constructor(
     private readonly situation: Situation,
     now: number,
   ) {
-    this.eviction = evictionCost(situation, now);
+    this.evictions = Evictions.of(situation, now);
     this.free = situation.engines
       .filter((engine) => !engine.leaving && engine.operation === undefined)
       .map((engine) => ({
@@ -104,20 +79,28 @@
     return this.free.length === 0;
   }
 
-  /** Ways to load the model now. */
-  of(model: Model): LoadOption[] {
-    const { pool, settings } = this.situation;
+  /** Ways to load the model now; `mayDrain` if models in use may have to go. */
+  of(model: Model, mayDrain = false): LoadOption[] {
     return this.free
       .filter(({ engine }) => !holdsModel(engine, model.name))
-      .flatMap(({ engine, busyMs, soleCopies: sole }) => {
-        const room = makeRoom(engine, pool, model.sizeMb, this.eviction);
-        if (room === undefined) return [];
-        const source = sourceOf(engine, model.name);
-        const loadMs = loadTime(model, source);
-        // While the engine loads, nobody else can load the models that only it has.
-        const soleMs = sole * loadMs * settings.soleCopyShare;
-        const costMs = loadMs + room.costMs + busyMs + soleMs;
-        return [{ engine, source, loadMs, victims: room.victims, evictionMs: room.costMs, costMs }];
-      });
+      .flatMap((free) => this.optionAt(free, model, mayDrain) ?? []);
+  }
+
+  private optionAt(
+    { engine, busyMs, soleCopies: sole }: FreeEngine,
+    model: Model,
+    mayDrain: boolean,
+  ): LoadOption | undefined {
+    const idle = this.evictions.idle(engine, model);
+    const room = idle ?? (mayDrain ? this.evictions.draining(engine, model) : undefined);
+    if (room === undefined) return undefined;
+    const source = sourceOf(engine, model.name);
+    const loadMs = loadTime(model, source);
+    // While the engine loads, nobody else can load the models that only it has.
+    const soleMs = sole * loadMs * this.situation.settings.soleCopyShare;
+    const { victims, costMs: evictionMs } = room;
+    const costMs = loadMs + evictionMs + busyMs + soleMs;
+    const isDraining = idle === undefined;
+    return { engine, source, loadMs, victims, evictionMs, isDraining, costMs };
   }
 }
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -5,20 +5,26 @@
 import { fleetOf, LoadReason, type LoadStep, type Situation } from './situation';
 import { targetReplicas } from './target-replicas';
 
-const stepOf = (option: LoadOption, model: Model, reason: LoadReason): LoadStep => ({
+const stepOf = (
+  { settings }: Situation,
+  option: LoadOption,
+  model: Model,
+  reason: LoadReason,
+): LoadStep => ({
   kind: 'load',
   engine: option.engine.id,
   model: model.name,
   unload: option.victims,
   source: option.source,
+  drainMs: option.isDraining ? settings.runEndMs : 0,
   loadMs: option.loadMs,
   reason,
 });
 
 /** The first step that `plan` finds for one of the models. */
-const firstStep = (
-  models: readonly Model[],
-  plan: (model: Model) => LoadStep | undefined,
+const firstStep = <T>(
+  models: readonly T[],
+  plan: (model: T) => LoadStep | undefined,
 ): LoadStep | undefined => {
   for (const model of models) {
     const step = plan(model);
@@ -33,16 +39,17 @@
   now: number,
 ): LoadStep | undefined => {
   const remoteAllowed = situation.remoteLoads < situation.remoteCapacity;
-  return firstStep(neededModels(situation, now), (model) => {
-    const all = options.of(model);
+  return firstStep(neededModels(situation, now), ({ model, since }) => {
+    const mayDrain = now - since >= situation.settings.drainAfterMs;
+    const all = options.of(model, mayDrain);
     const option = cheapest(
       remoteAllowed ? all : all.filter(({ source }) => source !== LoadSource.remote),
     );
     if (option === undefined) return undefined;
-    // An engine with a copy that is occupied for a while is still faster than the weight store.
+    // An engine with a copy that has no room for a while is still faster than the weight store.
     const byCopyMs = readyByCopy(situation, model, now);
     if (byCopyMs !== undefined && byCopyMs < option.loadMs) return undefined;
-    return stepOf(option, model, LoadReason.waiting);
+    return stepOf(situation, option, model, LoadReason.waiting);
   });
 };
 
@@ -88,7 +95,7 @@
           (remoteAllowed || source !== LoadSource.remote) && evictionMs < maxEvictionMs,
       );
     const option = cheapest(allowed);
-    return option && stepOf(option, model, LoadReason.busy);
+    return option && stepOf(situation, option, model, LoadReason.busy);
   });
 };
 
@@ -113,7 +120,7 @@
   if (option === undefined || option.evictionMs > settings.copyEvictionMs) {
     return undefined;
   }
-  return stepOf(option, missing.model, LoadReason.copy);
+  return stepOf(situation, option, missing.model, LoadReason.copy);
 };
 
 /**
--- a/packages/version/residency/src/room.ts
+++ b/packages/version/residency/src/room.ts
@@ -28,8 +28,8 @@
   readonly costMs: number;
 }
 
-/** Cost of unloading a held model from an engine, in ms; undefined if it must stay. */
-export type EvictionCost = (engine: EngineView, held: HeldModel) => number | undefined;
+/** Cost of unloading a held model, in ms; undefined if it must stay. */
+export type EvictionCost = (held: HeldModel) => number | undefined;
 
 /** The cheapest models whose unloading makes room for `neededMb`; undefined if none do. */
 export const makeRoom = (
@@ -40,7 +40,7 @@
 ): Eviction | undefined => {
   let missing = neededMb - freeMemory(engine, pool);
   const priced = engine.models
-    .map((held) => ({ held, cost: cost(engine, held) }))
+    .map((held) => ({ held, cost: cost(held) }))
     .filter((one): one is { held: HeldModel; cost: number } => one.cost !== undefined)
     .sort((a, b) => a.cost - b.cost);
   const victims: string[] = [];
