Keep models in use again, and let plans reuse what they have worked out

What it needed stays where it makes plans cheaper: rates are worked out once for each time, victims once for each engine, names of copies once for each report, and requests in flight once in 25 ms.

--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -46,6 +46,8 @@
 /** Age of a usage report from which its requests in flight no longer count, in ms. */
 const usageLifetimeMs = 5_000;
 
+const noFlights: ReadonlyMap<string, number> = new Map();
+
 /** Steps that one plan may order. */
 const maxSteps = 50;
 
@@ -66,6 +68,14 @@
   ) => void;
 }
 
+/** The engines by service at one time. */
+interface EngineViews {
+  readonly at: number;
+  readonly engines: ReadonlyMap<string, readonly EngineView[]>;
+  /** Loads from the weight store under way, over all services. */
+  readonly remoteLoads: number;
+}
+
 /** Decides and orders, for one term, which engines hold which models. */
 export class Controller {
   private readonly demand = Demand.create();
@@ -93,8 +103,10 @@
 
   private loadsAt = -Infinity;
 
-  private views:
-    | { readonly at: number; readonly engines: ReadonlyMap<string, readonly EngineView[]> }
+  private views: EngineViews | undefined;
+
+  private flightCounts:
+    | { readonly at: number; readonly counts: ReadonlyMap<string, ReadonlyMap<string, number>> }
     | undefined;
 
   private constructor(
@@ -291,9 +303,8 @@
   private situation(service: string, now: number): Situation | undefined {
     const pool = this.options.configuration()?.services.get(service)?.engines;
     if (pool === undefined) return undefined;
-    const all = this.engineViews(now);
-    const engines = all.get(service) ?? [];
-    const remoteLoads = this.remoteLoads(now);
+    const { engines: byService, remoteLoads } = this.engineViews(now);
+    const engines = byService.get(service) ?? [];
     const remoteCapacity = this.pace.atOnce;
     const { demand } = this;
     const beforeDemand = this.term.isFirst && demand.isIdle(now);
@@ -312,26 +323,36 @@
 
   /** Loads from the weight store under way, over all services. */
   private remoteLoads(now: number): number {
-    return [...this.engineViews(now).values()]
-      .flat()
-      .filter(({ operation }) => operation?.remote === true).length;
+    return this.engineViews(now).remoteLoads;
   }
 
-  /** The engines by service, as they are or were a moment ago. */
-  private engineViews(now: number): ReadonlyMap<string, readonly EngineView[]> {
-    const { views } = this;
-    if (views !== undefined && now - views.at < viewLifetimeMs) return views.engines;
+  /** The engines as they are or were a moment ago. */
+  private engineViews(now: number): EngineViews {
+    if (this.views !== undefined && now - this.views.at < viewLifetimeMs) return this.views;
     const inFlight = this.inFlight(now);
     const engines = new Map<string, EngineView[]>();
+    let remoteLoads = 0;
     this.lines.forEach((line, id) => {
-      const view = line.view(inFlight.get(id) ?? new Map(), now);
-      engines.set(view.service, [...(engines.get(view.service) ?? []), view]);
+      const view = line.view(inFlight.get(id) ?? noFlights, now);
+      const others = engines.get(view.service);
+      if (others === undefined) engines.set(view.service, [view]);
+      else others.push(view);
+      if (view.operation?.remote === true) remoteLoads += 1;
     });
-    this.views = { at: now, engines };
-    return engines;
+    this.views = { at: now, engines, remoteLoads };
+    return this.views;
+  }
+
+  /** Requests in flight by engine, then by model and by adapter, as they are or were a moment ago. */
+  private inFlight(now: number): ReadonlyMap<string, ReadonlyMap<string, number>> {
+    const known = this.flightCounts;
+    if (known !== undefined && now - known.at < viewLifetimeMs) return known.counts;
+    const counts = this.countFlights(now);
+    this.flightCounts = { at: now, counts };
+    return counts;
   }
 
-  private inFlight(now: number): Map<string, Map<string, number>> {
+  private countFlights(now: number): Map<string, Map<string, number>> {
     const byEngine = new Map<string, Map<string, number>>();
     this.flights(now).forEach(({ endpoint, model, adapter, count }) => {
       const counts = byEngine.get(endpoint) ?? new Map<string, number>();
--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -188,7 +188,7 @@
     this.operation = {
       kind: 'load',
       model: step.model,
-      endsAt: now + step.drainMs + step.loadMs + step.unload.length * pollMs,
+      endsAt: now + step.loadMs + step.unload.length * pollMs,
       remote: step.source === 'remote',
     };
     this.options.onChange();
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -172,7 +172,6 @@
     model,
     unload,
     source: 'disk',
-    drainMs: 0,
     loadMs: 1_000,
     reason: 'waiting',
   }) as const;
--- a/packages/version/residency/src/demand.ts
+++ b/packages/version/residency/src/demand.ts
@@ -9,8 +9,7 @@
   /** Latest time at which the model must be ready for an answer that is on time, in ms. */
   readonly onTimeBy: number;
   readonly priority: number;
-  /** Times of the first and of the last sign that the request waits. */
-  readonly since: number;
+  /** Time of the last sign that the request still waits. */
   readonly seenAt: number;
   /** True if the request was told to come back later. */
   readonly refused: boolean;
@@ -33,12 +32,21 @@
   readonly at: number;
 }
 
+/** Rates as they are at one time; a plan asks for the same ones many times. */
+interface Decayed {
+  readonly at: number;
+  readonly perSecond: Map<string, number>;
+}
+
 const decayed = (rate: Rate, now: number): number =>
   rate.perSecond * Math.exp(-Math.max(0, now - rate.at) / rateMemoryMs);
 
 /** What models are asked for: arrival rates, and the requests that wait. */
 export class Demand {
-  private readonly rates = new Map<string, Rate>();
+  /** By service, then by model. */
+  private readonly rates = new Map<string, Map<string, Rate>>();
+
+  private readonly latest = new Map<string, Decayed>();
 
   private readonly waiting = new Map<string, Waiting>();
 
@@ -51,10 +59,12 @@
   }
 
   countArrivals(service: string, model: string, count: number, now: number): void {
-    const key = service + separator + model;
-    const before = this.rates.get(key);
+    const rates = this.rates.get(service) ?? new Map<string, Rate>();
+    this.rates.set(service, rates);
+    const before = rates.get(model);
     const kept = before === undefined ? 0 : decayed(before, now);
-    this.rates.set(key, { perSecond: kept + count / (rateMemoryMs / 1000), at: now });
+    rates.set(model, { perSecond: kept + count / (rateMemoryMs / 1000), at: now });
+    this.latest.get(service)?.perSecond.delete(model);
   }
 
   adapterUsed(service: string, model: string, adapter: string, now: number): void {
@@ -68,14 +78,32 @@
 
   /** Arrivals in a second, averaged over the last seconds. */
   rate(service: string, model: string, now: number): number {
-    const found = this.rates.get(service + separator + model);
-    return found === undefined ? 0 : decayed(found, now);
+    const known = this.ratesAt(service, now);
+    const found = known.get(model);
+    if (found !== undefined) return found;
+    const rate = this.rates.get(service)?.get(model);
+    const perSecond = rate === undefined ? 0 : decayed(rate, now);
+    known.set(model, perSecond);
+    return perSecond;
+  }
+
+  /** Models that were ever asked for. */
+  models(service: string): readonly string[] {
+    return [...(this.rates.get(service)?.keys() ?? [])];
   }
 
   /** Whether hardly anything was asked for in the last seconds. */
   isIdle(now: number): boolean {
-    const total = [...this.rates.values()].reduce((sum, rate) => sum + decayed(rate, now), 0);
-    return total < idlePerSecond;
+    const all = [...this.rates.values()].flatMap((rates) => [...rates.values()]);
+    return all.reduce((sum, rate) => sum + decayed(rate, now), 0) < idlePerSecond;
+  }
+
+  private ratesAt(service: string, now: number): Map<string, number> {
+    const known = this.latest.get(service);
+    if (known?.at === now) return known.perSecond;
+    const perSecond = new Map<string, number>();
+    this.latest.set(service, { at: now, perSecond });
+    return perSecond;
   }
 
   /** Whether the request is known to wait. */
@@ -83,10 +111,8 @@
     return this.waiting.has(request);
   }
 
-  /** Takes a sign that a request waits. */
-  wait(sign: Omit<Waiting, 'since'>): void {
-    const since = this.waiting.get(sign.request)?.since ?? sign.seenAt;
-    this.waiting.set(sign.request, { ...sign, since });
+  wait(waiting: Waiting): void {
+    this.waiting.set(waiting.request, waiting);
   }
 
   /** Requests that wait at `now`, those told to come back included until they are due. */
--- a/packages/version/residency/src/engine-view.ts
+++ b/packages/version/residency/src/engine-view.ts
@@ -37,6 +37,17 @@
 export const holdsModel = (engine: EngineView, model: string): boolean =>
   engine.models.some(({ name }) => name === model);
 
+const keptNames = new WeakMap<ModelCopies, readonly string[]>();
+
+/** Models of which an engine keeps a copy, each once. */
+export const keptModels = (copies: ModelCopies): readonly string[] => {
+  const found = keptNames.get(copies);
+  if (found !== undefined) return found;
+  const names = [...new Set([...copies.inMemory, ...copies.onDisk])];
+  keptNames.set(copies, names);
+  return names;
+};
+
 /** Where an engine takes the weights of a model from. */
 export const LoadSource = { memory: 'memory', disk: 'disk', remote: 'remote' } as const;
 export type LoadSource = (typeof LoadSource)[keyof typeof LoadSource];
--- a/packages/version/residency/src/estimate.ts
+++ b/packages/version/residency/src/estimate.ts
@@ -34,9 +34,9 @@
   const byCopyMs = readyByCopy(situation, model, now);
   if (byCopyMs !== undefined) return byCopyMs;
   const needed = neededModels(situation, now).filter(
-    (one) => readyByCopy(situation, one.model, now) === undefined,
+    (one) => readyByCopy(situation, one, now) === undefined,
   );
-  const position = needed.findIndex((one) => one.model.name === name);
+  const position = needed.findIndex((one) => one.name === name);
   const ahead = position < 0 ? needed.length : position;
   const rounds = (situation.remoteLoads + ahead) / situation.remoteCapacity;
   return model.remoteLoadMs * (1 + Math.max(0, rounds - 0.5));
--- a/packages/version/residency/src/evictions.ts
+++ b/packages/version/residency/src/evictions.ts
@@ -1,12 +1,18 @@
 import type { HeldModel } from '@currantdrift/fleet';
 import type { Model } from '@currantdrift/routes';
 import { type EngineView, sourceOf } from './engine-view';
-import { type Eviction, makeRoom } from './room';
+import { type Eviction, freeMemory, makeRoom, memoryOf, type Victim } from './room';
 import { fleetOf, loadTime, type Situation } from './situation';
 import { targetReplicas } from './target-replicas';
 
 const known = new WeakMap<Situation, Evictions>();
 
+/** What an engine could unload, the cheapest first. */
+interface Choice {
+  readonly freeMb: number;
+  readonly victims: readonly Victim[];
+}
+
 /**
  * Which models may be unloaded and what that costs, in ms of waiting that is expected until a model
  * would be used again. A model that requests wait for stays, also just after its load: otherwise two
@@ -15,6 +21,8 @@
 export class Evictions {
   private readonly awaited: ReadonlySet<string>;
 
+  private readonly choices = new Map<EngineView, Choice>();
+
   private constructor(
     private readonly situation: Situation,
     private readonly now: number,
@@ -33,52 +41,40 @@
   }
 
   /** Room for a model among models that are not in use or have replicas to spare. */
-  idle(engine: EngineView, { sizeMb }: Model): Eviction | undefined {
-    return makeRoom(engine, this.situation.pool, sizeMb, (held) => this.idleCost(engine, held));
-  }
-
-  /**
-   * Room for a model among all models that nobody waits for. Answers the load pattern "the engines with
-   * a copy always have runs of all their models": those in use get no new requests and are unloaded when
-   * their runs have ended.
-   */
-  draining(engine: EngineView, { sizeMb }: Model): Eviction | undefined {
-    return makeRoom(
-      engine,
-      this.situation.pool,
-      sizeMb,
-      (held) => this.idleCost(engine, held) ?? this.drainCost(engine, held),
-    );
+  room(engine: EngineView, { sizeMb }: Model): Eviction | undefined {
+    const { victims, freeMb } = this.choiceAt(engine);
+    return makeRoom(victims, sizeMb - freeMb);
   }
 
-  /**
-   * Time until an engine is expected to have room for a model, in ms; undefined if only models have to
-   * go whose loss costs more than a load from the weight store elsewhere.
-   */
-  roomIn(engine: EngineView, model: Model): number | undefined {
-    const { runEndMs, drainAfterMs, awaitedMs } = this.situation.settings;
-    if (this.idle(engine, model) !== undefined) return 0;
-    const draining = this.draining(engine, model);
-    if (draining === undefined) return awaitedMs;
-    return draining.costMs < model.remoteLoadMs ? drainAfterMs + runEndMs : undefined;
+  /** Made once for each engine: a plan looks for room for many models. */
+  private choiceAt(engine: EngineView): Choice {
+    const found = this.choices.get(engine);
+    if (found !== undefined) return found;
+    const { pool } = this.situation;
+    const victims = engine.models
+      .flatMap((held): Victim[] => {
+        const costMs = this.cost(engine, held);
+        const { name } = held;
+        return costMs === undefined ? [] : [{ name, sizeMb: memoryOf(held, pool), costMs }];
+      })
+      .sort((one, other) => one.costMs - other.costMs);
+    const choice = { freeMb: freeMemory(engine, pool), victims };
+    this.choices.set(engine, choice);
+    return choice;
   }
 
-  private idleCost(engine: EngineView, held: HeldModel): number | undefined {
+  private cost(engine: EngineView, held: HeldModel): number | undefined {
     const { name } = held;
     if (this.awaited.has(name)) return undefined;
     const { settings, demand, service } = this.situation;
     const rate = demand.rate(service, name, this.now);
     const replicas = fleetOf(this.situation).replicas(name).length;
     const isSurplus = replicas > targetReplicas(this.situation, name, this.now);
+    // Its runs end before it is unloaded, and new requests go to the other replicas.
     if (isSurplus) return rate + (this.isUsed(engine, name) ? settings.runEndMs : 0);
     return this.isUsed(engine, name) ? undefined : this.reloadCost(engine, name);
   }
 
-  private drainCost(engine: EngineView, { name }: HeldModel): number | undefined {
-    if (this.awaited.has(name)) return undefined;
-    return this.situation.settings.runEndMs + this.reloadCost(engine, name);
-  }
-
   /** Waiting that is expected because the model has to be loaded again. */
   private reloadCost(engine: EngineView, name: string): number {
     const { pool, settings, demand, service } = this.situation;
--- a/packages/version/residency/src/fleet-index.ts
+++ b/packages/version/residency/src/fleet-index.ts
@@ -1,4 +1,4 @@
-import type { EngineView } from './engine-view';
+import { type EngineView, keptModels } from './engine-view';
 
 const none: readonly EngineView[] = [];
 
@@ -73,9 +73,13 @@
     inFlight.forEach((count, model) => addCount(this.flights, model, count));
     if (engine.leaving) return;
     engine.models.forEach(({ name }) => add(this.holders, name, engine));
-    const kept = new Set([...engine.copies.inMemory, ...engine.copies.onDisk]);
-    kept.forEach((model) => add(this.keepers, model, engine));
-    const sources = new Set([...kept, ...engine.models.map(({ name }) => name)]);
-    sources.forEach((model) => addCount(this.sources, model, 1));
+    const kept = keptModels(engine.copies);
+    kept.forEach((model) => {
+      add(this.keepers, model, engine);
+      addCount(this.sources, model, 1);
+    });
+    engine.models
+      .filter(({ name }) => !kept.includes(name))
+      .forEach(({ name }) => addCount(this.sources, name, 1));
   }
 }
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -10,8 +10,6 @@
   readonly loadMs: number;
   readonly victims: readonly string[];
   readonly evictionMs: number;
-  /** Whether runs of the victims have to end first, in place of which no other replica serves. */
-  readonly isDraining: boolean;
   /** Load, evictions and disturbance of the engine together. */
   readonly costMs: number;
 }
@@ -79,20 +77,18 @@
     return this.free.length === 0;
   }
 
-  /** Ways to load the model now; `mayDrain` if models in use may have to go. */
-  of(model: Model, mayDrain = false): LoadOption[] {
+  /** Ways to load the model now. */
+  of(model: Model): LoadOption[] {
     return this.free
       .filter(({ engine }) => !holdsModel(engine, model.name))
-      .flatMap((free) => this.optionAt(free, model, mayDrain) ?? []);
+      .flatMap((free) => this.optionAt(free, model) ?? []);
   }
 
   private optionAt(
     { engine, busyMs, soleCopies: sole }: FreeEngine,
     model: Model,
-    mayDrain: boolean,
   ): LoadOption | undefined {
-    const idle = this.evictions.idle(engine, model);
-    const room = idle ?? (mayDrain ? this.evictions.draining(engine, model) : undefined);
+    const room = this.evictions.room(engine, model);
     if (room === undefined) return undefined;
     const source = sourceOf(engine, model.name);
     const loadMs = loadTime(model, source);
@@ -100,7 +96,6 @@
     const soleMs = sole * loadMs * this.situation.settings.soleCopyShare;
     const { victims, costMs: evictionMs } = room;
     const costMs = loadMs + evictionMs + busyMs + soleMs;
-    const isDraining = idle === undefined;
-    return { engine, source, loadMs, victims, evictionMs, isDraining, costMs };
+    return { engine, source, loadMs, victims, evictionMs, costMs };
   }
 }
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -5,18 +5,12 @@
 import { fleetOf, LoadReason, type LoadStep, type Situation } from './situation';
 import { targetReplicas } from './target-replicas';
 
-const stepOf = (
-  { settings }: Situation,
-  option: LoadOption,
-  model: Model,
-  reason: LoadReason,
-): LoadStep => ({
+const stepOf = (option: LoadOption, model: Model, reason: LoadReason): LoadStep => ({
   kind: 'load',
   engine: option.engine.id,
   model: model.name,
   unload: option.victims,
   source: option.source,
-  drainMs: option.isDraining ? settings.runEndMs : 0,
   loadMs: option.loadMs,
   reason,
 });
@@ -39,17 +33,16 @@
   now: number,
 ): LoadStep | undefined => {
   const remoteAllowed = situation.remoteLoads < situation.remoteCapacity;
-  return firstStep(neededModels(situation, now), ({ model, since }) => {
-    const mayDrain = now - since >= situation.settings.drainAfterMs;
-    const all = options.of(model, mayDrain);
+  return firstStep(neededModels(situation, now), (model) => {
+    const all = options.of(model);
     const option = cheapest(
       remoteAllowed ? all : all.filter(({ source }) => source !== LoadSource.remote),
     );
     if (option === undefined) return undefined;
-    // An engine with a copy that has no room for a while is still faster than the weight store.
+    // An engine with a copy that is occupied for a while is still faster than the weight store.
     const byCopyMs = readyByCopy(situation, model, now);
     if (byCopyMs !== undefined && byCopyMs < option.loadMs) return undefined;
-    return stepOf(situation, option, model, LoadReason.waiting);
+    return stepOf(option, model, LoadReason.waiting);
   });
 };
 
@@ -77,11 +70,12 @@
   const remoteAllowed = situation.remoteLoads < atOnce;
   const isSevere = shortage === Shortage.severe;
   const maxEvictionMs = isSevere ? settings.severeEvictionMs : settings.busyEvictionMs;
-  const busy = [...pool.models.values()]
-    .map((model) => ({ model, rate: demand.rate(service, model.name, now) }))
+  const busy = demand
+    .models(service)
+    .map((name) => ({ model: pool.models.get(name), rate: demand.rate(service, name, now) }))
     .filter(({ rate }) => rate >= settings.sparePerSecond)
     .sort((a, b) => b.rate - a.rate)
-    .map(({ model }) => model);
+    .flatMap(({ model }) => model ?? []);
   return firstStep(busy, (model) => {
     const replicas = fleet.replicas(model.name).length;
     const missing = targetReplicas(situation, model.name, now) - replicas;
@@ -95,7 +89,7 @@
           (remoteAllowed || source !== LoadSource.remote) && evictionMs < maxEvictionMs,
       );
     const option = cheapest(allowed);
-    return option && stepOf(situation, option, model, LoadReason.busy);
+    return option && stepOf(option, model, LoadReason.busy);
   });
 };
 
@@ -120,7 +114,7 @@
   if (option === undefined || option.evictionMs > settings.copyEvictionMs) {
     return undefined;
   }
-  return stepOf(situation, option, missing.model, LoadReason.copy);
+  return stepOf(option, missing.model, LoadReason.copy);
 };
 
 /**
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -19,10 +19,6 @@
   readonly evictionHorizonMs: number;
   /** Time that the runs of a replica in use are expected to take until it can be unloaded, in ms. */
   readonly runEndMs: number;
-  /** Time for which requests wait before models in use give way, in ms. */
-  readonly drainAfterMs: number;
-  /** Time for which models that requests wait for are expected to keep their places, in ms. */
-  readonly awaitedMs: number;
   /** Greatest cost of unloads for a further replica, in a severe shortage, and for a copy, in ms. */
   readonly busyEvictionMs: number;
   readonly severeEvictionMs: number;
@@ -43,8 +39,6 @@
   sparePerSecond: 0.5,
   evictionHorizonMs: 10_000,
   runEndMs: 1_000,
-  drainAfterMs: 600,
-  awaitedMs: 2_000,
   busyEvictionMs: 1_500,
   severeEvictionMs: 6_000,
   copyEvictionMs: 1_500,
--- a/packages/version/residency/src/room.ts
+++ b/packages/version/residency/src/room.ts
@@ -28,28 +28,23 @@
   readonly costMs: number;
 }
 
-/** Cost of unloading a held model, in ms; undefined if it must stay. */
-export type EvictionCost = (held: HeldModel) => number | undefined;
+/** A held model that may be unloaded, and what its loss costs. */
+export interface Victim {
+  readonly name: string;
+  readonly sizeMb: number;
+  readonly costMs: number;
+}
 
-/** The cheapest models whose unloading makes room for `neededMb`; undefined if none do. */
-export const makeRoom = (
-  engine: EngineView,
-  pool: EnginePool,
-  neededMb: number,
-  cost: EvictionCost,
-): Eviction | undefined => {
-  let missing = neededMb - freeMemory(engine, pool);
-  const priced = engine.models
-    .map((held) => ({ held, cost: cost(held) }))
-    .filter((one): one is { held: HeldModel; cost: number } => one.cost !== undefined)
-    .sort((a, b) => a.cost - b.cost);
-  const victims: string[] = [];
+/** The cheapest of some models whose unloading makes room for `missingMb`; undefined if none do. */
+export const makeRoom = (victims: readonly Victim[], missingMb: number): Eviction | undefined => {
+  const taken: string[] = [];
+  let missing = missingMb;
   let costMs = 0;
-  priced.forEach((one) => {
-    if (missing <= 0) return;
-    victims.push(one.held.name);
-    costMs += one.cost;
-    missing -= memoryOf(one.held, pool);
-  });
-  return missing <= 0 ? { victims, costMs } : undefined;
+  for (const victim of victims) {
+    if (missing <= 0) break;
+    taken.push(victim.name);
+    costMs += victim.costMs;
+    missing -= victim.sizeMb;
+  }
+  return missing <= 0 ? { victims: taken, costMs } : undefined;
 };
--- a/packages/version/residency/src/situation.ts
+++ b/packages/version/residency/src/situation.ts
@@ -37,8 +37,6 @@
   readonly model: string;
   readonly unload: readonly string[];
   readonly source: LoadSource;
-  /** Time until the runs of what is unloaded are expected to have ended, in ms. */
-  readonly drainMs: number;
   readonly loadMs: number;
   readonly reason: LoadReason;
 }
--- a/packages/version/residency/test/plan.test.ts
+++ b/packages/version/residency/test/plan.test.ts
@@ -110,42 +110,6 @@
     expect(step).toMatchObject({ engine: 'e1', model: 'd', source: 'disk' });
   });
 
-  // Guards against requests that wait until they expire because the only engine with a copy has runs of
-  // all its models at any time.
-  test('a model in use gives way to requests that have waited for a while', () => {
-    const demand = Demand.create();
-    awaitModel(demand, 'd');
-    demand.countArrivals('s', 'a', 4, 0);
-    demand.countArrivals('s', 'c', 4, 0);
-    const inFlight = new Map(['a', 'b', 'c'].map((name) => [name, 1]));
-    const busy = engine('e1', { models: held('a', 'b', 'c'), copies: onDisk(...names), inFlight });
-    const state = situation([busy], names, { demand });
-    const { drainAfterMs, runEndMs } = state.settings;
-    expect(planLoad({ ...state }, drainAfterMs - 1)).toBeUndefined();
-    expect(planLoad({ ...state }, drainAfterMs)).toMatchObject({
-      model: 'd',
-      unload: ['b'],
-      drainMs: runEndMs,
-    });
-    expect(readyIn({ ...state }, 'd', undefined, 0)).toBe(drainAfterMs + runEndMs + loadMs.disk);
-  });
-
-  // Guards against waiting for a copy whose engine never has room for it.
-  test('busy models keep their engine, and the weight store serves another one', () => {
-    const demand = Demand.create();
-    awaitModel(demand, 'd');
-    ['a', 'b', 'c'].forEach((model) => demand.countArrivals('s', model, 32, 0));
-    const inFlight = new Map(['a', 'b', 'c'].map((name) => [name, 4]));
-    const engines = [
-      engine('e1', { models: held('a', 'b', 'c'), copies: onDisk(...names), inFlight }),
-      engine('e2', { models: held('a', 'b', 'c'), inFlight }),
-      engine('e3'),
-    ];
-    const state = situation(engines, names, { demand });
-    expect(planLoad(state, 700)).toMatchObject({ engine: 'e3', model: 'd', source: 'remote' });
-    expect(readyIn(state, 'd', undefined, 700)).toBeGreaterThanOrEqual(loadMs.remote);
-  });
-
   // Guards against more memory than an engine has, also while another load is under way.
   test('an engine that is leaving or occupied gets no load', () => {
     const demand = Demand.create();
