Log malformed messages of peers, and check them in one place

Cause: Gateway ignored malformed notifications without a log line, so a daemon of another version would be deaf without a trace.

Ruled out: nothing; by reading.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -33,6 +33,7 @@
   usageSchema,
   wantSchema,
 } from '../connection/peer-messages';
+import { PeerInbox } from '../connection/peer-inbox';
 import { dutyOrder } from '../version/duty-order';
 import { type ConfigurationDecoder, ConfigurationHolder } from '../version/configuration-holder';
 import { type EndpointDecoder, EndpointFollower } from '../version/endpoint-follower';
@@ -402,37 +403,19 @@
   }
 
   private handlePeers(): void {
-    this.peers.onRequest(PeerKind.want, (message) => {
-      const want = parseMessage(wantSchema, message);
-      if (want === undefined || this.controller === undefined) return { kind: 'elsewhere' };
-      return this.controller.want(want);
+    const { feed, announcements, term } = this;
+    const inbox = PeerInbox.create(this.peers, this.options.telemetry);
+    inbox.onRequest(PeerKind.want, wantSchema, (want) => this.controller?.want(want));
+    inbox.onRequest(PeerKind.snapshot, snapshotSchema, ({ prefix }) => {
+      const listing = feed.entriesFor(prefix);
+      return listing && { kind: 'listing', ...listing };
     });
-    this.onNotification(PeerKind.usage, usageSchema, (usage) => this.controller?.used(usage));
-    this.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
-      this.announcements.heard(inventory),
+    inbox.onNotification(PeerKind.usage, usageSchema, (usage) => this.controller?.used(usage));
+    inbox.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
+      announcements.heard(inventory),
     );
-    this.onNotification(PeerKind.feed, feedSchema, (feed) => this.feed.heard(feed));
-    this.onNotification(PeerKind.resigned, resignedSchema, (resigned) =>
-      this.term.resigned(resigned),
-    );
-    this.peers.onRequest(PeerKind.snapshot, (message) => {
-      const asked = parseMessage(snapshotSchema, message);
-      const listing = asked && this.feed.entriesFor(asked.prefix);
-      return listing === undefined ? { kind: 'elsewhere' } : { kind: 'listing', ...listing };
-    });
-  }
-
-  /** Takes messages of a kind that need no answer; malformed ones are ignored. */
-  private onNotification<T>(
-    kind: string,
-    schema: Parameters<typeof parseMessage<T>>[0],
-    take: (parsed: T) => void,
-  ): void {
-    this.peers.onRequest(kind, (message) => {
-      const parsed = parseMessage(schema, message);
-      if (parsed !== undefined) take(parsed);
-      return { kind: 'ok' };
-    });
+    inbox.onNotification(PeerKind.feed, feedSchema, (message) => feed.heard(message));
+    inbox.onNotification(PeerKind.resigned, resignedSchema, (resigned) => term.resigned(resigned));
   }
 
   private rank(): number {
