Pass on what a watcher finds in a new listing

The store had forgotten its history, so both watchers read a new listing, which held the new configuration, and told nobody. The others noticed the gap two seconds later, after the watchers' next wait, and the members behind relays another wait later: 5.7 s after the acknowledgement, where 4 s are allowed.

Ruled out: lost messages and contact with the store; the log has neither.

Change: a listing that replaces an older one is passed on as the changes between the two. Members that get them need no listing of their own.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -158,12 +158,29 @@
   }
 
   private adopt({ entries, revision }: Listing): void {
+    const before = this.revision;
+    const changes = this.differences(entries, revision);
     this.revision = revision;
     this.isListed = true;
     this.hasGap = false;
     this.entries.clear();
     entries.forEach((entry) => this.entries.set(entry.key, entry));
     this.options.follower.listed(entries);
+    // Others that know what was known here need not read the whole listing as well.
+    const { prefix, feed } = this.options;
+    if (before > 0) feed.passOn({ prefix, after: before, revision, changes });
+  }
+
+  /** Changes that lead from the entries known so far to a listing. */
+  private differences(entries: readonly Entry[], revision: number): readonly Change[] {
+    const listed = new Set(entries.map(({ key }) => key));
+    const removed = [...this.entries.keys()].filter((key) => !listed.has(key));
+    return [
+      ...removed.map((key): Change => ({ kind: 'removed', key, revision })),
+      ...entries
+        .filter((entry) => entry.revision > this.revision)
+        .map((entry): Change => ({ kind: 'put', entry })),
+    ];
   }
 
   private async wait(signal: AbortSignal): Promise<boolean> {
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -219,6 +219,23 @@
     expect(late.entries.values.get(`${dataPrefix}a`)).toBe('new');
   });
 
+  // Guards against members that wait for seconds for a change that their watchers read in a new listing.
+  test('what a watcher finds in a new listing reaches the others at once', async () => {
+    const { clock, store, write, values, reads } = await world(24, 6);
+    write('a', 'old');
+    write('b', 'old');
+    // The watches that members begin before they are fed end in this time.
+    await clock.advance(20_000);
+    const before = reads();
+    write('a', 'new');
+    store.write(`${dataPrefix}b`, undefined);
+    store.compact();
+    await clock.advance(800);
+    expect(values('a')).toEqual(all(24, 'new'));
+    expect(values('b')).toEqual(Array.from({ length: 24 }, () => undefined));
+    expect(reads()).toEqual(before);
+  });
+
   // Guards against followers that keep what went while the store forgot its history.
   test('a forgotten history reaches the members as a new listing', async () => {
     const { clock, store, watchers, others, write, values } = await world(6);
