Ask a store that is away once for each daemon, and less often behind relays

Ruled out: renewals, which are as many with and without an outage.

Change: of the prefixes that a daemon follows one is asked for at a time until the store answers, and members behind relays ask at most every 1.6 s: relays and watchers, which ask every 0.8 s, tell them of the return.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -31,8 +31,13 @@
    * -Infinity if none do.
    */
   fedUntil(now: number): number;
-  /** States that the store answered a call that was sent at `sentAt`. */
+  /** States that the store answered a call that was sent at `sentAt`, or that a call has failed. */
   confirmed(sentAt: number): void;
+  failed(now: number): void;
+  /** Whether a call may tell more than the ones that failed lately. */
+  mayAsk(now: number): boolean;
+  /** Longest pause between two calls while they fail, in ms. */
+  retryLimitMs(): number;
   /** Passes on what was read from the store. */
   passOn(batch: Batch): void;
   /** All entries as another member knows them; undefined if the store has to be asked. */
@@ -58,9 +63,8 @@
 /** Longest time of one wait for changes, in ms. */
 const waitMs = 20_000;
 
-/** Shortest and longest pause after a failed call, in ms. */
+/** Shortest pause after a failed call, in ms. */
 const minRetryMs = 100;
-const maxRetryMs = 800;
 
 /** Longest pause between two looks whether a batch is missing, in ms. */
 const maxFedPauseMs = 500;
@@ -138,6 +142,7 @@
       this.wasFed = false;
       return random.next() * feedEndJitterMs;
     }
+    if (this.failures > 0 && !feed.mayAsk(now)) return this.retryPause();
     const ok = this.isListed ? await this.wait(signal) : await this.list();
     return ok ? pauseMs : this.retryPause();
   }
@@ -231,8 +236,9 @@
   }
 
   private failed(reason: string): false {
-    const { telemetry, prefix } = this.options;
+    const { telemetry, prefix, feed, clock } = this.options;
     this.failures += 1;
+    feed.failed(clock.now());
     if (this.failures === 1) {
       telemetry.log('dependency.lost', { dependency: 'store', prefix, reason });
     }
@@ -240,8 +246,8 @@
   }
 
   private retryPause(): number {
-    const { random } = this.options;
-    const longest = Math.min(maxRetryMs, minRetryMs * 2 ** Math.min(4, this.failures));
+    const { random, feed } = this.options;
+    const longest = Math.min(feed.retryLimitMs(), minRetryMs * 2 ** Math.min(4, this.failures));
     return longest * (0.5 + random.next() / 2);
   }
 }
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -13,6 +13,13 @@
 const relayLifetimeMs = 1_300;
 const memberLifetimeMs = 1_600;
 
+/**
+ * Longest pause between two calls to a store that does not answer, in ms. The members behind relays hear
+ * from these when it answers again.
+ */
+const relayRetryMs = 800;
+const memberRetryMs = 1_600;
+
 /** How far this process has read below a prefix, and up to where it has told the others. */
 interface Progress {
   readonly told: number;
@@ -51,6 +58,8 @@
 
   private confirmedAt = -Infinity;
 
+  private failedAt = -Infinity;
+
   private wasFed = false;
 
   private constructor(private readonly options: StoreFeedOptions) {}
@@ -87,6 +96,22 @@
     this.confirmedAt = Math.max(this.confirmedAt, sentAt);
   }
 
+  failed(now: number): void {
+    this.failedAt = now;
+  }
+
+  /**
+   * Answers the load pattern "the store is away and all daemons look for it": of the prefixes that a
+   * process follows only one is asked for at a time until the store answers.
+   */
+  mayAsk(now: number): boolean {
+    return this.confirmedAt > this.failedAt || now - this.failedAt >= this.retryLimitMs() / 2;
+  }
+
+  retryLimitMs(): number {
+    return this.isWatcher() || this.isRelay() ? relayRetryMs : memberRetryMs;
+  }
+
   passOn({ prefix, after, revision, changes }: Batch): void {
     const before = this.progress.get(prefix);
     // After a new listing the changes since the last batch are not known.
--- a/packages/process/gateway/test/no-feed.ts
+++ b/packages/process/gateway/test/no-feed.ts
@@ -4,6 +4,9 @@
 export const noFeed: Feed = {
   fedUntil: () => -Infinity,
   confirmed: () => {},
+  failed: () => {},
+  mayAsk: () => true,
+  retryLimitMs: () => 800,
   passOn: () => {},
   snapshot: () => Promise.resolve(undefined),
 };
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -160,6 +160,25 @@
     expect(asked().length).toBeLessThanOrEqual(relays.length);
   });
 
+  // Guards against a store that cannot return because the whole fleet looks for it.
+  test('while the store is away its calls are few, and all know of its return', async () => {
+    const { clock, processes, write, values, reads } = await world(40, 4);
+    await clock.advance(20_000);
+    const cut = (isCut: boolean) =>
+      processes.forEach(({ handle }) => Object.assign(handle, { cut: isCut }));
+    const total = () => reads().reduce((sum, count) => sum + count, 0);
+    const before = total();
+    cut(true);
+    await clock.advance(10_000);
+    const callsPerSecond = (total() - before) / 10;
+    // Two prefixes, which would be asked for 1.6 times a second each.
+    expect(callsPerSecond).toBeLessThan(40);
+    cut(false);
+    write('a', 'new');
+    await clock.advance(3_000);
+    expect(values('a')).toEqual(all(40, 'new'));
+  });
+
   // Guards against members that go on with old knowledge because their watchers are gone.
   test('members whose watchers fall silent ask the store themselves', async () => {
     const { clock, watchers, silent, write, values, others } = await world(8);
