Go on telling members whose keys have gone for a short while

Change: for 12 s after its key has gone a member is told what is new, without any duty. A new listing of the members removes only those that it does not name, and a member that is written again under the same address writes no log line.

--- a/packages/process/gateway/src/process/announcements.ts
+++ b/packages/process/gateway/src/process/announcements.ts
@@ -65,7 +65,7 @@
     };
     directory.applyInventories(inventories, clock.now());
     onLoads(loads);
-    groupByDomain(members.others(self.host)).forEach((group, domain) => {
+    groupByDomain(members.recipients(self.host, clock.now())).forEach((group, domain) => {
       const isLarge = domain !== self.domain && group.length > maxDirectMembers;
       const targets = isLarge ? this.relaysOf(domain) : group;
       this.tell(targets, { ...message, passOn: isLarge });
@@ -85,7 +85,8 @@
     directory.applyInventories(current, clock.now());
     onLoads(message.loads);
     if (!message.passOn) return;
-    const near = members.others(self.host).filter(({ domain }) => domain === self.domain);
+    const all = members.recipients(self.host, clock.now());
+    const near = all.filter(({ domain }) => domain === self.domain);
     this.tell(near, { ...message, passOn: false });
   }
 
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -144,7 +144,7 @@
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
-    this.members = Members.create(telemetry);
+    this.members = Members.create(telemetry, this.clock);
     this.choice = PredictedChoice.create(SystemRandom.create(), () => this.members.all().length);
     this.holder = ConfigurationHolder.create(
       platform.configurationKey,
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -186,11 +186,12 @@
 
   /** Members that take from this one what it read or heard. */
   private targets(): readonly Member[] {
-    const { members, self } = this.options;
+    const { members, self, clock } = this.options;
     const relays = members.relays.map(({ host }) => host);
+    const all = members.recipients(self.host, clock.now());
     const skipped = new Set([self.host, ...members.watchers.map(({ host }) => host)]);
     // The relays of a failure domain hear from the watchers, not from each other.
-    const near = this.isRelay() ? members.inDomain(self.domain) : [];
+    const near = this.isRelay() ? all.filter(({ domain }) => domain === self.domain) : [];
     const behind = near.filter(({ host }) => !relays.includes(host));
     const direct = this.isWatcher() ? members.relays : [];
     return [...direct, ...behind].filter(({ host }) => !skipped.has(host));
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -1,4 +1,4 @@
-import type { Change, Entry, Telemetry } from '@currantdrift/core';
+import type { Change, Clock, Entry, Telemetry } from '@currantdrift/core';
 import { z } from 'zod';
 import type { Follower } from '../process/prefix-follower';
 import { relaysOf } from './relays';
@@ -26,6 +26,12 @@
   readonly revision: number;
 }
 
+/**
+ * Time after its key has gone for which a member is still told what others are, in ms: the store may
+ * have turned it away, or it is stopping, and it serves requests meanwhile.
+ */
+const lingerMs = 12_000;
+
 const memberSchema = z.object({
   host: z.string().min(1),
   address: z.string().min(1),
@@ -53,14 +59,20 @@
 
   private fleetWatchers: readonly Member[] | undefined;
 
+  /** Members whose keys have gone, and when. */
+  private readonly removed = new Map<string, { readonly member: Member; readonly at: number }>();
+
   private holder: ControllerEntry | undefined;
 
   private readonly listeners = new Set<() => void>();
 
-  private constructor(private readonly telemetry: Telemetry) {}
+  private constructor(
+    private readonly telemetry: Telemetry,
+    private readonly clock: Clock,
+  ) {}
 
-  static create(telemetry: Telemetry): Members {
-    return new Members(telemetry);
+  static create(telemetry: Telemetry, clock: Clock): Members {
+    return new Members(telemetry, clock);
   }
 
   all(): Member[] {
@@ -72,9 +84,16 @@
     return this.all().filter((member) => member.host !== host);
   }
 
-  /** Members of one failure domain. */
-  inDomain(domain: string): readonly Member[] {
-    return this.all().filter((member) => member.domain === domain);
+  /**
+   * Who is told what is new: all members but the one on `host`, and those whose keys went a short time
+   * ago. Answers the load pattern "the store turns some hosts away": they go on serving.
+   */
+  recipients(host: string, now: number): readonly Member[] {
+    this.removed.forEach(({ at }, key) => {
+      if (now - at >= lingerMs) this.removed.delete(key);
+    });
+    const lingering = [...this.removed.values()].map(({ member }) => member);
+    return [...this.all(), ...lingering].filter((member) => member.host !== host);
   }
 
   /** Members that follow the store for the others. */
@@ -107,8 +126,8 @@
   }
 
   listed(entries: readonly Entry[]): void {
-    this.members.clear();
-    this.forgetDuties();
+    const keys = new Set(entries.map(({ key }) => key));
+    [...this.members.keys()].filter((key) => !keys.has(key)).forEach((key) => this.remove(key));
     this.holder = undefined;
     entries.forEach((entry) => this.put(entry));
     this.notify();
@@ -130,9 +149,11 @@
       this.telemetry.log('controller', { host: member.host, fence: entry.revision });
       this.notify();
     } else if (entry.key.startsWith(memberPrefix)) {
+      const isNew = this.members.get(entry.key)?.address !== member.address;
       this.members.set(entry.key, member);
+      this.removed.delete(entry.key);
       this.forgetDuties();
-      this.telemetry.log('member', { host: member.host, address: member.address });
+      if (isNew) this.telemetry.log('member', { host: member.host, address: member.address });
     }
   }
 
@@ -141,10 +162,14 @@
       this.telemetry.log('controller.none', { before: this.holder?.host });
       this.holder = undefined;
       this.notify();
-    } else if (this.members.delete(key)) {
-      this.forgetDuties();
-      this.telemetry.log('member.removed', { key });
+      return;
     }
+    const member = this.members.get(key);
+    if (member === undefined) return;
+    this.members.delete(key);
+    this.removed.set(key, { member, at: this.clock.now() });
+    this.forgetDuties();
+    this.telemetry.log('member.removed', { key });
   }
 
   private forgetDuties(): void {
--- a/packages/process/gateway/test/announcements.test.ts
+++ b/packages/process/gateway/test/announcements.test.ts
@@ -25,7 +25,7 @@
   const heard = new Set(names.map(({ host }) => host));
   const inboxes = new Map<string, Announcements>();
   const processes = names.map((self) => {
-    const members = Members.create(SilentTelemetry.create());
+    const members = Members.create(SilentTelemetry.create(), clock);
     members.listed(entries);
     const directory = EndpointDirectory.create();
     directory.put(endpointRecord());
--- a/packages/process/gateway/test/controller-term.test.ts
+++ b/packages/process/gateway/test/controller-term.test.ts
@@ -29,7 +29,7 @@
   hosts.forEach((host, rank) => {
     const handle = PrefixStoreHandle.create(store, clock);
     const telemetry = SilentTelemetry.create();
-    const members = Members.create(telemetry);
+    const members = Members.create(telemetry, clock);
     const begun: Term[] = [];
     const process: Process = {
       host,
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -3,7 +3,7 @@
 import { PrefixFollower } from '../src/process/prefix-follower';
 import { Registration } from '../src/process/registration';
 import { StoreFeed } from '../src/process/store-feed';
-import { Members, ownPrefix } from '../src/version/members';
+import { memberPrefix, Members, ownPrefix } from '../src/version/members';
 import { relaysOf } from '../src/version/relays';
 import { watcherCount } from '../src/version/watchers';
 
@@ -35,7 +35,7 @@
   const start = (index: number) => {
     const host = `h${index}`;
     const handle = PrefixStoreHandle.create(store, clock);
-    const members = Members.create(telemetry);
+    const members = Members.create(telemetry, clock);
     const entries = new Entries();
     const self = { host, address: host, domain: `d${index % domains}`, processors: 1 };
     const feed = StoreFeed.create({
@@ -203,6 +203,22 @@
     expect(known).toEqual(all(6, 'new'));
   });
 
+  // Guards against hosts that the store turns away, or that are stopping, and that serve from old knowledge.
+  test('a member whose key has gone is still told what is new', async () => {
+    const { clock, store, others, write } = await world(12, 2);
+    const [turnedAway] = others;
+    Object.assign(turnedAway.handle, { cut: true });
+    store.write(memberPrefix + turnedAway.host, undefined);
+    await clock.advance(500);
+    write('a', 'new');
+    await clock.advance(500);
+    expect(turnedAway.entries.values.get(`${dataPrefix}a`)).toBe('new');
+    await clock.advance(12_000);
+    write('a', 'newer');
+    await clock.advance(500);
+    expect(turnedAway.entries.values.get(`${dataPrefix}a`)).toBe('new');
+  });
+
   // Guards against a lost message between members that nobody misses.
   test('a member that missed a batch reads it from the store', async () => {
     const { clock, others, silent, write, values } = await world(5);
