Tell failure domains whose keys have all gone

Cause: by reading: a domain without members has no relays, so its lingering members heard neither the feed nor, if they are many, the controller.

Ruled out: nothing.

Change: watchers and the controller tell such members themselves.

--- a/packages/process/gateway/src/process/announcements.ts
+++ b/packages/process/gateway/src/process/announcements.ts
@@ -67,8 +67,10 @@
     onLoads(loads);
     groupByDomain(members.recipients(self.host, clock.now())).forEach((group, domain) => {
       const isLarge = domain !== self.domain && group.length > maxDirectMembers;
-      const targets = isLarge ? this.relaysOf(domain) : group;
-      this.tell(targets, { ...message, passOn: isLarge });
+      const relays = isLarge ? this.relaysOf(domain) : [];
+      // A failure domain whose members have all lost their keys has no relays.
+      const passOn = relays.length > 0;
+      this.tell(passOn ? relays : group, { ...message, passOn });
     });
   }
 
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -193,7 +193,9 @@
     // The relays of a failure domain hear from the watchers, not from each other.
     const near = this.isRelay() ? all.filter(({ domain }) => domain === self.domain) : [];
     const behind = near.filter(({ host }) => !relays.includes(host));
-    const direct = this.isWatcher() ? members.relays : [];
+    // A failure domain whose members have all lost their keys has no relays.
+    const alone = all.filter(({ domain }) => members.relaysOf(domain).length === 0);
+    const direct = this.isWatcher() ? [...members.relays, ...alone] : [];
     return [...direct, ...behind].filter(({ host }) => !skipped.has(host));
   }
 
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -219,6 +219,21 @@
     expect(turnedAway.entries.values.get(`${dataPrefix}a`)).toBe('new');
   });
 
+  // Guards against a failure domain that hears nothing because the store turns all of it away.
+  test('a domain whose keys have all gone is still told what is new', async () => {
+    const { clock, store, processes, write, values } = await world(12, 3);
+    processes
+      .filter(({ self }) => self.domain === 'd1')
+      .forEach(({ host, handle }) => {
+        Object.assign(handle, { cut: true });
+        store.write(memberPrefix + host, undefined);
+      });
+    await clock.advance(1_500);
+    write('a', 'new');
+    await clock.advance(1_000);
+    expect(values('a')).toEqual(all(12, 'new'));
+  });
+
   // Guards against a lost message between members that nobody misses.
   test('a member that missed a batch reads it from the store', async () => {
     const { clock, others, silent, write, values } = await world(5);
