Do not end the process when a guarded connection is refused

The store had turned it away for a second, so its right to order had just run out, and an engine that had crashed refused the connection for an order: the guard closed a socket that was not there, and the TypeError ended the process.

Change: only a connection that has opened is guarded.

--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -33,9 +33,9 @@
   const connect = buildConnector({ timeout: connectTimeoutMs });
   return (options, callback) => {
     connect(options, (...result) => {
-      const [, socket] = result;
-      if (socket !== null && mayUse?.() === false) {
-        socket.destroy();
+      const [failed, socket] = result;
+      if (failed === null && mayUse?.() === false) {
+        socket?.destroy();
         callback(new Error('the connection may no longer be used'), null);
         return;
       }
--- a/packages/connection/http/test/http-client.test.ts
+++ b/packages/connection/http/test/http-client.test.ts
@@ -95,3 +95,36 @@
     expect(answer).toEqual({ body: 'first' });
   });
 });
+
+describe('a connection that may not be used', () => {
+  const guarded = async (port: number) => {
+    const client = HttpClient.create(`127.0.0.1:${port}`, 'endpoint', {
+      ...limits,
+      mayUse: () => false,
+    });
+    const answer = await client.whole({ step: 'test', method: 'GET', path: '/' }, 1_000);
+    await client.close();
+    return answer.isOk() ? 'answered' : answer.error.kind;
+  };
+
+  test('carries no request', async () => {
+    let requests = 0;
+    const server = await listen(() => {
+      requests += 1;
+    });
+    const { port } = server.address() as AddressInfo;
+    expect(await guarded(port)).toBe('unreachable');
+    expect(requests).toBe(0);
+    server.close();
+  });
+
+  // Guards against a process that ends because a connection was refused after its right to use it had gone.
+  test('may be refused by the server', async () => {
+    const server = await listen(() => {});
+    const { port } = server.address() as AddressInfo;
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    expect(await guarded(port)).toBe('unreachable');
+  });
+});
