Share the options of orders, and build no list of targets where nobody is told

Cause: reading the whole change again.

Change: OrderOptions is the common part; firstStep takes models; tell returns first on the other daemons. Behaviour stays as it is.

--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -1,4 +1,4 @@
-import { type Clock, HostState, type Telemetry } from '@currantdrift/core';
+import { HostState } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport, HeldModel, ModelCopies } from '@currantdrift/fleet';
 import {
   adapterKey,
@@ -7,9 +7,13 @@
   type LoadStep,
   type Operation,
 } from '@currantdrift/residency';
-import type { EngineControl } from '../connection/engine-control';
-import { EngineOrders, OrderEnd, reportLagMs, type WantedOrder } from './engine-orders';
-import type { UnloadPace } from './unload-pace';
+import {
+  EngineOrders,
+  OrderEnd,
+  type OrderOptions,
+  reportLagMs,
+  type WantedOrder,
+} from './engine-orders';
 
 /** Pause between two reports of a busy engine, in ms. */
 const pollMs = 120;
@@ -33,17 +37,8 @@
 /** Time beyond the expected end after which a step is given up, in ms. */
 const overdueMs = 15_000;
 
-/** What the orders of one engine need from their controller. */
-export interface EngineLineOptions {
-  readonly control: EngineControl;
-  readonly clock: Clock;
-  readonly telemetry: Telemetry;
-  readonly holder: string;
-  readonly fence: number;
-  /** How long unloads take, as far as the orders to all engines have shown. */
-  readonly unloads: UnloadPace;
-  /** Whether an order may be sent now. */
-  readonly mayOrder: () => boolean;
+/** What the line of one engine needs from its controller. */
+export interface EngineLineOptions extends OrderOptions {
   /** Earliest time of the first order, in ms. */
   readonly quietUntil: number;
   /** Called when a load from the weight store has ended, with its time at full speed, in ms. */
--- a/packages/process/gateway/src/process/engine-orders.ts
+++ b/packages/process/gateway/src/process/engine-orders.ts
@@ -31,15 +31,20 @@
 } as const;
 export type OrderEnd = (typeof OrderEnd)[keyof typeof OrderEnd];
 
-export interface EngineOrdersOptions {
+/** What orders to engines need from the controller that gives them. */
+export interface OrderOptions {
   readonly control: EngineControl;
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly holder: string;
   readonly fence: number;
+  /** How long unloads take, as far as the orders to all engines have shown. */
   readonly unloads: UnloadPace;
   /** Whether an order may be sent now. */
   readonly mayOrder: () => boolean;
+}
+
+export interface EngineOrdersOptions extends OrderOptions {
   readonly record: () => EndpointRecord;
   readonly isClosed: () => boolean;
 }
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -200,6 +200,7 @@
   }
 
   private tell(batches: readonly Batch[]): void {
+    if (!this.isWatcher() && !this.isRelay()) return;
     const { clock, self, send } = this.options;
     const targets = this.targets();
     if (targets.length === 0) return;
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -16,9 +16,9 @@
 });
 
 /** The first step that `plan` finds for one of the models. */
-const firstStep = <T>(
-  models: readonly T[],
-  plan: (model: T) => LoadStep | undefined,
+const firstStep = (
+  models: readonly Model[],
+  plan: (model: Model) => LoadStep | undefined,
 ): LoadStep | undefined => {
   for (const model of models) {
     const step = plan(model);
