Log and measure how old the knowledge of each prefix is

Cause: neither logs nor metrics could tell the hypotheses on late configurations apart. A daemon logged the version once, when it changed; nothing said how old its knowledge was, who had confirmed it, or how long a watcher had not read a prefix.

Ruled out: a line for each heartbeat, whose volume grows with the fleet.

Change: each follower knows when the store last said that nothing newer exists below its prefix, and who told it. Messages of watchers and relays carry that age for each prefix. It is logged when it passes the bound of the settings and when it is current again (prefix.stale, prefix.current), is a metric, and stands as versionAgeMs in each request line. Nothing is decided by it yet.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -83,7 +83,7 @@
 
 const entrySchema = z.object({
   key: z.string(),
-  value: z.instanceof(Uint8Array),
+  value: z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'expected bytes'),
   revision: z.number(),
 });
 
@@ -104,6 +104,8 @@
       after: z.number(),
       revision: z.number(),
       changes: z.array(changeSchema),
+      /** Age of the store's last word that nothing newer exists below the prefix, in ms. */
+      ageMs: z.number(),
     }),
   ),
 });
@@ -117,7 +119,13 @@
 
 /** The answer to that; `elsewhere` if it has no entries that are current. */
 export const snapshotAnswerSchema = z.union([
-  z.object({ kind: z.literal('listing'), revision: z.number(), entries: z.array(entrySchema) }),
+  z.object({
+    kind: z.literal('listing'),
+    revision: z.number(),
+    entries: z.array(entrySchema),
+    /** As in a batch. */
+    ageMs: z.number(),
+  }),
   z.object({ kind: z.literal('elsewhere') }),
 ]);
 
--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -18,6 +18,8 @@
   readonly firstStart: boolean;
   /** Time from SIGTERM to SIGKILL. */
   readonly graceMs: number;
+  /** Time within which a change in the store has to be in force here. */
+  readonly changeBoundMs: number;
   /** Shortest time between orders of two holders to one engine. */
   readonly holderPauseMs: number;
   /** Sends beyond the first of each request: a share of the requests and a number in a window. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -1,7 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import {
   type Clock,
-  type Listing,
   type Message,
   type PrefixStore,
   SilentTelemetry,
@@ -44,7 +43,7 @@
 import { FrontServer, type ListenFailure } from './front-server';
 import type { GatewaySettings } from './gateway-settings';
 import { ModelRequests } from './model-requests';
-import { PrefixFollower } from './prefix-follower';
+import { PrefixFollower, type ToldListing } from './prefix-follower';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
@@ -264,6 +263,7 @@
       closing: this.closing.signal,
       waker: ModelRequests.create(this.peers, this.members, this.self, () => this.controller),
       configuration: () => this.holder.configuration,
+      configurationAgeMs: (now) => this.feed.ageOf(platform.configurationPrefix, now),
       client: (record) => this.clients.of(record),
       budget: (service) => budgets.of(service),
       roundTripMs: (domain) => this.roundTripTo(domain),
@@ -300,11 +300,12 @@
   }
 
   private createFollowers(): PrefixFollower[] {
-    const { platform, telemetry } = this.options;
+    const { platform, settings, telemetry } = this.options;
     const { clock, feed } = this;
     const random = SystemRandom.create();
     const { store } = platform;
-    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs };
+    const staleMs = settings.changeBoundMs;
+    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs, staleMs };
     const endpoints = EndpointFollower.create(
       platform.endpointPrefix,
       platform.decodeEndpoint,
@@ -342,7 +343,7 @@
     });
   }
 
-  private async askForEntries(address: string, prefix: string): Promise<Listing | undefined> {
+  private async askForEntries(address: string, prefix: string): Promise<ToldListing | undefined> {
     const message = { kind: PeerKind.snapshot, prefix };
     const answer = await this.peers.request(address, message, snapshotTimeoutMs);
     if (answer.isErr()) return undefined;
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -24,6 +24,18 @@
   readonly changes: readonly Change[];
 }
 
+/** A batch as another member tells it. */
+export interface ToldBatch extends Batch {
+  /** Age of the store's last word that nothing newer exists, in ms. */
+  readonly ageMs: number;
+}
+
+/** A listing as another member gives it. */
+export interface ToldListing extends Listing {
+  /** As in `ToldBatch`. */
+  readonly ageMs: number;
+}
+
 /** What a follower may learn from other members, and what it tells them. */
 export interface Feed {
   /**
@@ -41,7 +53,14 @@
   /** Passes on what was read from the store. */
   passOn(batch: Batch): void;
   /** All entries as another member knows them; undefined if the store has to be asked. */
-  snapshot(prefix: string): Promise<Listing | undefined>;
+  snapshot(prefix: string): Promise<GivenListing | undefined>;
+}
+
+/** Entries that another member gave, and what they are worth. */
+export interface GivenListing extends ToldListing {
+  readonly host: string;
+  /** When they were asked for. */
+  readonly askedAt: number;
 }
 
 export interface FollowerOptions {
@@ -56,6 +75,8 @@
   readonly feed: Feed;
   /** Whether other members are asked for all entries before the store is. */
   readonly startsFromFeed: boolean;
+  /** Age from which entries count as stale, in ms. */
+  readonly staleMs: number;
   /** Called with the time at which the store answers again after it did not. */
   readonly onReturn?: (now: number) => void;
 }
@@ -72,6 +93,12 @@
 /** Longest random pause before the store is asked in place of a feed that has ended, in ms. */
 const feedEndJitterMs = 400;
 
+/** Name of the store among the sources of what is known. */
+const storeSource = 'store';
+
+/** Age that is shown for entries that were never read, in s. */
+const maxAgeSeconds = 3_600;
+
 const revisionOf = (change: Change): number =>
   change.kind === 'put' ? change.entry.revision : change.revision;
 
@@ -92,6 +119,14 @@
 
   private failures = 0;
 
+  /** Time up to which all changes are known. */
+  private knownAt = -Infinity;
+
+  /** Who said so last: the store or another member. */
+  private source = '';
+
+  private isStale = false;
+
   private constructor(private readonly options: FollowerOptions) {}
 
   static create(options: FollowerOptions): PrefixFollower {
@@ -104,19 +139,45 @@
     return this.isListed ? { revision, entries: [...entries.values()] } : undefined;
   }
 
+  /** Age of what is known, in ms; Infinity before the first listing. */
+  ageMs(now: number): number {
+    return now - this.knownAt;
+  }
+
+  /** Logs when the entries become stale and when they are current again, and states their age. */
+  noteAge(now: number): void {
+    const { telemetry, prefix, staleMs } = this.options;
+    const ageMs = this.ageMs(now);
+    const seconds = Math.min(maxAgeSeconds, ageMs / 1000);
+    telemetry.gauge('currantdrift_prefix_age_seconds', seconds, { prefix });
+    telemetry.gauge('currantdrift_prefix_revision', this.revision, { prefix });
+    const isStale = this.isListed && ageMs > staleMs;
+    if (isStale === this.isStale) return;
+    this.isStale = isStale;
+    telemetry.log(isStale ? 'prefix.stale' : 'prefix.current', {
+      prefix,
+      revision: this.revision,
+      ageMs: Math.round(ageMs),
+      source: this.source,
+      hasGap: this.hasGap,
+      failures: this.failures,
+    });
+  }
+
   /** Follows until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) await clock.sleep(await this.step(signal), signal);
   }
 
-  /** Takes what another member read. */
-  receive({ after, revision, changes }: Batch): void {
+  /** Takes what the member on `host` read. */
+  receive({ after, revision, changes, ageMs }: ToldBatch, host: string): void {
     if (!this.isListed) return;
     if (after > this.revision) {
       this.hasGap = true;
       return;
     }
+    this.know(this.options.clock.now() - ageMs, host);
     const before = this.revision;
     if (revision <= before) return;
     const newer = this.apply(changes, revision);
@@ -148,16 +209,18 @@
   }
 
   private async list(): Promise<boolean> {
-    const { store, prefix, feed, startsFromFeed } = this.options;
+    const { store, prefix, feed, startsFromFeed, clock } = this.options;
     const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
     // A watcher that lags must not take back what this follower has known.
     if (known !== undefined && known.revision >= this.revision) {
+      this.know(known.askedAt - known.ageMs, known.host);
       this.adopt(known);
       return true;
     }
+    const sentAt = clock.now();
     const listing = await store.listing(prefix);
     if (listing.isErr()) return this.failed(describeFailure(listing.error));
-    this.confirm();
+    this.confirm(sentAt);
     this.adopt(listing.value);
     return true;
   }
@@ -189,19 +252,22 @@
   }
 
   private async wait(signal: AbortSignal): Promise<boolean> {
-    const { store, prefix, feed } = this.options;
+    const { store, prefix, feed, clock } = this.options;
     // After a failure a short wait tells whether the store answers at all.
     const longestMs = this.failures > 0 || this.hasGap ? 1 : waitMs;
     const after = this.revision;
+    const sentAt = clock.now();
     const result = await store.changes(prefix, after, longestMs, signal);
     if (signal.aborted) return true;
     if (result.isErr()) return this.failed(describeFailure(result.error));
-    this.confirm();
     if (result.value.kind === 'compacted') {
+      feed.confirmed(clock.now());
+      this.answered();
       this.options.telemetry.log('store.compacted', { prefix, revision: this.revision });
       this.isListed = false;
       return this.list();
     }
+    this.confirm(sentAt);
     this.hasGap = false;
     const { changes, revision } = result.value;
     this.apply(changes, revision);
@@ -222,11 +288,19 @@
     return newer;
   }
 
-  private confirm(): void {
+  /** Takes the store's answer to a call that was sent at `sentAt` and told all that is new. */
+  private confirm(sentAt: number): void {
     this.options.feed.confirmed(this.options.clock.now());
+    this.know(sentAt, storeSource);
     this.answered();
   }
 
+  private know(at: number, source: string): void {
+    if (at <= this.knownAt) return;
+    this.knownAt = at;
+    this.source = source;
+  }
+
   private answered(): void {
     if (this.failures === 0) return;
     const { telemetry, prefix, onReturn, clock } = this.options;
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -1,7 +1,7 @@
-import type { Clock, Listing, Random, Telemetry } from '@currantdrift/core';
+import type { Clock, Random, Telemetry } from '@currantdrift/core';
 import { type FeedMessage, PeerKind } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
-import type { Batch, Feed, PrefixFollower } from './prefix-follower';
+import type { Batch, Feed, GivenListing, PrefixFollower, ToldListing } from './prefix-follower';
 
 /** Pause between two messages of a watcher or a relay that has nothing new, in ms. */
 const heartbeatMs = 400;
@@ -20,6 +20,9 @@
 const relayRetryMs = 800;
 const memberRetryMs = 1_600;
 
+/** Age in a message that stands for never, in ms. */
+const maxAgeMs = 1e9;
+
 /** How far this process has read below a prefix, and up to where it has told the others. */
 interface Progress {
   readonly told: number;
@@ -41,7 +44,7 @@
   readonly members: Members;
   readonly send: (address: string, message: FeedMessage) => void;
   /** Asks another member for its entries below a prefix; undefined if it has none to give. */
-  readonly ask: (address: string, prefix: string) => Promise<Listing | undefined>;
+  readonly ask: (address: string, prefix: string) => Promise<ToldListing | undefined>;
 }
 
 /**
@@ -128,13 +131,14 @@
    * All entries below a prefix as another member knows them. Answers the load pattern "all daemons start
    * at once": a large configuration would cross the link to the store once for each.
    */
-  async snapshot(prefix: string): Promise<Listing | undefined> {
+  async snapshot(prefix: string): Promise<GivenListing | undefined> {
     const { clock, random, ask } = this.options;
     const endsAt = clock.now() + snapshotMs + random.next() * snapshotJitterMs;
     while (clock.now() < endsAt && !this.isWatcher()) {
-      for (const { address } of this.sources()) {
+      for (const { address, host } of this.sources()) {
+        const askedAt = clock.now();
         const listing = await ask(address, prefix);
-        if (listing !== undefined) return listing;
+        if (listing !== undefined) return { ...listing, host, askedAt };
       }
       await clock.sleep(snapshotPauseMs);
     }
@@ -142,16 +146,24 @@
   }
 
   /** The entries below a prefix for a member that asks; undefined if they may be old. */
-  entriesFor(prefix: string): Listing | undefined {
-    const isCurrent = this.options.clock.now() - this.contactAt() < memberLifetimeMs;
+  entriesFor(prefix: string): ToldListing | undefined {
+    const now = this.options.clock.now();
+    const isCurrent = now - this.contactAt() < memberLifetimeMs;
     const mayTell = this.isWatcher() || this.isRelay();
-    return mayTell && isCurrent ? this.followers.get(prefix)?.snapshot() : undefined;
+    const follower = this.followers.get(prefix);
+    const listing = mayTell && isCurrent ? follower?.snapshot() : undefined;
+    return listing && { ...listing, ageMs: this.ageOf(prefix, now) };
+  }
+
+  /** Age of what this process knows below a prefix, in ms. */
+  ageOf(prefix: string, now: number): number {
+    return Math.min(maxAgeMs, this.followers.get(prefix)?.ageMs(now) ?? maxAgeMs);
   }
 
   /** Takes what another member read or heard. */
   heard({ host, contactAgeMs, batches }: FeedMessage): void {
     this.contacts.set(host, this.options.clock.now() - contactAgeMs);
-    batches.forEach((batch) => this.followers.get(batch.prefix)?.receive(batch));
+    batches.forEach((batch) => this.followers.get(batch.prefix)?.receive(batch, host));
   }
 
   /** Tells those that rely on this process that nothing is missing. */
@@ -160,6 +172,7 @@
     while (!signal.aborted) {
       this.tell(this.unchanged());
       this.noteState(clock.now());
+      this.followers.forEach((follower) => follower.noteAge(clock.now()));
       await clock.sleep(heartbeatMs, signal);
     }
   }
@@ -204,9 +217,18 @@
     const { clock, self, send } = this.options;
     const targets = this.targets();
     if (targets.length === 0) return;
-    const contactAgeMs = Math.min(1e9, clock.now() - this.contactAt());
-    const message = { kind: PeerKind.feed, host: self.host, contactAgeMs, batches: [...batches] };
-    targets.forEach(({ address }) => send(address, message as FeedMessage));
+    const now = clock.now();
+    const message: FeedMessage = {
+      kind: PeerKind.feed,
+      host: self.host,
+      contactAgeMs: Math.min(maxAgeMs, now - this.contactAt()),
+      batches: batches.map((batch) => ({
+        ...batch,
+        changes: [...batch.changes],
+        ageMs: this.ageOf(batch.prefix, now),
+      })),
+    };
+    targets.forEach(({ address }) => send(address, message));
   }
 
   /** Logs when the contact with the store through others is lost or regained. */
--- a/packages/process/gateway/test/controller-term.test.ts
+++ b/packages/process/gateway/test/controller-term.test.ts
@@ -60,6 +60,7 @@
       prefix: ownPrefix,
       follower: members,
       pauseMs: 20,
+      staleMs: 2_500,
       feed: noFeed,
       startsFromFeed: false,
     });
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -30,26 +30,29 @@
   const clock = VirtualClock.create();
   const store = MemoryPrefixStore.create(clock);
   const handle = PrefixStoreHandle.create(store, clock);
-  const telemetry = SilentTelemetry.create();
+  const lines: { event: string; prefix?: string; source?: string }[] = [];
+  const telemetry = Object.assign(SilentTelemetry.create(), {
+    log: (event: string, fields: object) => lines.push({ event, ...fields }),
+  });
   const directory = EndpointDirectory.create();
-  const follower = EndpointFollower.create('e/', decodeEndpoint, directory, telemetry, clock);
+  const endpoints = EndpointFollower.create('e/', decodeEndpoint, directory, telemetry, clock);
   const stop = new AbortController();
-  PrefixFollower.create({
+  const follower = PrefixFollower.create({
     store: handle,
     clock,
     random: { next: () => 0.5 },
     telemetry,
     prefix: 'e/',
-    follower,
+    follower: endpoints,
     pauseMs: 20,
     feed,
     startsFromFeed: true,
-    onReturn: (now) => follower.returned(now),
-  })
-    .run(stop.signal)
-    .catch(() => {});
+    staleMs: 2_500,
+    onReturn: (now) => endpoints.returned(now),
+  });
+  follower.run(stop.signal).catch(() => {});
   const ids = () => directory.all().map(({ id, address }) => `${id} ${address}`);
-  return { clock, store, handle, ids };
+  return { clock, store, handle, ids, follower, lines };
 };
 
 describe('endpoints', () => {
@@ -71,7 +74,8 @@
   test('a listing that is older than what is known is not taken', async () => {
     const old = { revision: 1, entries: [{ key: 'e/1', value: bytes('x'), revision: 1 }] };
     let isRestarted = false;
-    const snapshot = () => Promise.resolve(isRestarted ? old : undefined);
+    const given = { ...old, ageMs: 0, host: 'lagging', askedAt: 0 };
+    const snapshot = () => Promise.resolve(isRestarted ? given : undefined);
     const { clock, store, ids } = start({ ...noFeed, snapshot });
     store.write('e/1', bytes('x'));
     await clock.advance(100);
@@ -116,6 +120,27 @@
     expect(ids()).toEqual(['1 x']);
   });
 
+  // Guards against an old list that no log line shows.
+  test('entries that were not confirmed for too long are logged, and their return is', async () => {
+    const { clock, handle, follower, lines } = start();
+    const advance = async (seconds: number) => {
+      for (let step = 0; step < seconds * 2; step += 1) {
+        await clock.advance(500);
+        follower.noteAge(clock.now());
+      }
+    };
+    await advance(1);
+    handle.cut = true;
+    await advance(25);
+    handle.cut = false;
+    await advance(3);
+    const notes = lines.filter(({ event }) => event.startsWith('prefix.'));
+    expect(notes.map(({ event, prefix, source }) => ({ event, prefix, source }))).toEqual([
+      { event: 'prefix.stale', prefix: 'e/', source: 'store' },
+      { event: 'prefix.current', prefix: 'e/', source: 'store' },
+    ]);
+  });
+
   // Guards against a malformed entry that removes or replaces a good one.
   test('a malformed entry changes nothing', async () => {
     const { clock, store, ids } = start();
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -23,6 +23,7 @@
 }
 
 const dataPrefix = 'data/';
+const staleMs = 2_500;
 
 /** Members that follow a store and tell each other what they read. */
 const world = async (count: number, domains = 1) => {
@@ -57,7 +58,7 @@
       { prefix: dataPrefix, follower: entries, startsFromFeed: true },
     ];
     followers.forEach((each) => {
-      const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100 };
+      const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100, staleMs };
       const follower = PrefixFollower.create({ ...common, ...each });
       feed.attach(each.prefix, follower);
       follower.run(never).catch(() => {});
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -107,6 +107,16 @@
     labels: [],
     buckets: latencySeconds,
   },
+  currantdrift_prefix_age_seconds: {
+    type: 'gauge',
+    help: 'Time since the store last said, directly or through members, that no newer entry exists',
+    labels: ['prefix'],
+  },
+  currantdrift_prefix_revision: {
+    type: 'gauge',
+    help: 'Revision of the store up to which this process knows the entries',
+    labels: ['prefix'],
+  },
   currantdrift_loads_total: {
     type: 'counter',
     help: 'Loads of models that this process ordered, by reason and source of the weights',
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -25,6 +25,8 @@
   readonly closing: AbortSignal;
   /** Undefined until the first configuration is known. */
   readonly configuration: () => Configuration | undefined;
+  /** Time since the configuration was known to be the newest, in ms. */
+  readonly configurationAgeMs: (now: number) => number;
   /** Client for requests to an endpoint; its connections carry one request each. */
   readonly client: (record: EndpointRecord) => HttpClient;
   /** Budget for sends beyond the first of each request to a service. */
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -105,7 +105,8 @@
     arrivedAt: number,
   ): void {
     const { telemetry, clock } = this.context;
-    const elapsedMs = clock.now() - arrivedAt;
+    const now = clock.now();
+    const elapsedMs = now - arrivedAt;
     telemetry.count('currantdrift_requests_total', { kind: 'forward', outcome: ending.outcome });
     telemetry.observe('currantdrift_forward_seconds', elapsedMs / 1000, {
       outcome: ending.outcome,
@@ -115,6 +116,7 @@
       authority: client.request.headers.host,
       path: client.request.url,
       version: this.context.configuration()?.version,
+      versionAgeMs: Math.round(this.context.configurationAgeMs(now)),
       model: fields?.model,
       adapter: fields?.adapter,
       outcome: ending.outcome,
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -264,6 +264,7 @@
       stopping: this.closing.signal,
       closing: this.closing.signal,
       configuration: () => configuration,
+      configurationAgeMs: () => 0,
       client: ({ address }) =>
         HttpClient.create(address, address, {
           connectTimeoutMs: 300,
