Show by tests that members rely on contact in place of what was read

Cause: the contact with the store that a watcher passes on belongs to the process. Any follower and the renewal of the lease confirm it, and members take it as a sign that nothing is missing below any prefix.

Ruled out: that the watchers' second copy helps.

The fake store can refuse the changes of one prefix and keep waits silent.

--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -204,6 +204,51 @@
     expect(known).toEqual(all(6, 'new'));
   });
 
+  // Guards against contact with the store that is taken as a sign that a certain prefix was read.
+  test('members learn of a change that their watchers cannot read', async () => {
+    const { clock, watchers, write, values } = await world(12);
+    await clock.advance(20_000);
+    watchers.forEach(({ handle }) => handle.unreadable.add(dataPrefix));
+    write('a', 'new');
+    await clock.advance(staleMs);
+    expect(values('a')).toEqual(all(12, 'new'));
+  });
+
+  // Guards against waits that outlast the time in which a change has to be in force.
+  test('members learn of a change while the waits of their watchers are silent', async () => {
+    const { clock, watchers, others, write } = await world(12);
+    await clock.advance(20_000);
+    watchers.forEach(({ handle }) => Object.assign(handle, { hasSilentWaits: true }));
+    write('a', 'new');
+    await clock.advance(staleMs);
+    const known = others.map(({ entries }) => entries.values.get(`${dataPrefix}a`));
+    expect(known).toEqual(all(10, 'new'));
+  });
+
+  // Guards against a watcher that the store turns away and that its peers tell nothing.
+  test('a watcher that cannot read the store learns of changes from other members', async () => {
+    const { clock, watchers, write, values } = await world(12, 3);
+    await clock.advance(20_000);
+    Object.assign(watchers[0].handle, { cut: true });
+    await clock.advance(1_000);
+    write('a', 'new');
+    await clock.advance(1_000);
+    expect(values('a')).toEqual(all(12, 'new'));
+  });
+
+  // Guards against a process that starts with entries which a member has not been able to read for long.
+  test('a member that starts takes no entries that were not confirmed lately', async () => {
+    const { clock, start, relays, watchers, write } = await world(12);
+    write('a', 'old');
+    await clock.advance(20_000);
+    [...watchers, ...relays].forEach(({ handle }) => handle.unreadable.add(dataPrefix));
+    write('a', 'new');
+    await clock.advance(4_000);
+    const late = start(11);
+    await clock.advance(6_000);
+    expect(late.entries.values.get(`${dataPrefix}a`)).toBe('new');
+  });
+
   // Guards against hosts that the store turns away, or that are stopping, and that serve from old knowledge.
   test('a member whose key has gone is still told what is new', async () => {
     const { clock, store, others, write } = await world(12, 2);
--- a/packages/tooling/fakes/src/prefix-store-handle.ts
+++ b/packages/tooling/fakes/src/prefix-store-handle.ts
@@ -23,6 +23,12 @@
   /** While true, calls arrive and their answers are lost. */
   deaf = false;
 
+  /** Prefixes whose changes cannot be read, while all other calls are answered. */
+  readonly unreadable = new Set<string>();
+
+  /** Whether waits for changes that begin now or are under way end without an answer, and late. */
+  hasSilentWaits = false;
+
   /** Calls by kind that were begun, also those that did not arrive. */
   readonly calls = new Map<string, number>();
 
@@ -51,7 +57,8 @@
     const endsAt = this.clock.now() + waitMs;
     this.count('changes');
     for (;;) {
-      if (this.cut || this.deaf) return this.lost('changes');
+      if (this.cut || this.deaf || this.unreadable.has(prefix)) return this.lost('changes');
+      if (this.hasSilentWaits) return this.lost('changes', endsAt - this.clock.now());
       const changes = this.store.since(prefix, revision);
       if (changes === undefined) return ok({ kind: 'compacted' });
       const isOver = this.clock.now() >= endsAt || signal?.aborted === true;
@@ -101,8 +108,8 @@
     this.calls.set(step, (this.calls.get(step) ?? 0) + 1);
   }
 
-  private async lost(step: string): Promise<Result<never, Failure>> {
-    await this.clock.sleep(lostCallMs);
+  private async lost(step: string, waitMs = 0): Promise<Result<never, Failure>> {
+    await this.clock.sleep(waitMs + lostCallMs);
     return err(this.failure(step, FailureKind.unknown));
   }
 
