Judge what is known by the answers about its own prefix, within the bound

Callers saw old routes, 404 for added ones and requests at endpoints that had left.

Cause: the contact with the store belonged to the process. Any prefix and the renewal of the lease confirmed it, and a member took it as a sign that nothing was missing below any prefix. A watcher that could not read the configuration, or whose wait was silent, told the fleet that the old one was current; a process that started took it from a relay with a fresh contact. A watcher that the store turned away was told nothing by the others.

Ruled out: more watchers, which fail alike; a second wait beside the first, which doubles the calls and is as silent.

Change: each follower knows until when the store's own answers about its prefix reach, and hears the same from others. Watchers, relays and members compare that age with parts of the bound (version/freshness.ts); waits end before it is reached. Watchers hear from each other and from relays. The quick renewals of watchers go. A gap is a revision, so that a later batch closes it. The test of a lost relay counts the reads of the others only, because that relay has to read the store, and now asserts that it does.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -96,8 +96,6 @@
 export const feedSchema = z.object({
   kind: z.literal(PeerKind.feed),
   host: z.string(),
-  /** Age of the last sign that the store answers, in ms. */
-  contactAgeMs: z.number(),
   batches: z.array(
     z.object({
       prefix: z.string(),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -36,6 +36,7 @@
 import { dutyOrder } from '../version/duty-order';
 import { type ConfigurationDecoder, ConfigurationHolder } from '../version/configuration-holder';
 import { type EndpointDecoder, EndpointFollower } from '../version/endpoint-follower';
+import { type FreshnessLimits, freshnessLimits } from '../version/freshness';
 import { type Member, Members, ownPrefix } from '../version/members';
 import { Announcements } from './announcements';
 import { Controller } from './controller';
@@ -126,6 +127,8 @@
 
   private readonly registration: Registration;
 
+  private readonly limits: FreshnessLimits;
+
   private readonly feed: StoreFeed;
 
   private readonly announcements: Announcements;
@@ -143,6 +146,7 @@
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
+    this.limits = freshnessLimits(settings.changeBoundMs);
     this.members = Members.create(telemetry, this.clock);
     this.choice = PredictedChoice.create(SystemRandom.create(), () => this.members.all().length);
     this.holder = ConfigurationHolder.create(
@@ -164,6 +168,7 @@
       telemetry,
       self,
       members,
+      limits: this.limits,
       send,
       ask: (source, prefix) => this.askForEntries(source, prefix),
     });
@@ -187,8 +192,6 @@
       clock,
       telemetry,
       member: self,
-      isWatcher: () => this.feed.isWatcher(),
-      onConfirmed: (sentAt) => this.feed.confirmed(sentAt),
     });
   }
 
@@ -300,12 +303,11 @@
   }
 
   private createFollowers(): PrefixFollower[] {
-    const { platform, settings, telemetry } = this.options;
-    const { clock, feed } = this;
+    const { platform, telemetry } = this.options;
+    const { clock, feed, limits } = this;
     const random = SystemRandom.create();
     const { store } = platform;
-    const staleMs = settings.changeBoundMs;
-    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs, staleMs };
+    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs, limits };
     const endpoints = EndpointFollower.create(
       platform.endpointPrefix,
       platform.decodeEndpoint,
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -8,6 +8,7 @@
   type Random,
   type Telemetry,
 } from '@currantdrift/core';
+import type { FreshnessLimits } from '../version/freshness';
 
 /** Takes what a follower reads. */
 export interface Follower {
@@ -38,11 +39,8 @@
 
 /** What a follower may learn from other members, and what it tells them. */
 export interface Feed {
-  /**
-   * Time until which other members pass on what they read, so that the store need not be asked;
-   * -Infinity if none do.
-   */
-  fedUntil(now: number): number;
+  /** Age up to which what other members say counts; 0 if this process reads the store itself. */
+  lifetimeMs(): number;
   /** States that the store answered a call that was sent at `sentAt`, or that a call has failed. */
   confirmed(sentAt: number): void;
   failed(now: number): void;
@@ -75,14 +73,13 @@
   readonly feed: Feed;
   /** Whether other members are asked for all entries before the store is. */
   readonly startsFromFeed: boolean;
-  /** Age from which entries count as stale, in ms. */
-  readonly staleMs: number;
+  readonly limits: FreshnessLimits;
   /** Called with the time at which the store answers again after it did not. */
   readonly onReturn?: (now: number) => void;
 }
 
-/** Longest time of one wait for changes, in ms. */
-const waitMs = 20_000;
+/** Shortest wait for changes: the store answers at once, in ms. */
+const minWaitMs = 1;
 
 /** Shortest pause after a failed call, in ms. */
 const minRetryMs = 100;
@@ -90,9 +87,6 @@
 /** Longest pause between two looks whether a batch is missing, in ms. */
 const maxFedPauseMs = 500;
 
-/** Longest random pause before the store is asked in place of a feed that has ended, in ms. */
-const feedEndJitterMs = 400;
-
 /** Name of the store among the sources of what is known. */
 const storeSource = 'store';
 
@@ -114,14 +108,17 @@
 
   private wasFed = false;
 
-  /** Whether a batch came whose predecessor is missing. */
-  private hasGap = false;
+  /** Revision up to which changes exist that other members have told and this one may have missed. */
+  private needed = 0;
 
   private failures = 0;
 
-  /** Time up to which all changes are known. */
+  /** Time up to which all changes are known, by the store's own word. */
   private knownAt = -Infinity;
 
+  /** The same, as far as other members have said it. */
+  private heardAt = -Infinity;
+
   /** Who said so last: the store or another member. */
   private source = '';
 
@@ -139,19 +136,29 @@
     return this.isListed ? { revision, entries: [...entries.values()] } : undefined;
   }
 
+  /** Whether changes are missing that others have told of. */
+  private get hasGap(): boolean {
+    return this.needed > this.revision;
+  }
+
   /** Age of what is known, in ms; Infinity before the first listing. */
   ageMs(now: number): number {
     return now - this.knownAt;
   }
 
+  /** Whether other members say often enough what is new, so that the store need not be read. */
+  isFed(now: number): boolean {
+    return now - this.heardAt < this.options.feed.lifetimeMs();
+  }
+
   /** Logs when the entries become stale and when they are current again, and states their age. */
   noteAge(now: number): void {
-    const { telemetry, prefix, staleMs } = this.options;
+    const { telemetry, prefix, limits } = this.options;
     const ageMs = this.ageMs(now);
     const seconds = Math.min(maxAgeSeconds, ageMs / 1000);
     telemetry.gauge('currantdrift_prefix_age_seconds', seconds, { prefix });
     telemetry.gauge('currantdrift_prefix_revision', this.revision, { prefix });
-    const isStale = this.isListed && ageMs > staleMs;
+    const isStale = this.isListed && ageMs > limits.boundMs;
     if (isStale === this.isStale) return;
     this.isStale = isStale;
     telemetry.log(isStale ? 'prefix.stale' : 'prefix.current', {
@@ -174,10 +181,10 @@
   receive({ after, revision, changes, ageMs }: ToldBatch, host: string): void {
     if (!this.isListed) return;
     if (after > this.revision) {
-      this.hasGap = true;
+      this.needed = Math.max(this.needed, after);
       return;
     }
-    this.know(this.options.clock.now() - ageMs, host);
+    this.hear(this.options.clock.now() - ageMs, host);
     const before = this.revision;
     if (revision <= before) return;
     const newer = this.apply(changes, revision);
@@ -191,9 +198,9 @@
 
   /** Asks the store unless other members do; gives the pause until the next step, in ms. */
   private async step(signal: AbortSignal): Promise<number> {
-    const { clock, feed, pauseMs, random } = this.options;
+    const { clock, feed, pauseMs, random, limits } = this.options;
     const now = clock.now();
-    const fedMs = feed.fedUntil(now) - now;
+    const fedMs = feed.lifetimeMs() - (now - this.heardAt);
     if (this.isListed && !this.hasGap && fedMs > 0) {
       this.wasFed = true;
       this.answered();
@@ -201,7 +208,7 @@
     }
     if (this.wasFed && !this.hasGap) {
       this.wasFed = false;
-      return random.next() * feedEndJitterMs;
+      return random.next() * limits.jitterMs;
     }
     if (this.failures > 0 && !feed.mayAsk(now)) return this.retryPause();
     const ok = this.isListed ? await this.wait(signal) : await this.list();
@@ -213,7 +220,7 @@
     const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
     // A watcher that lags must not take back what this follower has known.
     if (known !== undefined && known.revision >= this.revision) {
-      this.know(known.askedAt - known.ageMs, known.host);
+      this.hear(known.askedAt - known.ageMs, known.host);
       this.adopt(known);
       return true;
     }
@@ -230,13 +237,17 @@
     const changes = this.differences(entries, revision);
     this.revision = revision;
     this.isListed = true;
-    this.hasGap = false;
     this.entries.clear();
     entries.forEach((entry) => this.entries.set(entry.key, entry));
     this.options.follower.listed(entries);
     // Others that know what was known here need not read the whole listing as well.
     const { prefix, feed } = this.options;
-    if (before > 0) feed.passOn({ prefix, after: before, revision, changes });
+    feed.passOn({
+      prefix,
+      after: before > 0 ? before : revision,
+      revision,
+      changes: before > 0 ? changes : [],
+    });
   }
 
   /** Changes that lead from the entries known so far to a listing. */
@@ -253,28 +264,35 @@
 
   private async wait(signal: AbortSignal): Promise<boolean> {
     const { store, prefix, feed, clock } = this.options;
-    // After a failure a short wait tells whether the store answers at all.
-    const longestMs = this.failures > 0 || this.hasGap ? 1 : waitMs;
-    const after = this.revision;
     const sentAt = clock.now();
-    const result = await store.changes(prefix, after, longestMs, signal);
+    const longestMs = this.longestWaitMs(sentAt);
+    const result = await store.changes(prefix, this.revision, longestMs, signal);
     if (signal.aborted) return true;
     if (result.isErr()) return this.failed(describeFailure(result.error));
     if (result.value.kind === 'compacted') {
-      feed.confirmed(clock.now());
+      feed.confirmed(sentAt);
       this.answered();
       this.options.telemetry.log('store.compacted', { prefix, revision: this.revision });
       this.isListed = false;
       return this.list();
     }
-    this.confirm(sentAt);
-    this.hasGap = false;
     const { changes, revision } = result.value;
-    this.apply(changes, revision);
-    feed.passOn({ prefix, after, revision, changes });
+    // The store has waited to the end, so nothing had changed until then.
+    const hasWaited = changes.length === 0 && clock.now() - sentAt >= longestMs;
+    this.confirm(hasWaited ? sentAt + longestMs : sentAt);
+    const before = this.revision;
+    const newer = this.apply(changes, revision);
+    feed.passOn({ prefix, after: before, revision: this.revision, changes: newer });
     return true;
   }
 
+  /** A wait must end before what is known is too old, because nothing is heard meanwhile. */
+  private longestWaitMs(now: number): number {
+    // After a failure a short wait tells whether the store answers at all.
+    if (this.failures > 0 || this.hasGap) return minWaitMs;
+    return Math.max(minWaitMs, Math.round(this.options.limits.readMs - this.ageMs(now)));
+  }
+
   /** Takes and gives the changes that are newer than what is known: a batch and an answer may overlap. */
   private apply(changes: readonly Change[], revision: number): readonly Change[] {
     const known = this.revision;
@@ -288,13 +306,18 @@
     return newer;
   }
 
-  /** Takes the store's answer to a call that was sent at `sentAt` and told all that is new. */
-  private confirm(sentAt: number): void {
-    this.options.feed.confirmed(this.options.clock.now());
-    this.know(sentAt, storeSource);
+  /** Takes an answer of the store that told all changes up to `at`. */
+  private confirm(at: number): void {
+    this.options.feed.confirmed(at);
+    this.know(at, storeSource);
     this.answered();
   }
 
+  private hear(at: number, host: string): void {
+    this.heardAt = Math.max(this.heardAt, at);
+    this.know(at, host);
+  }
+
   private know(at: number, source: string): void {
     if (at <= this.knownAt) return;
     this.knownAt = at;
--- a/packages/process/gateway/src/process/registration.ts
+++ b/packages/process/gateway/src/process/registration.ts
@@ -12,18 +12,11 @@
 const renewMs = 3_000;
 const retryMs = 500;
 
-/** Pause between two renewals of a watcher, which tell it whether the store still answers, in ms. */
-const watcherRenewMs = 400;
-
 export interface RegistrationOptions {
   readonly store: PrefixStore;
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly member: Member;
-  /** Whether this process follows the store for others. */
-  readonly isWatcher: () => boolean;
-  /** Called with the time at which a renewal was sent that the store answered. */
-  readonly onConfirmed: (sentAt: number) => void;
 }
 
 /** Keeps this process's leased key among the members. */
@@ -38,11 +31,10 @@
 
   /** Registers and renews until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, isWatcher } = this.options;
+    const { clock } = this.options;
     while (!signal.aborted) {
       const held = this.lease === undefined ? await this.register() : await this.renew(this.lease);
-      const pauseMs = isWatcher() ? watcherRenewMs : renewMs;
-      await clock.sleep(held ? pauseMs : retryMs, signal);
+      await clock.sleep(held ? renewMs : retryMs, signal);
     }
   }
 
@@ -72,13 +64,8 @@
   }
 
   private async renew(lease: string): Promise<boolean> {
-    const { store, clock, onConfirmed } = this.options;
-    const sentAt = clock.now();
-    const renewed = await store.renewLease(lease);
-    if (renewed.isOk()) {
-      onConfirmed(sentAt);
-      return true;
-    }
+    const renewed = await this.options.store.renewLease(lease);
+    if (renewed.isOk()) return true;
     if (renewed.error.kind === 'refused') this.lease = undefined;
     return this.failed('renewal', renewed.error);
   }
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -1,18 +1,9 @@
 import type { Clock, Random, Telemetry } from '@currantdrift/core';
 import { type FeedMessage, PeerKind } from '../connection/peer-messages';
+import type { FreshnessLimits } from '../version/freshness';
 import type { Member, Members } from '../version/members';
 import type { Batch, Feed, GivenListing, PrefixFollower, ToldListing } from './prefix-follower';
 
-/** Pause between two messages of a watcher or a relay that has nothing new, in ms. */
-const heartbeatMs = 400;
-
-/**
- * Age of the store's last answer to a watcher up to which what it said counts as current, in ms. Relays
- * ask the store first, so that the members behind them need not.
- */
-const relayLifetimeMs = 1_300;
-const memberLifetimeMs = 1_600;
-
 /**
  * Longest pause between two calls to a store that does not answer, in ms. The members behind relays hear
  * from these when it answers again.
@@ -42,6 +33,7 @@
   readonly telemetry: Telemetry;
   readonly self: Member;
   readonly members: Members;
+  readonly limits: FreshnessLimits;
   readonly send: (address: string, message: FeedMessage) => void;
   /** Asks another member for its entries below a prefix; undefined if it has none to give. */
   readonly ask: (address: string, prefix: string) => Promise<ToldListing | undefined>;
@@ -56,9 +48,6 @@
 
   private readonly progress = new Map<string, Progress>();
 
-  /** Time of the store's last answer as each member that was heard knows it, on the own clock. */
-  private readonly contacts = new Map<string, number>();
-
   private confirmedAt = -Infinity;
 
   private failedAt = -Infinity;
@@ -88,11 +77,16 @@
     return members.relaysOf(self.domain).some(({ host }) => host === self.host);
   }
 
-  fedUntil(now: number): number {
-    if (this.isWatcher()) return -Infinity;
-    const lifetimeMs = this.isRelay() ? relayLifetimeMs : memberLifetimeMs;
-    const until = Math.max(-Infinity, ...this.contacts.values()) + lifetimeMs;
-    return until > now ? until : -Infinity;
+  /** Relays ask the store first, so that the members behind them need not. */
+  lifetimeMs(): number {
+    const { limits } = this.options;
+    if (this.isWatcher()) return 0;
+    return this.isRelay() ? limits.relayMs : limits.memberMs;
+  }
+
+  /** Whether other members say often enough what is new below all prefixes. */
+  isFed(now: number): boolean {
+    return [...this.followers.values()].every((follower) => follower.isFed(now));
   }
 
   confirmed(sentAt: number): void {
@@ -147,12 +141,12 @@
 
   /** The entries below a prefix for a member that asks; undefined if they may be old. */
   entriesFor(prefix: string): ToldListing | undefined {
-    const now = this.options.clock.now();
-    const isCurrent = now - this.contactAt() < memberLifetimeMs;
+    const { clock, limits } = this.options;
+    const ageMs = this.ageOf(prefix, clock.now());
     const mayTell = this.isWatcher() || this.isRelay();
-    const follower = this.followers.get(prefix);
-    const listing = mayTell && isCurrent ? follower?.snapshot() : undefined;
-    return listing && { ...listing, ageMs: this.ageOf(prefix, now) };
+    const isCurrent = ageMs < limits.memberMs;
+    const listing = mayTell && isCurrent ? this.followers.get(prefix)?.snapshot() : undefined;
+    return listing && { ...listing, ageMs };
   }
 
   /** Age of what this process knows below a prefix, in ms. */
@@ -161,19 +155,18 @@
   }
 
   /** Takes what another member read or heard. */
-  heard({ host, contactAgeMs, batches }: FeedMessage): void {
-    this.contacts.set(host, this.options.clock.now() - contactAgeMs);
+  heard({ host, batches }: FeedMessage): void {
     batches.forEach((batch) => this.followers.get(batch.prefix)?.receive(batch, host));
   }
 
   /** Tells those that rely on this process that nothing is missing. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.options;
+    const { clock, limits } = this.options;
     while (!signal.aborted) {
       this.tell(this.unchanged());
       this.noteState(clock.now());
       this.followers.forEach((follower) => follower.noteAge(clock.now()));
-      await clock.sleep(heartbeatMs, signal);
+      await clock.sleep(limits.heartbeatMs, signal);
     }
   }
 
@@ -185,11 +178,6 @@
     });
   }
 
-  /** Time of the last sign that the store answers, to this process or to one that it heard. */
-  private contactAt(): number {
-    return Math.max(this.confirmedAt, ...this.contacts.values());
-  }
-
   /** Members from which this one takes what they read. */
   private sources(): readonly Member[] {
     const { members, self } = this.options;
@@ -200,16 +188,16 @@
   /** Members that take from this one what it read or heard. */
   private targets(): readonly Member[] {
     const { members, self, clock } = this.options;
-    const relays = members.relays.map(({ host }) => host);
+    const relays = new Set(members.relays.map(({ host }) => host));
     const all = members.recipients(self.host, clock.now());
-    const skipped = new Set([self.host, ...members.watchers.map(({ host }) => host)]);
     // The relays of a failure domain hear from the watchers, not from each other.
     const near = this.isRelay() ? all.filter(({ domain }) => domain === self.domain) : [];
-    const behind = near.filter(({ host }) => !relays.includes(host));
+    const behind = near.filter(({ host }) => !relays.has(host));
     // A failure domain whose members have all lost their keys has no relays.
     const alone = all.filter(({ domain }) => members.relaysOf(domain).length === 0);
-    const direct = this.isWatcher() ? [...members.relays, ...alone] : [];
-    return [...direct, ...behind].filter(({ host }) => !skipped.has(host));
+    // A watcher that the store turns away hears from the other one.
+    const direct = this.isWatcher() ? [...members.watchers, ...members.relays, ...alone] : [];
+    return [...new Set([...direct, ...behind])].filter(({ host }) => host !== self.host);
   }
 
   private tell(batches: readonly Batch[]): void {
@@ -221,7 +209,6 @@
     const message: FeedMessage = {
       kind: PeerKind.feed,
       host: self.host,
-      contactAgeMs: Math.min(maxAgeMs, now - this.contactAt()),
       batches: batches.map((batch) => ({
         ...batch,
         changes: [...batch.changes],
@@ -231,15 +218,15 @@
     targets.forEach(({ address }) => send(address, message));
   }
 
-  /** Logs when the contact with the store through others is lost or regained. */
+  /** Logs when what others say is too old to rely on, and when it is current again. */
   private noteState(now: number): void {
-    const fed = this.fedUntil(now) > now;
-    if (fed === this.wasFed) return;
-    this.wasFed = fed;
-    const outcome = fed ? 'dependency.regained' : 'dependency.lost';
-    const contacts = [...this.contacts]
-      .map(([host, at]) => `${host} ${Math.round(now - at)} ms`)
+    const isFed = this.isFed(now);
+    if (isFed === this.wasFed || this.isWatcher()) return;
+    this.wasFed = isFed;
+    const outcome = isFed ? 'dependency.regained' : 'dependency.lost';
+    const ages = [...this.followers]
+      .map(([prefix, follower]) => `${prefix} ${Math.round(follower.ageMs(now))} ms`)
       .join(', ');
-    this.options.telemetry.log(outcome, { dependency: 'watchers', contacts });
+    this.options.telemetry.log(outcome, { dependency: 'watchers', ages });
   }
 }
--- a/packages/process/gateway/test/controller-term.test.ts
+++ b/packages/process/gateway/test/controller-term.test.ts
@@ -2,6 +2,7 @@
 import { MemoryPrefixStore, PrefixStoreHandle, VirtualClock } from '@currantdrift/fakes';
 import { ControllerTerm, type Resignation, type Term } from '../src/process/controller-term';
 import { PrefixFollower } from '../src/process/prefix-follower';
+import { freshnessLimits } from '../src/version/freshness';
 import { Members, ownPrefix } from '../src/version/members';
 import { noFeed } from './no-feed';
 
@@ -60,7 +61,7 @@
       prefix: ownPrefix,
       follower: members,
       pauseMs: 20,
-      staleMs: 2_500,
+      limits: freshnessLimits(2_500),
       feed: noFeed,
       startsFromFeed: false,
     });
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -11,6 +11,7 @@
 import { type Feed, PrefixFollower } from '../src/process/prefix-follower';
 import { ConfigurationHolder } from '../src/version/configuration-holder';
 import { EndpointFollower } from '../src/version/endpoint-follower';
+import { freshnessLimits } from '../src/version/freshness';
 import { noFeed } from './no-feed';
 
 const bytes = (text: string) => Buffer.from(text);
@@ -47,7 +48,7 @@
     pauseMs: 20,
     feed,
     startsFromFeed: true,
-    staleMs: 2_500,
+    limits: freshnessLimits(2_500),
     onReturn: (now) => endpoints.returned(now),
   });
   follower.run(stop.signal).catch(() => {});
--- a/packages/process/gateway/test/no-feed.ts
+++ b/packages/process/gateway/test/no-feed.ts
@@ -2,7 +2,7 @@
 
 /** A feed without watchers: the follower asks the store itself. */
 export const noFeed: Feed = {
-  fedUntil: () => -Infinity,
+  lifetimeMs: () => 0,
   confirmed: () => {},
   failed: () => {},
   mayAsk: () => true,
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -3,6 +3,7 @@
 import { PrefixFollower } from '../src/process/prefix-follower';
 import { Registration } from '../src/process/registration';
 import { StoreFeed } from '../src/process/store-feed';
+import { freshnessLimits } from '../src/version/freshness';
 import { memberPrefix, Members, ownPrefix } from '../src/version/members';
 import { relaysOf } from '../src/version/relays';
 import { watcherCount } from '../src/version/watchers';
@@ -23,7 +24,8 @@
 }
 
 const dataPrefix = 'data/';
-const staleMs = 2_500;
+const boundMs = 2_500;
+const limits = freshnessLimits(boundMs);
 
 /** Members that follow a store and tell each other what they read. */
 const world = async (count: number, domains = 1) => {
@@ -44,6 +46,7 @@
       telemetry,
       self,
       members,
+      limits,
       random: { next: () => index / count },
       ask: async (address, prefix) =>
         silent.has(address) ? undefined : feeds.get(address)?.entriesFor(prefix),
@@ -58,16 +61,14 @@
       { prefix: dataPrefix, follower: entries, startsFromFeed: true },
     ];
     followers.forEach((each) => {
-      const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100, staleMs };
+      const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100, limits };
       const follower = PrefixFollower.create({ ...common, ...each });
       feed.attach(each.prefix, follower);
       follower.run(never).catch(() => {});
     });
     feed.run(never).catch(() => {});
     const isWatcher = () => feed.isWatcher();
-    const onConfirmed = (sentAt: number) => feed.confirmed(sentAt);
-    const options = { store: handle, clock, telemetry, member: self, isWatcher, onConfirmed };
-    Registration.create(options)
+    Registration.create({ store: handle, clock, telemetry, member: self })
       .run(never)
       .catch(() => {});
     return { host, self, handle, entries, feed, isWatcher };
@@ -136,16 +137,21 @@
 
   // Guards against a domain that hears nothing because one of its relays is gone.
   test('a domain hears from its other relay', async () => {
-    const { clock, relays, silent, write, processes, reads } = await world(24, 4);
-    silent.add(relays[0].host);
-    const before = reads();
+    const { clock, relays, silent, write, processes, others, values, reads } = await world(24, 4);
+    const [lost] = relays;
+    silent.add(lost.host);
+    const readsOfOthers = () => reads().filter((_, index) => others[index] !== lost);
+    const before = readsOfOthers();
     write('a', 'new');
     await clock.advance(600);
     const heard = processes.filter(({ host }) => !silent.has(host));
     expect(heard.map(({ entries }) => entries.values.get(`${dataPrefix}a`))).toEqual(
       all(23, 'new'),
     );
-    expect(reads()).toEqual(before);
+    expect(readsOfOthers()).toEqual(before);
+    // The lost relay hears nothing, so it reads the store itself.
+    await clock.advance(boundMs - 600);
+    expect(values('a')).toEqual(all(24, 'new'));
   });
 
   // Guards against a fleet whose daemons all ask the store at once when the watchers are gone.
@@ -190,7 +196,7 @@
     expect(values('a')).toEqual(all(8, 'new'));
     silent.clear();
     await clock.advance(3_000);
-    expect(others.every(({ feed }) => feed.fedUntil(clock.now()) > clock.now())).toBe(true);
+    expect(others.every(({ feed }) => feed.isFed(clock.now()))).toBe(true);
   });
 
   // Guards against watchers that are cut off from the store and still count as current.
@@ -210,7 +216,7 @@
     await clock.advance(20_000);
     watchers.forEach(({ handle }) => handle.unreadable.add(dataPrefix));
     write('a', 'new');
-    await clock.advance(staleMs);
+    await clock.advance(boundMs);
     expect(values('a')).toEqual(all(12, 'new'));
   });
 
@@ -220,7 +226,7 @@
     await clock.advance(20_000);
     watchers.forEach(({ handle }) => Object.assign(handle, { hasSilentWaits: true }));
     write('a', 'new');
-    await clock.advance(staleMs);
+    await clock.advance(boundMs);
     const known = others.map(({ entries }) => entries.values.get(`${dataPrefix}a`));
     expect(known).toEqual(all(10, 'new'));
   });
@@ -347,6 +353,6 @@
     await clock.advance(4_000);
     expect(values('a')).toEqual(Array.from({ length: 6 }, () => undefined));
     expect(values('b')).toEqual(all(6, 'kept'));
-    expect(others.every(({ feed }) => feed.fedUntil(clock.now()) > clock.now())).toBe(true);
+    expect(others.every(({ feed }) => feed.isFed(clock.now()))).toBe(true);
   });
 });
