Let a large change arrive over a slow link

Callers would see an old configuration for as long as a link is slow.

Cause: a watch that has failed is tried again with the shortest wait, and its whole answer had 801 ms. A configuration that needs longer was broken off each time, so the change never arrived.

Ruled out: a longer limit for the whole answer alone, with which a silent connection is noticed later than the bound allows.

Change: a call may limit the time without a byte apart from the time for the whole answer.

--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -22,6 +22,9 @@
   readonly signal?: AbortSignal;
 }
 
+/** A request whose answer is read whole. */
+export type WholeCall = Omit<HttpCall, 'progressTimeoutMs'> & Partial<HttpCall>;
+
 /**
  * Opens connections whose resets count as errors. undici takes a reset for the end of an answer that
  * has no length; the sender may have been cut off in the middle of it.
@@ -83,11 +86,11 @@
       .mapErr((error) => this.lost(call.step, exchange, error.message));
   }
 
-  /** Sends the request and waits `timeoutMs` for its whole answer, whatever its status. */
-  async whole(
-    call: Omit<HttpCall, 'progressTimeoutMs'>,
-    timeoutMs: number,
-  ): Promise<Result<WholeAnswer, Failure>> {
+  /**
+   * Sends the request and waits `timeoutMs` for its whole answer, whatever its status. The time without
+   * a byte is `timeoutMs` too unless the call says otherwise.
+   */
+  async whole(call: WholeCall, timeoutMs: number): Promise<Result<WholeAnswer, Failure>> {
     const limit = new AbortController();
     const onAbort = () => limit.abort(call.signal?.reason);
     if (call.signal !== undefined) setMaxListeners(0, call.signal);
@@ -99,8 +102,8 @@
       this.renew(pool);
     }, timeoutMs);
     const opened = await this.open({
-      ...call,
       progressTimeoutMs: timeoutMs,
+      ...call,
       signal: limit.signal,
     });
     const answer = opened.isErr() ? err(opened.error) : await this.body(call.step, opened.value);
--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -1,4 +1,10 @@
 export type { Exchange, Head, Headers } from './exchange';
-export { type HttpCall, HttpClient, type OpenAnswer, type WholeAnswer } from './http-client';
+export {
+  type HttpCall,
+  HttpClient,
+  type OpenAnswer,
+  type WholeAnswer,
+  type WholeCall,
+} from './http-client';
 export { errorSchema, parseJson } from './json';
 export type { HttpSettings } from './settings';
