Compress large values between members

Cause: each change of the configuration is the whole of it. 1,480 routes more make it some 300 KB (76,731 bytes for 418 routes); two relays send it to each member, over links of 7 Mbit/s and up, and two watchers to all relays over 42 Mbit/s between regions. By arithmetic a member's copies take 0.7 s and the relays' a second, of a bound of 4 s, and changes in quick succession wait for each other.

Ruled out: compression by the WebSocket library, which compresses for each member anew. Differences between versions: a version stands near the start of the document, so a common beginning and end save little, and a receiver needs the right base.

Change: a value of 4 KB or more is compressed once, when it is first passed on; relays pass on what came. A value that does not decompress to 4 MB at most is malformed. The line of a new configuration says its size.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -1,5 +1,7 @@
 import type { Message } from '@currantdrift/core';
 import { z } from 'zod';
+import type { ToldListing } from '../process/prefix-follower';
+import { encodeEntry, entrySchema } from './entry-codec';
 
 /** Kinds of messages between gateways. */
 export const PeerKind = {
@@ -81,12 +83,6 @@
 
 export type InventoryMessage = z.infer<typeof inventorySchema>;
 
-const entrySchema = z.object({
-  key: z.string(),
-  value: z.custom<Uint8Array>((value) => value instanceof Uint8Array, 'expected bytes'),
-  revision: z.number(),
-});
-
 const changeSchema = z.union([
   z.object({ kind: z.literal('put'), entry: entrySchema }),
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
@@ -109,6 +105,17 @@
 });
 export type FeedMessage = z.infer<typeof feedSchema>;
 
+/** The message as it is sent. */
+export const encodeFeed = (message: FeedMessage): Message => ({
+  ...message,
+  batches: message.batches.map((batch) => ({
+    ...batch,
+    changes: batch.changes.map((change) =>
+      change.kind === 'put' ? { ...change, entry: encodeEntry(change.entry) } : change,
+    ),
+  })),
+});
+
 /** Asks a watcher or a relay for all entries below a prefix. */
 export const snapshotSchema = z.object({
   kind: z.literal(PeerKind.snapshot),
@@ -127,6 +134,13 @@
   z.object({ kind: z.literal('elsewhere') }),
 ]);
 
+/** The answer with a listing as it is sent. */
+export const encodeListing = ({ entries, ...listing }: ToldListing): Message => ({
+  kind: 'listing',
+  ...listing,
+  entries: entries.map(encodeEntry),
+});
+
 /** Last message of a controller. */
 export const resignedSchema = z.object({
   kind: z.literal(PeerKind.resigned),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -22,6 +22,8 @@
 import { EndpointClients } from '../connection/endpoint-clients';
 import type { EngineControl } from '../connection/engine-control';
 import {
+  encodeFeed,
+  encodeListing,
   feedSchema,
   inventorySchema,
   parseMessage,
@@ -169,7 +171,7 @@
       self,
       members,
       limits: this.limits,
-      send,
+      send: (target, message) => send(target, encodeFeed(message)),
       ask: (source, prefix) => this.askForEntries(source, prefix),
     });
     this.announcements = Announcements.create({
@@ -411,7 +413,7 @@
     inbox.onRequest(PeerKind.want, wantSchema, (want) => this.controller?.want(want));
     inbox.onRequest(PeerKind.snapshot, snapshotSchema, ({ prefix }) => {
       const listing = feed.entriesFor(prefix);
-      return listing && { kind: 'listing', ...listing };
+      return listing && encodeListing(listing);
     });
     inbox.onNotification(PeerKind.usage, usageSchema, (usage) => this.controller?.used(usage));
     inbox.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
--- a/packages/process/gateway/src/version/configuration-holder.ts
+++ b/packages/process/gateway/src/version/configuration-holder.ts
@@ -57,6 +57,7 @@
       before,
       revision: entry.revision,
       routes: routes.length,
+      bytes: entry.value.length,
     });
     this.onChange(decoded.value);
   }
--- /dev/null
+++ b/packages/process/gateway/test/entry-codec.test.ts
@@ -0,0 +1,58 @@
+import { createHash } from 'node:crypto';
+import { deflateRawSync } from 'node:zlib';
+import { encodeEntry, entrySchema } from '../src/connection/entry-codec';
+
+/** Text without a pattern, the same in each run. */
+const hex = (seed: string, length: number) =>
+  createHash('sha256').update(seed).digest('hex').slice(0, length);
+
+/** A configuration whose names are random, as the operator writes it. */
+const configuration = (routes: number): Uint8Array =>
+  Buffer.from(
+    JSON.stringify({
+      version: 12,
+      routes: Array.from({ length: routes }, (_, index) => ({
+        name: `r-${hex(`name ${index}`, 6)}`,
+        host: `${hex(`host ${index}`, 6)}.example`,
+        prefix: `/${hex(`prefix ${index}`, 8)}/`,
+        routeKind: 'stream',
+        timeoutMs: 15_000,
+        aimMs: 1_000,
+        priority: 2,
+        service: 's1',
+        maxAttempts: 2,
+        resumable: true,
+      })),
+    }),
+  );
+
+const entry = (value: Uint8Array) => ({ key: 'op/config', value, revision: 3 });
+
+test('a small value is sent as it is', () => {
+  const small = entry(Buffer.from('small'));
+  expect(encodeEntry(small)).toEqual(small);
+  expect(entrySchema.parse(encodeEntry(small))).toEqual(small);
+});
+
+// Guards against changes of a large configuration that fill the links of the members.
+test('a configuration of 1,500 routes takes a fifth of its size at most', () => {
+  const large = entry(configuration(1_500));
+  const sent = encodeEntry(large);
+  expect(sent.value.length).toBeLessThan(large.value.length / 5);
+  expect(Buffer.compare(entrySchema.parse(sent).value, large.value)).toBe(0);
+});
+
+// Guards against a relay that compresses again what it only passes on.
+test('a value that came compressed is passed on as it came', () => {
+  const sent = encodeEntry(entry(configuration(100)));
+  const received = entrySchema.parse({ ...sent });
+  expect(encodeEntry(received).value).toBe(sent.value);
+});
+
+// Guards against a peer whose small message fills the memory.
+test.each([
+  ['bytes that are not compressed', Buffer.from('not compressed')],
+  ['a value above the largest size', deflateRawSync(Buffer.alloc(5 * 1024 * 1024))],
+])('%s are malformed', (_name, value) => {
+  expect(entrySchema.safeParse({ ...entry(value), isCompressed: true }).success).toBe(false);
+});
