Do not take a listing of the store that is older than what is known

Cause: a follower took any listing of the store in place of what it knew. A store that has just lost its history and answers from an old copy would bring back entries that had gone, and the follower would tell the others so.

Ruled out: that the configuration goes back in a process; its version only rises there. Endpoints, members and processes that start from such a follower have no such guard.

Change: a listing of an earlier revision counts as a failed call and is asked for again.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -227,6 +227,10 @@
     const sentAt = clock.now();
     const listing = await store.listing(prefix);
     if (listing.isErr()) return this.failed(describeFailure(listing.error));
+    const { revision } = listing.value;
+    if (revision < this.revision) {
+      return this.failed(`the listing is of revision ${revision}, before ${this.revision}`);
+    }
     this.confirm(sentAt);
     this.adopt(listing.value);
     return true;
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -90,6 +90,28 @@
     expect(ids()).toEqual(['2 y', '3 z']);
   });
 
+  // Guards against a store that answers from an old copy just after it has lost its history.
+  test('a listing of the store that is older than what is known is read again', async () => {
+    const { clock, store, handle, ids, lines } = start();
+    store.write('e/1', bytes('x'));
+    const old = { revision: store.revision, entries: store.below('e/') };
+    await clock.advance(100);
+    store.write('e/1', undefined);
+    store.write('e/2', bytes('y'));
+    await clock.advance(100);
+    handle.oldListings.push(old, old);
+    store.write('e/3', bytes('z'));
+    store.compact();
+    const seen = new Set<string>();
+    for (let step = 0; step < 100; step += 1) {
+      await clock.advance(10);
+      ids().forEach((id) => seen.add(id));
+    }
+    expect([...seen]).toEqual(['2 y', '3 z']);
+    expect(ids()).toEqual(['2 y', '3 z']);
+    expect(lines.filter(({ event }) => event === 'dependency.lost')).toHaveLength(1);
+  });
+
   // Guards against a list that keeps what went while the history was forgotten.
   test('a forgotten history is replaced by a new list', async () => {
     const { clock, store, ids } = start();
--- a/packages/tooling/fakes/src/prefix-store-handle.ts
+++ b/packages/tooling/fakes/src/prefix-store-handle.ts
@@ -29,6 +29,9 @@
   /** Whether waits for changes that begin now or are under way end without an answer, and late. */
   hasSilentWaits = false;
 
+  /** Answers to the next listings, in place of what the store holds. */
+  readonly oldListings: Listing[] = [];
+
   /** Calls by kind that were begun, also those that did not arrive. */
   readonly calls = new Map<string, number>();
 
@@ -42,10 +45,10 @@
   }
 
   listing(prefix: string): Promise<Result<Listing, Failure>> {
-    return this.call('listing', () => ({
-      entries: this.store.below(prefix),
-      revision: this.store.revision,
-    }));
+    return this.call('listing', () => {
+      const current = { entries: this.store.below(prefix), revision: this.store.revision };
+      return this.oldListings.shift() ?? current;
+    });
   }
 
   async changes(
