--- a/packages/process/gateway/src/version/configuration-holder.ts
+++ b/packages/process/gateway/src/version/configuration-holder.ts
@@ -42,6 +42,7 @@
   private take(entry: Entry): void {
     const decoded = this.decode(entry.value);
     if (decoded.isErr()) {
+      this.telemetry.count('currantdrift_malformed_entries_total', { kind: 'configuration' });
       this.telemetry.log('configuration.malformed', {
         revision: entry.revision,
         reason: decoded.error,
--- a/packages/process/gateway/src/version/endpoint-follower.ts
+++ b/packages/process/gateway/src/version/endpoint-follower.ts
@@ -65,6 +65,7 @@
     const id = this.idOf(entry.key);
     const decoded = this.decode(entry);
     if (decoded.isErr()) {
+      this.telemetry.count('currantdrift_malformed_entries_total', { kind: 'endpoint' });
       this.telemetry.log('endpoint.malformed', {
         endpoint: id,
         revision: entry.revision,
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -141,6 +141,7 @@
   private put(entry: Entry): void {
     const member = decodeMember(entry);
     if (member === undefined) {
+      this.telemetry.count('currantdrift_malformed_entries_total', { kind: 'member' });
       this.telemetry.log('member.malformed', { key: entry.key, revision: entry.revision });
       return;
     }
--- a/packages/process/gateway/test/entry-codec.test.ts
+++ b/packages/process/gateway/test/entry-codec.test.ts
@@ -26,7 +26,7 @@
     }),
   );
 
-const entry = (value: Uint8Array) => ({ key: 'op/config', value, revision: 3 });
+const entry = (value: Uint8Array) => ({ key: 'c/now', value, revision: 3 });
 
 test('a small value is sent as it is', () => {
   const small = entry(Buffer.from('small'));
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -107,6 +107,11 @@
     labels: [],
     buckets: latencySeconds,
   },
+  currantdrift_malformed_entries_total: {
+    type: 'counter',
+    help: 'Entries of the store that were refused as malformed',
+    labels: ['kind'],
+  },
   currantdrift_prefix_age_seconds: {
     type: 'gauge',
     help: 'Time since the store last said, directly or through members, that no newer entry exists',
