Notice that a connection with notifications only has gone silent

Callers were served by what a daemon knew before: feeds of the store, inventories and usage reports have no answer, and open connections can go silent for good.

Cause: a connection counted as in use while a request or a stream was open on it. On one that carried notifications only, silence said nothing, no heartbeat was sent, and all further messages were lost.

Ruled out: a second message on another connection, which doubles the traffic.

Change: a notification counts as use for 5 s, so silence is met by a heartbeat after 2 s and by a new connection after 2.5 s, as with requests.

--- a/packages/connection/peer/src/connection.ts
+++ b/packages/connection/peer/src/connection.ts
@@ -63,6 +63,9 @@
 
   private doubted = false;
 
+  /** Time of the last notification; it has no answer, so only heartbeats show that it arrives. */
+  private notifiedAt = -Infinity;
+
   private lastHeartbeatAt = 0;
 
   private callCount = 0;
@@ -115,7 +118,8 @@
 
   /** Tells whether new calls should first try another connection. */
   isDoubtful(now: number): boolean {
-    const silent = this.inUse && now - this.quietSince >= this.context.settings.doubtMs;
+    const silent =
+      this.expectsSigns(now) && now - this.quietSince >= this.context.settings.doubtMs;
     return this.ended || this.byeReceived || this.byeSentAt !== undefined || this.doubted || silent;
   }
 
@@ -146,7 +150,8 @@
   }
 
   notify(message: Message): boolean {
-    this.lastUsedAt = this.context.clock.now();
+    this.beginUse();
+    this.notifiedAt = this.context.clock.now();
     return this.congestion() === undefined && this.write({ kind: 'n', m: message }) === 'sent';
   }
 
@@ -191,7 +196,7 @@
     } else if (!this.inUse && (this.byeReceived || now - this.lastUsedAt >= settings.idleMs)) {
       this.retire(now);
     }
-    if (!this.inUse) return;
+    if (!this.expectsSigns(now)) return;
     if (now - this.quietSince >= settings.deadMs) {
       this.end(`the peer was silent for ${settings.deadMs} ms`);
     } else if (
@@ -370,10 +375,15 @@
 
   private beginUse(): void {
     const now = this.context.clock.now();
-    if (!this.inUse) this.quietSince = Math.max(this.quietSince, now);
+    if (!this.expectsSigns(now)) this.quietSince = Math.max(this.quietSince, now);
     this.lastUsedAt = now;
   }
 
+  /** Whether silence of the peer says something. */
+  private expectsSigns(now: number): boolean {
+    return this.inUse || now - this.notifiedAt < this.context.settings.deadMs;
+  }
+
   private heard(): void {
     this.lastHeardAt = this.context.clock.now();
     this.quietSince = this.lastHeardAt;
--- a/packages/connection/peer/test/connections.test.ts
+++ b/packages/connection/peer/test/connections.test.ts
@@ -72,6 +72,32 @@
   expect(await read).toEqual([1, 'unknown']);
 });
 
+// Guards against messages without an answer that are lost for good on a silent connection.
+test('notifications take a new connection within 3 s when theirs goes silent', async () => {
+  const { a, b, clock, network } = await createPair();
+  let received = 0;
+  b.onRequest('count', () => {
+    received += 1;
+    return { kind: 'ok' };
+  });
+  const notifyFor = async (ms: number) => {
+    for (let step = 0; step < ms / 400; step += 1) {
+      a.notify(right, { kind: 'count' });
+      await clock.advance(400);
+    }
+  };
+  await notifyFor(10_000);
+  expect(received).toBe(25);
+  network.halfOpen(left, right);
+  await notifyFor(3_200);
+  received = 0;
+  await notifyFor(2_000);
+  expect(received).toBe(5);
+  // The silent connection does not stay.
+  await notifyFor(6_000);
+  expect([a.size, b.size]).toEqual([1, 1]);
+});
+
 // Guards against heartbeats on connections that are idle or busy, and against idle ones that stay.
 test('heartbeats go out only in silence and in use; idle connections close after 60 s', async () => {
   const { a, b, clock } = await createPair();
