Let a bundle relay's word end before the bound on bundles

A relay of currantdriftd told its domain for 30 s after the last answer that it follows the head of the bundles, and a watch lasted 25 s, while a bundle has to be in force in 8 s. Both relays with silent watches kept a domain without peers outside on the old bundle.

Ruled out: versions on peer messages, which help where another domain can be reached.

Change: a watch of the head waits 2.5 s, and a relay counts for 4 s after an answer. The fake store can keep watches silent; the scenario language has two steps for it.

By arithmetic 24 relays make 9.6 calls/s while nothing changes.

--- a/packages/process/node/src/process/relay-task.ts
+++ b/packages/process/node/src/process/relay-task.ts
@@ -24,8 +24,8 @@
 /** Time between two looks at the relays, in ms. */
 const periodMs = 500;
 
-/** Age of the store's last answer at which a relay no longer counts, in ms; a watch takes 25 s. */
-const answerMaxAgeMs = 30_000;
+/** Age of the last answer about the head at which a relay no longer counts, in ms: a watch and a call. */
+const answerMaxAgeMs = 4_000;
 
 /** Watches the head of the bundles while this daemon is a relay of its domain. */
 export class RelayTask {
--- a/packages/tooling/fakes/src/store-handle.ts
+++ b/packages/tooling/fakes/src/store-handle.ts
@@ -17,16 +17,26 @@
   down: boolean;
   /** Time that each call takes, in ms; half before its effect, half after. */
   latencyMs: number;
+  /** Watches that wait or begin end late and without an answer; other calls are answered. */
+  silentWatches: boolean;
   /** Decides, after a call took effect, whether its answer is lost. */
   losesAnswer: (call: string, key: string) => boolean;
 }
 
+/** Time beyond its wait after which the client of a silent watch gives up, in ms. */
+const silentWatchMs = 1_000;
+
 /** Longest time between two looks of a waiting watch, in ms; covers leases that end by time. */
 const watchStepMs = 500;
 
 /** One client's connection to a `MemoryStore`. */
 export class StoreHandle implements Store {
-  readonly faults: StoreFaults = { down: false, latencyMs: 0, losesAnswer: () => false };
+  readonly faults: StoreFaults = {
+    down: false,
+    latencyMs: 0,
+    silentWatches: false,
+    losesAnswer: () => false,
+  };
 
   private constructor(
     private readonly store: MemoryStore,
@@ -72,6 +82,10 @@
     const end = this.clock.now() + waitMs;
     for (;;) {
       if (this.faults.down) return err(this.failure('watch', FailureKind.refused, 'store is down'));
+      if (this.faults.silentWatches) {
+        await this.clock.sleep(end - this.clock.now() + silentWatchMs, signal);
+        return err(this.failure('watch', FailureKind.unknown, 'no answer came'));
+      }
       const entry = this.store.read(key);
       const left = end - this.clock.now();
       if ((entry?.revision ?? 0) !== revision || left <= 0 || signal?.aborted) return ok(entry);
--- a/packages/tooling/scenario/src/language.ts
+++ b/packages/tooling/scenario/src/language.ts
@@ -41,6 +41,8 @@
   'store down',
   'store up',
   'store latency <time>',
+  'store watches silent',
+  'store watches answer',
   'store loses answers of <count> writes',
   'weights slow <factor>',
   'host <endpoint> leaving',
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -56,6 +56,8 @@
 
   private storeLatencyMs = storeLatencyMs;
 
+  private storeWatchesSilent = false;
+
   /** Writes whose answers are still to be lost. */
   private writesToLose = 0;
 
@@ -132,7 +134,13 @@
     return handle;
   }
 
-  setStore(change: { down?: boolean; latencyMs?: number; loses?: number }): void {
+  setStore(change: {
+    down?: boolean;
+    latencyMs?: number;
+    loses?: number;
+    silentWatches?: boolean;
+  }): void {
+    this.storeWatchesSilent = change.silentWatches ?? this.storeWatchesSilent;
     this.storeDown = change.down ?? this.storeDown;
     this.storeLatencyMs = change.latencyMs ?? this.storeLatencyMs;
     this.writesToLose = change.loses ?? this.writesToLose;
@@ -289,6 +297,7 @@
       const { faults } = handle;
       faults.down = this.storeDown || this.links.isCut(daemon, 'store');
       faults.latencyMs = this.storeLatencyMs;
+      faults.silentWatches = this.storeWatchesSilent;
     });
   }
 
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -123,6 +123,8 @@
   'store up': ({ platform }) => platform.setStore({ down: false }),
   'store latency <time>': ({ platform }, step) =>
     platform.setStore({ latencyMs: numberOf(step, 'time') }),
+  'store watches silent': ({ platform }) => platform.setStore({ silentWatches: true }),
+  'store watches answer': ({ platform }) => platform.setStore({ silentWatches: false }),
   'store loses answers of <count> writes': ({ platform }, step) =>
     platform.setStore({ loses: numberOf(step, 'count') }),
   'weights slow <factor>': ({ platform }, step) => platform.slowWeights(numberOf(step, 'factor')),
--- a/packages/version/bundle/src/bundle-relay.ts
+++ b/packages/version/bundle/src/bundle-relay.ts
@@ -5,7 +5,7 @@
 import type { Rejection } from './rejection';
 
 /** Longest wait of one watch of the head, in ms. */
-const watchMs = 25_000;
+const watchMs = 2_500;
 
 export interface BundleRelayOptions {
   readonly store: Store;
