Obey endpoints that say that they leave, or that ask for a pause

Cause: nothing read Server-Leaving, and Retry-After of an endpoint's refusal was ignored. A process sent requests to an endpoint that had announced its end until the record said so, which it does not learn while it is cut off; and it sent to endpoints that wanted nothing.

Ruled out: taking the word back when a record says ready, since records lag; spreading pauses, which concern one process.

Change: the head of each answer to requests, reports and orders is read by EndpointSigns. The word that an endpoint leaves goes before its record for the rest of that start; the members hear it through the relays (LeavingNotices). A pause is kept in requests, second tries, reports and orders; if all replicas pause, requests are refused at once with spread times.

--- a/packages/connection/peer/src/connection.ts
+++ b/packages/connection/peer/src/connection.ts
@@ -118,8 +118,7 @@
 
   /** Tells whether new calls should first try another connection. */
   isDoubtful(now: number): boolean {
-    const silent =
-      this.expectsSigns(now) && now - this.quietSince >= this.context.settings.doubtMs;
+    const silent = this.expectsSigns(now) && now - this.quietSince >= this.context.settings.doubtMs;
     return this.ended || this.byeReceived || this.byeSentAt !== undefined || this.doubted || silent;
   }
 
--- a/packages/process/gateway/src/connection/engine-control.ts
+++ b/packages/process/gateway/src/connection/engine-control.ts
@@ -1,5 +1,6 @@
 import type { Failure } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport } from '@currantdrift/fleet';
+import type { Head } from '@currantdrift/http';
 import type { Result } from 'neverthrow';
 
 /** An order to an engine. */
@@ -31,6 +32,9 @@
 } as const;
 export type OrderAnswer = (typeof OrderAnswer)[keyof typeof OrderAnswer];
 
+/** Takes the head of an answer of an endpoint. */
+export type HeadListener = (record: EndpointRecord, head: Head) => void;
+
 /** Calls to engines that concern the models they hold. */
 export interface EngineControl {
   report(record: EndpointRecord): Promise<Result<EngineReport, Failure>>;
--- a/packages/process/gateway/src/connection/peer-inbox.ts
+++ b/packages/process/gateway/src/connection/peer-inbox.ts
@@ -13,10 +13,14 @@
   }
 
   /** Hands on messages of a kind that need no answer. */
-  onNotification<T>(kind: string, schema: z.ZodType<T>, take: (parsed: T) => void): void {
+  onNotification<T>(
+    kind: string,
+    schema: z.ZodType<T>,
+    take: (parsed: T, from: string) => void,
+  ): void {
     this.peers.onRequest(kind, (message, from) => {
       const parsed = this.parse(schema, message, from);
-      if (parsed !== undefined) take(parsed);
+      if (parsed !== undefined) take(parsed, from);
       return { kind: 'ok' };
     });
   }
--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -9,6 +9,7 @@
   usage: 'gateway.usage',
   inventory: 'gateway.inventory',
   resigned: 'gateway.resigned',
+  leaving: 'gateway.leaving',
   feed: 'gateway.feed',
   snapshot: 'gateway.snapshot',
 } as const;
@@ -83,6 +84,16 @@
 
 export type InventoryMessage = z.infer<typeof inventorySchema>;
 
+/** An endpoint has said that it leaves; sent to the relays, and by them to their failure domain. */
+export const leavingSchema = z.object({
+  kind: z.literal(PeerKind.leaving),
+  endpoint: z.string(),
+  bornAt: z.number(),
+  /** Whether the receiver passes it on to the members of its failure domain. */
+  passOn: z.boolean(),
+});
+export type LeavingMessage = z.infer<typeof leavingSchema>;
+
 const changeSchema = z.union([
   z.object({ kind: z.literal('put'), entry: entrySchema }),
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
--- a/packages/process/gateway/src/index.ts
+++ b/packages/process/gateway/src/index.ts
@@ -1,3 +1,8 @@
-export { type EngineControl, type EngineOrder, OrderAnswer } from './connection/engine-control';
+export {
+  type EngineControl,
+  type EngineOrder,
+  type HeadListener,
+  OrderAnswer,
+} from './connection/engine-control';
 export { Gateway, type GatewayOptions, type GatewayPlatform } from './process/gateway';
 export type { GatewaySettings } from './process/gateway-settings';
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -12,6 +12,7 @@
 import {
   defaultForwardSettings,
   type EndpointProtocol,
+  EndpointSigns,
   Forwarder,
   ModelUsage,
 } from '@currantdrift/forward';
@@ -20,12 +21,14 @@
 import { PredictedChoice } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
-import type { EngineControl } from '../connection/engine-control';
+import type { EngineControl, HeadListener } from '../connection/engine-control';
+import { PausingControl } from '../connection/pausing-control';
 import {
   encodeFeed,
   encodeListing,
   feedSchema,
   inventorySchema,
+  leavingSchema,
   parseMessage,
   PeerKind,
   resignedSchema,
@@ -45,6 +48,7 @@
 import { ControllerTerm, type Term } from './controller-term';
 import { FrontServer, type ListenFailure } from './front-server';
 import type { GatewaySettings } from './gateway-settings';
+import { LeavingNotices } from './leaving-notices';
 import { ModelRequests } from './model-requests';
 import { PrefixFollower, type ToldListing } from './prefix-follower';
 import { Registration } from './registration';
@@ -57,7 +61,8 @@
 export interface GatewayPlatform {
   readonly store: PrefixStore;
   readonly protocol: EndpointProtocol;
-  readonly control: EngineControl;
+  /** Calls to engines; the head of each answer goes to `onHead`. */
+  readonly createControl: (onHead: HeadListener) => EngineControl;
   /** Prefix and key of the configuration's entry, and its decoder. */
   readonly configurationPrefix: string;
   readonly configurationKey: string;
@@ -135,6 +140,12 @@
 
   private readonly announcements: Announcements;
 
+  private readonly leavingNotices: LeavingNotices;
+
+  private readonly signs: EndpointSigns;
+
+  private readonly control: EngineControl;
+
   private readonly send = (address: string, message: Message): void =>
     this.peers.notify(address, message);
 
@@ -183,6 +194,23 @@
       onLoads: (loads) => this.choice.stateFleet(loads, clock.now()),
       isHeard: (member) => this.controller?.isHeard(member) ?? false,
     });
+    this.leavingNotices = LeavingNotices.create({
+      clock,
+      telemetry,
+      self,
+      members,
+      directory,
+      send,
+    });
+    this.signs = EndpointSigns.create({
+      clock,
+      telemetry,
+      protocol: platform.protocol,
+      directory,
+      onLeaving: (record) => this.leavingNotices.noticed(record),
+    });
+    const control = platform.createControl((record, head) => this.signs.heard(record, head));
+    this.control = PausingControl.create(control, directory, clock);
     this.forwarder = this.createForwarder();
     this.front = FrontServer.create(
       (request, response) => this.forwarder.handle(request, response),
@@ -262,6 +290,7 @@
       settings: defaultForwardSettings,
       protocol: platform.protocol,
       directory: this.directory,
+      signs: this.signs,
       choice: this.choice,
       usage: this.usage,
       stopping: this.stopped.signal,
@@ -375,13 +404,13 @@
   }
 
   private beginTerm(term: Term): void {
-    const { platform, telemetry, settings } = this.options;
+    const { telemetry, settings } = this.options;
     this.announcements.begin(term.fence);
     const controller = Controller.create(
       {
         clock: this.clock,
         telemetry,
-        control: platform.control,
+        control: this.control,
         directory: this.directory,
         configuration: () => this.holder.configuration,
         settings: defaultResidencySettings,
@@ -408,7 +437,7 @@
   }
 
   private handlePeers(): void {
-    const { feed, announcements, term } = this;
+    const { feed, announcements, leavingNotices, term } = this;
     const inbox = PeerInbox.create(this.peers, this.options.telemetry);
     inbox.onRequest(PeerKind.want, wantSchema, (want) => this.controller?.want(want));
     inbox.onRequest(PeerKind.snapshot, snapshotSchema, ({ prefix }) => {
@@ -419,6 +448,9 @@
     inbox.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
       announcements.heard(inventory),
     );
+    inbox.onNotification(PeerKind.leaving, leavingSchema, (message, from) =>
+      leavingNotices.heard(message, from),
+    );
     inbox.onNotification(PeerKind.feed, feedSchema, (message) => feed.heard(message));
     inbox.onNotification(PeerKind.resigned, resignedSchema, (resigned) => term.resigned(resigned));
   }
--- /dev/null
+++ b/packages/process/gateway/test/leaving-notices.test.ts
@@ -0,0 +1,67 @@
+import { SilentTelemetry } from '@currantdrift/core';
+import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
+import { EndpointDirectory } from '@currantdrift/fleet';
+import { LeavingNotices } from '../src/process/leaving-notices';
+import { encodeMember, type Member, memberPrefix, Members } from '../src/version/members';
+
+const clock = VirtualClock.create();
+
+const memberOf = (index: number): Member => ({
+  host: `h${index}`,
+  address: `h${index}`,
+  domain: `d${index % 3}`,
+  processors: 1,
+});
+
+/** Members that send each other notices; counts the messages. */
+const fleet = (count: number) => {
+  const telemetry = SilentTelemetry.create();
+  const all = Array.from({ length: count }, (_, index) => memberOf(index));
+  const processes = new Map<string, { notices: LeavingNotices; directory: EndpointDirectory }>();
+  let messages = 0;
+  all.forEach((self) => {
+    const members = Members.create(telemetry, clock);
+    members.listed(
+      all.map((member) => ({
+        key: memberPrefix + member.host,
+        value: encodeMember(member),
+        revision: 1,
+      })),
+    );
+    const directory = EndpointDirectory.create();
+    directory.put(endpointRecord({ id: 'e1', bornAt: 5 }));
+    const notices = LeavingNotices.create({
+      clock,
+      telemetry,
+      self,
+      members,
+      directory,
+      send: (address, message) => {
+        messages += 1;
+        processes.get(address)?.notices.heard(message, self.address);
+      },
+    });
+    processes.set(self.host, { notices, directory });
+  });
+  const knowing = () =>
+    [...processes.values()].filter(({ directory }) => directory.live('s').length === 0).length;
+  return { processes, knowing, sent: () => messages };
+};
+
+// Guards against members that go on sending to an endpoint which has told one of them that it leaves.
+test('all members hear of an endpoint that leaves, each a few times at most', () => {
+  const { processes, knowing, sent } = fleet(60);
+  const record = endpointRecord({ id: 'e1', bornAt: 5 });
+  const { notices, directory } = processes.get('h7') ?? {};
+  directory?.markLeaving('e1', 5);
+  notices?.noticed(record);
+  expect(knowing()).toBe(60);
+  expect(sent()).toBeLessThanOrEqual(60 * 3);
+});
+
+// Guards against an endpoint that is given up because an earlier start under its id has left.
+test('a notice of another start changes nothing', () => {
+  const { processes, knowing } = fleet(6);
+  processes.get('h1')?.notices.noticed(endpointRecord({ id: 'e1', bornAt: 4 }));
+  expect(knowing()).toBe(0);
+});
--- /dev/null
+++ b/packages/process/gateway/test/pausing-control.test.ts
@@ -0,0 +1,55 @@
+import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
+import { EndpointDirectory, type EngineReport } from '@currantdrift/fleet';
+import { ok } from 'neverthrow';
+import {
+  type EngineControl,
+  type EngineOrder,
+  OrderAnswer,
+} from '../src/connection/engine-control';
+import { PausingControl } from '../src/connection/pausing-control';
+
+const report: EngineReport = {
+  bornAt: 1,
+  models: [],
+  busy: false,
+  orderCount: 0,
+  copies: { inMemory: [], onDisk: [] },
+};
+
+const order: EngineOrder = {
+  kind: 'load',
+  model: 'm1',
+  adapter: undefined,
+  orderCount: 0,
+  holder: 'h1',
+  fence: 1,
+};
+
+// Guards against orders and reports that reach an engine while it wants nothing from this process.
+test('an engine that asks for a pause gets no order and no question until its end', async () => {
+  const clock = VirtualClock.create();
+  const directory = EndpointDirectory.create();
+  const record = endpointRecord({ id: 'e1', bornAt: 1 });
+  directory.put(record);
+  const calls: string[] = [];
+  const engine: EngineControl = {
+    report: async () => {
+      calls.push('report');
+      return ok(report);
+    },
+    order: async () => {
+      calls.push('order');
+      return ok(OrderAnswer.accepted);
+    },
+  };
+  const control = PausingControl.create(engine, directory, clock);
+  const useAll = async () => [
+    (await control.report(record)).isOk(),
+    (await control.order(record, order, () => true)).isOk(),
+  ];
+  directory.pause('e1', 1, clock.now() + 1_000);
+  expect(await useAll()).toEqual([false, false]);
+  expect(calls).toEqual([]);
+  await clock.advance(1_000);
+  expect(await useAll()).toEqual([true, true]);
+});
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -50,4 +50,10 @@
   /** Whether the endpoint vouches for the answer. */
   isSealed(head: Head): boolean;
   statedLoad(head: Head): StatedLoad | undefined;
+  /** Endpoint that answers; undefined if the answer does not say. */
+  answeringEndpoint(head: Head): string | undefined;
+  /** Whether the endpoint says that it leaves. */
+  isLeaving(head: Head): boolean;
+  /** Time for which the endpoint wants nothing from this process, in ms; undefined if it asks for none. */
+  pauseMs(head: Head): number | undefined;
 }
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from '@currantdrift/routes';
 import type { PredictedChoice } from '@currantdrift/routing';
 import type { EndpointProtocol } from './endpoint-protocol';
+import type { EndpointSigns } from './endpoint-signs';
 import type { ForwardSettings } from './forward-settings';
 import type { ModelUsage } from './model-usage';
 import type { ModelWaker } from './waker';
@@ -16,6 +17,7 @@
   readonly settings: ForwardSettings;
   readonly protocol: EndpointProtocol;
   readonly directory: EndpointDirectory;
+  readonly signs: EndpointSigns;
   readonly choice: PredictedChoice;
   readonly usage: ModelUsage;
   readonly waker: ModelWaker;
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -22,6 +22,9 @@
   readonly defaultRetryAfterMs: number;
   /** Time after which a client may try another process when this one stops, in ms. */
   readonly closingRetryAfterMs: number;
+  /** Time over which clients return after a pause of all endpoints: at least, and as a part of the pause. */
+  readonly leastReturnSpreadMs: number;
+  readonly returnSpreadShare: number;
   /** Sends of one request that endpoints refuse, after which it is refused. */
   readonly maxRefusals: number;
   /** Pause before a request is sent again after a refusal, in ms. */
@@ -42,6 +45,8 @@
   pacingPollMs: 15,
   defaultRetryAfterMs: 1_000,
   closingRetryAfterMs: 50,
+  leastReturnSpreadMs: 200,
+  returnSpreadShare: 0.5,
   maxRefusals: 3,
   refusalPauseMs: 20,
 };
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -1,4 +1,5 @@
 export type { EndpointProtocol, Envelope, RequestFields, StatedLoad } from './endpoint-protocol';
+export { EndpointSigns, type EndpointSignsOptions } from './endpoint-signs';
 export { EventSplitter } from './event-splitter';
 export type { ForwardContext } from './forward-context';
 export { defaultForwardSettings, type ForwardSettings } from './forward-settings';
--- a/packages/request/forward/src/placement.ts
+++ b/packages/request/forward/src/placement.ts
@@ -1,3 +1,4 @@
+import { hash32 } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
 import type { Place } from '@currantdrift/routing';
 import type { ClientRequest } from './client-request';
@@ -27,6 +28,9 @@
   /** Whether the last look found only endpoints with too many unread prompts. */
   private isPaced = false;
 
+  /** Time at which the first endpoint ends its pause, if the last look found only such ones. */
+  private pauseEndsAt: number | undefined;
+
   private constructor(
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
@@ -50,6 +54,7 @@
       }
       const placed = this.take(tried, now);
       if (placed !== undefined) return placed;
+      if (this.pauseEndsAt !== undefined) return this.refuseUntil(this.pauseEndsAt, now);
       if (this.context.stopping.aborted) {
         const retryAfterMs = settings.closingRetryAfterMs;
         return { kind: 'refused', reason: 'this process stops', retryAfterMs };
@@ -84,8 +89,12 @@
       fields.model === undefined
         ? usable
         : usable.filter(({ id }) => !choice.isUnreachable(id, now));
-    const fresh = reachable.filter(({ id }) => !tried.has(id));
-    const records = fresh.length > 0 ? fresh : reachable;
+    const awake = reachable.filter(({ id }) => directory.pausedUntil(id) <= now);
+    const pauseEnds = reachable.map(({ id }) => directory.pausedUntil(id));
+    const allPause = reachable.length > 0 && awake.length === 0;
+    this.pauseEndsAt = allPause ? Math.min(...pauseEnds) : undefined;
+    const fresh = awake.filter(({ id }) => !tried.has(id));
+    const records = fresh.length > 0 ? fresh : awake;
     const candidates = records.map(({ id, bornAt, slots, domain }) => ({
       id,
       bornAt,
@@ -99,6 +108,19 @@
     return { kind: 'placed', record, place, candidates: candidates.length };
   }
 
+  /**
+   * Answers the load pattern "all replicas ask for a pause": requests are refused at once, and their
+   * clients come back after the first pause, spread over some time.
+   */
+  private refuseUntil(endsAt: number, now: number): Unplaced {
+    const { leastReturnSpreadMs, returnSpreadShare } = this.context.settings;
+    const leftMs = endsAt - now;
+    const spreadMs = Math.max(leastReturnSpreadMs, leftMs * returnSpreadShare);
+    const part = hash32(this.request.fields.id) / 2 ** 32;
+    const retryAfterMs = leftMs + part * spreadMs;
+    return { kind: 'refused', reason: 'all endpoints ask for a pause', retryAfterMs };
+  }
+
   /**
    * Prompt tokens that may be unread at one endpoint. Answers the load pattern "prompts arrive in
    * bursts": engines read them between the steps of running streams, which pause meanwhile. A request
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -77,6 +77,7 @@
         : { kind: SendEnd.unknown, reason: message };
     }
     const answer = opened.value;
+    this.context.signs.heard(this.placed.record, answer);
     this.noteLoad(answer);
     const misfit = this.misfit(answer);
     if (misfit !== undefined) {
--- /dev/null
+++ b/packages/request/forward/test/endpoint-signs.test.ts
@@ -0,0 +1,107 @@
+import { type Behaviour, event, ForwardHarness, head, streamHead, chunk, whole } from './harness';
+
+let harness: ForwardHarness;
+
+afterEach(() => harness.close());
+
+const answering =
+  (text: string): Behaviour =>
+  (socket) => {
+    socket.end(text);
+  };
+
+const calls = async (path: string, count: number) => {
+  const seen = [];
+  for (let index = 0; index < count; index += 1) seen.push(await harness.call(path));
+  return seen;
+};
+
+describe('an endpoint that says that it leaves', () => {
+  const leaving = 'Leaving: 1\r\n';
+
+  // Guards against requests to an endpoint that has said in an answer that it leaves.
+  test.each([
+    ['a success', whole(200, 'ok', leaving)],
+    ['an error', whole(404, 'no', leaving)],
+    ['a failure', whole(500, 'no', leaving)],
+    ['a refusal', whole(503, 'no', `${leaving}Not-Run: 1\r\n`)],
+    ['an answer without its end', `${head(200, leaving)}Content-Length: 10\r\n\r\nok`],
+  ])('gets no request after %s', async (_name, text) => {
+    harness = await ForwardHarness.create(answering(text), answering(whole(200, 'ok')));
+    // Whichever of the two is chosen first, the first one gets a request at some time.
+    for (let tries = 0; tries < 20 && harness.arrivals[0] === 0; tries += 1) {
+      await harness.call('/unsafe/');
+    }
+    expect(harness.leaving).toEqual(['e1']);
+    await calls('/unsafe/', 10);
+    expect(harness.arrivals[0]).toBe(1);
+  });
+
+  // Guards against a stream that is cut because its endpoint is leaving.
+  test('goes on with the stream that it has begun', async () => {
+    harness = await ForwardHarness.create((socket) => {
+      socket.write(streamHead.replace('\r\n\r\n', `\r\n${leaving}\r\n`));
+      socket.write(chunk(event(1)));
+      setTimeout(() => socket.end(chunk(event(2)) + chunk('')), 300);
+    });
+    const seen = await harness.call('/once/');
+    expect(seen).toMatchObject({ status: 200, complete: true, body: event(1) + event(2) });
+    expect((await harness.call('/once/')).status).toBe(503);
+  });
+
+  // Guards against an endpoint that is given up for what another one at its address has said.
+  test('is not the one that another endpoint at its address speaks of', async () => {
+    const other = whole(421, '', `${leaving}From: e9\r\n`);
+    const answers = [other, whole(200, 'ok')];
+    harness = await ForwardHarness.create((socket) => {
+      socket.end(answers.shift() ?? whole(200, 'ok'));
+    });
+    await calls('/unsafe/', 2);
+    expect(harness.leaving).toEqual([]);
+  });
+});
+
+describe('an endpoint that asks for a pause', () => {
+  const pausing = (ms: number) => whole(503, 'no', `Not-Run: 1\r\nPause: ${ms}\r\n`);
+
+  // Guards against requests and second tries in a time for which an endpoint wanted none.
+  test('gets nothing until its end, and then again', async () => {
+    let isPausing = true;
+    harness = await ForwardHarness.create(
+      (socket) => {
+        socket.end(isPausing ? pausing(600) : whole(200, 'ok'));
+        isPausing = false;
+      },
+      answering(whole(200, 'ok')),
+    );
+    for (let tries = 0; tries < 20 && harness.arrivals[0] === 0; tries += 1) {
+      expect((await harness.call('/unsafe/')).status).toBe(200);
+    }
+    await calls('/safe/', 10);
+    harness.directory.remove('e2');
+    const refused = await calls('/safe/', 10);
+    expect(refused.every(({ status }) => status === 503)).toBe(true);
+    expect(harness.arrivals[0]).toBe(1);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 650);
+    });
+    expect((await harness.call('/safe/')).status).toBe(200);
+    expect(harness.arrivals[0]).toBe(2);
+  });
+
+  // Guards against requests that wait for nothing, and against a burst that returns at one moment.
+  test('refuses a burst at once with spread times if no other endpoint is there', async () => {
+    harness = await ForwardHarness.create(answering(pausing(2_000)));
+    await harness.call('/unsafe/');
+    const burst = await Promise.all(Array.from({ length: 60 }, () => harness.call('/unsafe/')));
+    expect(harness.arrivals).toEqual([1]);
+    expect(burst.every(({ status }) => status === 503)).toBe(true);
+    expect(Math.max(...burst.map(({ elapsedMs }) => elapsedMs))).toBeLessThan(500);
+    const returns = burst.map(({ retryAfter }) => Number(retryAfter) * 1_000);
+    expect(Math.min(...returns)).toBeGreaterThanOrEqual(1_400);
+    // In no tenth of a second return more than a fifth of them.
+    const tenths = returns.map((ms) => Math.floor(ms / 100));
+    const most = Math.max(...tenths.map((tenth) => tenths.filter((one) => one === tenth).length));
+    expect(most).toBeLessThanOrEqual(burst.length / 5);
+  });
+});
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -11,6 +11,7 @@
 import {
   defaultForwardSettings,
   type EndpointProtocol,
+  EndpointSigns,
   type Envelope,
   Forwarder,
   type ModelWaker,
@@ -48,6 +49,10 @@
   answeredId: (head: Head) => first(head.headers.id),
   isSealed: (head: Head) => head.headers.seal !== undefined,
   statedLoad: () => undefined,
+  answeringEndpoint: (head: Head) => first(head.headers.from),
+  isLeaving: (head: Head) => head.headers.leaving !== undefined,
+  pauseMs: (head: Head) =>
+    head.headers.pause === undefined ? undefined : Number(first(head.headers.pause)),
 };
 
 /** Serves one request of an endpoint, by writing to its connection. */
@@ -160,6 +165,9 @@
 
   readonly closing = new AbortController();
 
+  /** Endpoints that have said that they leave. */
+  readonly leaving: string[] = [];
+
   budget = RetryBudget.create({ floor: 10 });
 
   /** What the controller says of a model that nobody holds. */
@@ -252,12 +260,17 @@
 
   private forwarder(): Forwarder {
     const waker: ModelWaker = { wake: () => Promise.resolve(this.wake()) };
+    const clock = SteadyClock.create();
+    const telemetry = SilentTelemetry.create();
+    const { directory } = this;
+    const onLeaving = ({ id }: EndpointRecord) => this.leaving.push(id);
     return Forwarder.create({
-      clock: SteadyClock.create(),
-      telemetry: SilentTelemetry.create(),
+      clock,
+      telemetry,
+      signs: EndpointSigns.create({ clock, telemetry, protocol, directory, onLeaving }),
       settings: { ...defaultForwardSettings, askAgainMs: 50 },
       protocol,
-      directory: this.directory,
+      directory,
       choice: PredictedChoice.create(SeededRandom.create(1), () => 1),
       usage: ModelUsage.create(),
       waker,
--- a/packages/version/fleet/src/directory.ts
+++ b/packages/version/fleet/src/directory.ts
@@ -5,16 +5,24 @@
 /** Time for which the controller's inventory goes before an endpoint's own record, in ms. */
 const inventoryLifetimeMs = 6_000;
 
+/** Endpoints of which it is remembered that they said that they leave. */
+const maxLeaving = 10_000;
+
 interface Known {
   readonly record: EndpointRecord;
   readonly inventory?: Inventory;
   readonly inventoryAt: number;
+  /** Time up to which the endpoint wants nothing from this process. */
+  readonly pausedUntil: number;
 }
 
 /** Endpoints as this process knows them. */
 export class EndpointDirectory {
   private readonly known = new Map<string, Known>();
 
+  /** Starts of the endpoints that said themselves that they leave. */
+  private readonly leaving = new Map<string, number>();
+
   private readonly listeners = new Set<() => void>();
 
   private constructor() {}
@@ -23,18 +31,47 @@
     return new EndpointDirectory();
   }
 
-  /** Takes an endpoint's record; the inventory of the same start is kept. */
+  /** Takes an endpoint's record; what else is known of the same start is kept. */
   put(record: EndpointRecord): void {
     const before = this.known.get(record.id);
-    const sameStart = before?.record.bornAt === record.bornAt;
+    const same = before?.record.bornAt === record.bornAt ? before : undefined;
     this.known.set(record.id, {
-      record,
-      inventory: sameStart ? before?.inventory : undefined,
-      inventoryAt: sameStart && before !== undefined ? before.inventoryAt : -Infinity,
+      record: this.withOwnWord(record),
+      inventory: same?.inventory,
+      inventoryAt: same?.inventoryAt ?? -Infinity,
+      pausedUntil: same?.pausedUntil ?? -Infinity,
     });
     this.notify();
   }
 
+  /**
+   * Takes the endpoint's own word that it leaves; false if it is known. It holds for the rest of that
+   * start, also while the record says otherwise: records lag, and no message takes the word back.
+   */
+  markLeaving(id: string, bornAt: number): boolean {
+    if (this.leaving.get(id) === bornAt) return false;
+    this.leaving.set(id, bornAt);
+    if (this.leaving.size > maxLeaving) this.leaving.delete([...this.leaving.keys()][0]);
+    const known = this.known.get(id);
+    if (known === undefined) return true;
+    this.known.set(id, { ...known, record: this.withOwnWord(known.record) });
+    this.notify();
+    return true;
+  }
+
+  /** States that this start of the endpoint wants nothing from this process until `until`. */
+  pause(id: string, bornAt: number, until: number): void {
+    const known = this.known.get(id);
+    if (known === undefined || known.record.bornAt !== bornAt) return;
+    this.known.set(id, { ...known, pausedUntil: Math.max(known.pausedUntil, until) });
+    this.notify();
+  }
+
+  /** Time up to which the endpoint wants nothing from this process; -Infinity if it never said so. */
+  pausedUntil(id: string): number {
+    return this.known.get(id)?.pausedUntil ?? -Infinity;
+  }
+
   remove(id: string): void {
     if (this.known.delete(id)) this.notify();
   }
@@ -44,7 +81,7 @@
     inventories.forEach((inventory) => {
       const known = this.known.get(inventory.endpoint);
       if (known === undefined || known.record.bornAt !== inventory.bornAt) return;
-      this.known.set(inventory.endpoint, { record: known.record, inventory, inventoryAt: now });
+      this.known.set(inventory.endpoint, { ...known, inventory, inventoryAt: now });
     });
     this.notify();
   }
@@ -60,7 +97,7 @@
     });
     const { record } = known;
     const inventory = { endpoint: id, bornAt: record.bornAt, models };
-    this.known.set(id, { record, inventory, inventoryAt: now });
+    this.known.set(id, { ...known, inventory, inventoryAt: now });
   }
 
   get(id: string): EndpointRecord | undefined {
@@ -111,6 +148,11 @@
     return () => this.listeners.delete(listener);
   }
 
+  private withOwnWord(record: EndpointRecord): EndpointRecord {
+    const isLeaving = this.leaving.get(record.id) === record.bornAt;
+    return isLeaving ? { ...record, state: HostState.leaving } : record;
+  }
+
   private notify(): void {
     [...this.listeners].forEach((listener) => listener());
   }
--- a/packages/version/fleet/test/directory.test.ts
+++ b/packages/version/fleet/test/directory.test.ts
@@ -44,6 +44,61 @@
   expect(replicas(directory, 'm1', 1)).toEqual(['e2']);
 });
 
+describe("an endpoint's own word that it leaves", () => {
+  // Guards against a record that lags and brings back an endpoint which is about to end.
+  test('goes before its record for the rest of that start', () => {
+    const directory = EndpointDirectory.create();
+    directory.put(record({}));
+    expect([directory.markLeaving('e1', 1), directory.markLeaving('e1', 1)]).toEqual([true, false]);
+    expect(replicas(directory, 'm1', 1)).toEqual([]);
+    directory.put(record({}));
+    expect(replicas(directory, 'm1', 1)).toEqual([]);
+    directory.remove('e1');
+    directory.put(record({}));
+    expect(replicas(directory, 'm1', 1)).toEqual([]);
+  });
+
+  // Guards against a new start under the same id that is never used.
+  test('does not concern another start', () => {
+    const directory = EndpointDirectory.create();
+    directory.put(record({}));
+    directory.markLeaving('e1', 1);
+    directory.put(record({ bornAt: 2 }));
+    expect(replicas(directory, 'm1', 1)).toEqual(['e1']);
+  });
+
+  // Guards against a notice that comes before the record.
+  test('holds when it is known before the record', () => {
+    const directory = EndpointDirectory.create();
+    directory.markLeaving('e1', 1);
+    directory.put(record({}));
+    expect(replicas(directory, 'm1', 1)).toEqual([]);
+  });
+});
+
+describe('a pause that an endpoint asks for', () => {
+  test('lasts to the latest end, and through newer records and inventories', () => {
+    const directory = EndpointDirectory.create();
+    directory.put(record({}));
+    directory.pause('e1', 1, 500);
+    directory.pause('e1', 1, 300);
+    directory.put(record({ slots: 3 }));
+    directory.applyInventories([{ endpoint: 'e1', bornAt: 1, models: [] }], 10);
+    directory.forget('e1', 'm1', undefined, 20);
+    expect(directory.pausedUntil('e1')).toBe(500);
+  });
+
+  // Guards against a new start that is left alone for what the one before it asked.
+  test('ends with the start that asked for it', () => {
+    const directory = EndpointDirectory.create();
+    directory.put(record({}));
+    directory.pause('e1', 1, 500);
+    directory.put(record({ bornAt: 2 }));
+    directory.pause('e1', 1, 900);
+    expect(directory.pausedUntil('e1')).toBe(-Infinity);
+  });
+});
+
 // Guards against sending again to an engine that has just said that it lacks the adapter.
 test('a refused adapter is forgotten, and its model stays', () => {
   const directory = EndpointDirectory.create();
