Bound what endpoints and callers may send without end

Cause: the rest of an event was kept without a limit, and each chunk copied it again. A body above the limit got its 413 and was read on for ever, as was the body of a request that was refused for another reason; a body that came a byte at a time held its request without a time limit. 16 MB for each answer is more than a host has for a few dozen.

Ruled out: the HTTP client's heads, bodies, chunk sizes, extensions, trailers and informational answers; each of them was bounded in time or bytes already, which fourteen new tests show.

Change: an event has 256 KB, all answers that are read whole 64 MB together (ByteBudget). A body that is too large (413) or late (408, not run) is not read on; its connection is closed 0.2 s after the answer, so that a reset does not overtake it. After other early answers the rest of a body has 1 MB and 2 s. Late heads are looked for each second.

--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -60,6 +60,12 @@
   readonly body: Buffer;
 }
 
+/** What was read of an answer. */
+interface Held {
+  readonly chunks: Buffer[];
+  size: number;
+}
+
 /** HTTP requests to one server. After a timeout, later requests use new connections. */
 export class HttpClient {
   private pool: Pool;
@@ -114,23 +120,45 @@
 
   /** Reads the rest of an open answer. */
   async body(step: string, answer: OpenAnswer): Promise<Result<WholeAnswer, Failure>> {
-    const { exchange, status, headers } = answer;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const held: Held = { chunks: [], size: 0 };
+    const read = await this.readAll(step, answer, held);
+    this.settings.heldBytes?.giveBack(held.size);
+    return read;
+  }
+
+  private async readAll(
+    step: string,
+    { exchange, status, headers }: OpenAnswer,
+    held: Held,
+  ): Promise<Result<WholeAnswer, Failure>> {
     for (;;) {
-      const chunk = await exchange.read();
-      if (chunk.isErr()) return err(this.lost(step, exchange, chunk.error.message));
-      if (chunk.value === undefined) return ok({ status, headers, body: Buffer.concat(chunks) });
-      chunks.push(chunk.value);
-      size += chunk.value.length;
-      if (size > this.settings.maxAnswerBytes) {
-        exchange.stop(new Error('the answer is too large'));
-        const message = `the answer is above ${this.settings.maxAnswerBytes} bytes`;
-        return err(this.failure(step, FailureKind.invalid, message));
+      const read = await exchange.read();
+      if (read.isErr()) return err(this.lost(step, exchange, read.error.message));
+      const { value: chunk } = read;
+      if (chunk === undefined) return ok({ status, headers, body: Buffer.concat(held.chunks) });
+      const excess = this.hold(chunk, held);
+      if (excess !== undefined) {
+        exchange.stop(new Error(excess));
+        return err(this.failure(step, FailureKind.invalid, excess));
       }
     }
   }
 
+  /** Adds a chunk to what is held of an answer; gives the limit that it exceeds. */
+  private hold(chunk: Buffer, soFar: Held): string | undefined {
+    const held = soFar;
+    const { maxAnswerBytes, heldBytes } = this.settings;
+    if (held.size + chunk.length > maxAnswerBytes) {
+      return `the answer is above ${maxAnswerBytes} bytes`;
+    }
+    if (heldBytes?.take(chunk.length) === false) {
+      return `the answers being read are above ${heldBytes.limitBytes} bytes together`;
+    }
+    held.chunks.push(chunk);
+    held.size += chunk.length;
+    return undefined;
+  }
+
   /** Parses the JSON body of `answer`; `invalid` if it does not match. */
   parse<T>(step: string, schema: z.ZodType<T>, answer: WholeAnswer): Result<T, Failure> {
     if (answer.status !== 200) return err(this.errorAnswer(step, answer));
--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -1,3 +1,4 @@
+export { ByteBudget } from './byte-budget';
 export type { Exchange, Head, Headers } from './exchange';
 export {
   type HttpCall,
--- a/packages/connection/http/src/settings.ts
+++ b/packages/connection/http/src/settings.ts
@@ -1,3 +1,5 @@
+import type { ByteBudget } from './byte-budget';
+
 /** Limits of the requests to one server. */
 export interface HttpSettings {
   /** Time to open a connection, in ms. */
@@ -6,6 +8,8 @@
   readonly highWaterBytes: number;
   /** Largest whole answer, in bytes. */
   readonly maxAnswerBytes: number;
+  /** Shared by clients whose answers may be held at the same time. */
+  readonly heldBytes?: ByteBudget;
   /**
    * Opens a connection for each request and closes it after the answer, so that bytes which belong
    * to an earlier request cannot be taken for an answer.
--- /dev/null
+++ b/packages/connection/http/test/endless-answers.test.ts
@@ -0,0 +1,152 @@
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { ByteBudget, HttpClient } from '../src';
+
+/** Bytes that a server is ready to send; a reader that is bounded takes a small part of them. */
+const offeredBytes = 1024 ** 3;
+
+/** Growth of this process's memory that counts as flat, in bytes. */
+const flatBytes = 64 * 1024 * 1024;
+
+const limits = {
+  connectTimeoutMs: 500,
+  highWaterBytes: 65_536,
+  maxAnswerBytes: 1_000_000,
+  singleUse: true,
+};
+
+const head = 'HTTP/1.1 200 OK\r\n';
+const chunked = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+
+const servers: Server[] = [];
+const sockets = new Set<Socket>();
+
+afterEach(() => {
+  sockets.forEach((socket) => socket.destroy());
+  sockets.clear();
+  servers.splice(0).forEach((server) => server.close());
+});
+
+/** What the server noticed of the connection. */
+interface Seen {
+  sentBytes: number;
+  isClosed: boolean;
+}
+
+/** A server that begins with `start` and goes on with `piece` until the connection closes. */
+const endless = async (start: string, piece: string, pauseMs = 0) => {
+  const seen: Seen = { sentBytes: 0, isClosed: false };
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      seen.isClosed = true;
+    });
+    const send = () => {
+      if (socket.destroyed || seen.sentBytes >= offeredBytes) return;
+      seen.sentBytes += piece.length;
+      const hasRoom = socket.write(piece);
+      if (pauseMs > 0) setTimeout(send, pauseMs);
+      else if (hasRoom) setImmediate(send);
+      else socket.once('drain', send);
+    };
+    socket.once('data', () => {
+      socket.write(start);
+      send();
+    });
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  return { address, client: HttpClient.create(address, 'endpoint', limits), seen };
+};
+
+const get = { step: 'test', method: 'GET', path: '/' } as const;
+
+const settle = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+
+const mebibyte = 'x'.repeat(1024 * 1024);
+
+describe('an answer without end', () => {
+  // Guards against a process whose memory or time an endpoint in trouble uses up.
+  test.each([
+    ['in its head, in one line', `${head}A: `, mebibyte],
+    ['in its head, in many lines', head, 'A: b\r\n'.repeat(10_000)],
+    ['in its head, of informational answers', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(1_000)],
+    ['that is no answer', '', mebibyte],
+    ['in a body that ends with the connection', `${head}\r\n`, mebibyte],
+    ['in a body of chunks', chunked, `100000\r\n${mebibyte}\r\n`],
+    ['in the size of a chunk', chunked, '0'.repeat(100_000)],
+    ['in the extension of a chunk', `${chunked}1;`, mebibyte],
+    ['in the trailer', `${chunked}0\r\n`, 'A: b\r\n'.repeat(10_000)],
+  ])('%s is given up, and its connection closed', async (_name, start, piece) => {
+    const { client, seen } = await endless(start, piece);
+    const before = process.memoryUsage().rss;
+    const startedAt = performance.now();
+    const answer = await client.whole(get, 1_500);
+    expect(answer.isErr()).toBe(true);
+    expect(performance.now() - startedAt).toBeLessThan(2_500);
+    await settle();
+    expect(seen.isClosed).toBe(true);
+    expect(process.memoryUsage().rss - before).toBeLessThan(flatBytes);
+  });
+
+  // Guards against many answers that together are more than this process can hold.
+  test('is given up early if many others are being read', async () => {
+    const heldBytes = ByteBudget.create(4_000_000);
+    const answers = await Promise.all(
+      Array.from({ length: 40 }, async () => {
+        const { address, seen } = await endless(`${head}\r\n`, mebibyte);
+        const client = HttpClient.create(address, 'endpoint', { ...limits, heldBytes });
+        return { answer: await client.whole(get, 1_500), seen };
+      }),
+    );
+    const messages = answers.map(({ answer }) => answer._unsafeUnwrapErr().message);
+    const reasons = new Set(messages.map((message) => message.replace(/\d+/u, 'N')));
+    expect(reasons).toContain('the answers being read are above N bytes together');
+    // What was held is given back.
+    expect(heldBytes.take(4_000_000)).toBe(true);
+    await settle();
+    expect(answers.every(({ seen }) => seen.isClosed)).toBe(true);
+  });
+
+  // Guards against a trickle that no time limit without a byte ever ends.
+  test.each([
+    ['in its head', head, 'A'],
+    ['in its body', `${head}\r\n`, 'x'],
+    ['of informational answers', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ])('that trickles %s ends in time', async (_name, start, piece) => {
+    const { client, seen } = await endless(start, piece, 20);
+    const startedAt = performance.now();
+    expect((await client.whole(get, 800)).isErr()).toBe(true);
+    expect(performance.now() - startedAt).toBeLessThan(1_500);
+    await settle();
+    expect(seen.isClosed).toBe(true);
+  });
+
+  test('a trickle in a head ends by the time without progress too', async () => {
+    const { client } = await endless(head, 'A', 20);
+    const startedAt = performance.now();
+    expect((await client.open({ ...get, progressTimeoutMs: 400 })).isErr()).toBe(true);
+    expect(performance.now() - startedAt).toBeLessThan(1_200);
+  });
+});
+
+// Guards against an informational answer that is taken for the final one.
+test('an informational answer is passed over', async () => {
+  const { client } = await endless(
+    'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok',
+    '',
+    10_000,
+  );
+  const answer = (await client.whole(get, 1_000))._unsafeUnwrap();
+  expect({ status: answer.status, body: answer.body.toString() }).toEqual({
+    status: 200,
+    body: 'ok',
+  });
+});
--- a/packages/process/gateway/src/connection/endpoint-clients.ts
+++ b/packages/process/gateway/src/connection/endpoint-clients.ts
@@ -1,11 +1,13 @@
 import { defaultForwardSettings } from '@currantdrift/forward';
 import type { EndpointRecord } from '@currantdrift/fleet';
-import { HttpClient } from '@currantdrift/http';
+import { ByteBudget, HttpClient } from '@currantdrift/http';
 
 /** One HTTP client for each address of an endpoint. */
 export class EndpointClients {
   private readonly clients = new Map<string, HttpClient>();
 
+  private readonly heldBytes = ByteBudget.create(defaultForwardSettings.maxHeldBytes);
+
   private constructor() {}
 
   static create(): EndpointClients {
@@ -20,6 +22,7 @@
       connectTimeoutMs,
       highWaterBytes,
       maxAnswerBytes,
+      heldBytes: this.heldBytes,
       singleUse: true,
     });
     this.clients.set(address, client);
--- a/packages/process/gateway/src/process/front-server.ts
+++ b/packages/process/gateway/src/process/front-server.ts
@@ -11,6 +11,9 @@
 /** Room for the headers that hops add beyond what a client may send, in bytes. */
 const headerSlackBytes = 16_384;
 
+/** Pause between two looks for connections whose headers are late, in ms. */
+const headerCheckMs = 1_000;
+
 /** Connections that may wait to be accepted. */
 const backlog = 1024;
 
@@ -33,6 +36,7 @@
     const server = createServer({
       keepAliveTimeout: initialIdleMs,
       requestTimeout: 0,
+      connectionsCheckingInterval: headerCheckMs,
       noDelay: true,
       maxHeaderSize: headerSlackBytes * 2,
       highWaterMark: 65_536,
--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -1,9 +1,20 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+/** Time between an answer in place of the rest of a body and the close of the connection, in ms. */
+const lingerMs = 200;
+
+/** Rest of a body that is read after an early answer, so that the connection can be used again. */
+const maxRestBytes = 1_048_576;
+const restTimeoutMs = 2_000;
+
+const errorBody = (outcome: string, message: string): Buffer =>
+  Buffer.from(JSON.stringify({ error: { message, outcome } }));
+
 /** Reads of a client's request body end with one of these. */
 export type BodyRead =
   | { readonly kind: 'whole'; readonly body: Buffer }
   | { readonly kind: 'too_large' }
+  | { readonly kind: 'late' }
   | { readonly kind: 'gone' };
 
 /** What marks the end of an answer whose length is not known at its start. */
@@ -44,20 +55,33 @@
     return this.response.headersSent;
   }
 
-  async body(maxBytes: number): Promise<BodyRead> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const chunk of this.request) {
-        chunks.push(chunk as Buffer);
-        size += (chunk as Buffer).length;
-        if (size > maxBytes) return { kind: 'too_large' };
-      }
-    } catch {
-      // The stream fails only when the client's connection does; `gone` says the same.
-      return { kind: 'gone' };
-    }
-    return { kind: 'whole', body: Buffer.concat(chunks) };
+  /**
+   * Reads the body until `isLate` aborts. After `too_large` and `late` nothing more is read, so the answer
+   * has to close the connection.
+   */
+  body(maxBytes: number, isLate: AbortSignal): Promise<BodyRead> {
+    const { request } = this;
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      const done = new AbortController();
+      const finish = (read: BodyRead) => {
+        done.abort();
+        if (read.kind === 'too_large' || read.kind === 'late') request.pause();
+        resolve(read);
+      };
+      request.on('data', (chunk: Buffer) => {
+        if (done.signal.aborted) return;
+        size += chunk.length;
+        if (size > maxBytes) finish({ kind: 'too_large' });
+        else chunks.push(chunk);
+      });
+      request.once('end', () => finish({ kind: 'whole', body: Buffer.concat(chunks) }));
+      // The stream fails only when the client's connection does.
+      request.once('error', () => finish({ kind: 'gone' }));
+      request.once('close', () => finish({ kind: 'gone' }));
+      isLate.addEventListener('abort', () => finish({ kind: 'late' }), { signal: done.signal });
+    });
   }
 
   /** Sends a whole answer with its length. */
@@ -69,10 +93,40 @@
 
   /** Sends an error of this system; `retryAfterMs` says when another try may succeed. */
   fail(status: number, outcome: string, reason: string, retryAfterMs?: number): void {
+    if (!this.request.complete) this.limitRest();
     const headers: Record<string, string> = { 'content-type': 'application/json' };
     if (retryAfterMs !== undefined) headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
-    const body = Buffer.from(JSON.stringify({ error: { message: reason, outcome } }));
-    this.answer(status, headers, body);
+    this.answer(status, headers, errorBody(outcome, reason));
+  }
+
+  /**
+   * Sends an error in place of the rest of a body that is not read, and closes the connection a moment
+   * later: a close with unread bytes is a reset, which can overtake the answer.
+   */
+  refuseBody(status: number, reason: string): void {
+    if (this.gone.aborted) return;
+    const body = errorBody('refused', reason);
+    this.response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': String(body.length),
+      connection: 'close',
+    });
+    this.response.write(body);
+    setTimeout(() => this.response.end(), lingerMs);
+  }
+
+  /** Ends the connection if the rest of a body that nobody needs is long or slow. */
+  private limitRest(): void {
+    const { request } = this;
+    const close = () => request.socket.destroy();
+    const timer = setTimeout(close, restTimeoutMs);
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxRestBytes) close();
+    });
+    request.once('close', () => clearTimeout(timer));
+    request.once('end', () => clearTimeout(timer));
   }
 
   /**
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -6,6 +6,10 @@
   readonly highWaterBytes: number;
   /** Largest whole answer that is not a stream, in bytes. */
   readonly maxAnswerBytes: number;
+  /** Bytes of all answers together that are read before they are passed on. */
+  readonly maxHeldBytes: number;
+  /** Largest event of a stream, in bytes. */
+  readonly maxEventBytes: number;
   /** Time after which the controller is asked again for a model, in ms. */
   readonly askAgainMs: number;
   /** Part of a request's time for which it waits while there is no controller. */
@@ -36,6 +40,8 @@
   connectTimeoutMs: 900,
   highWaterBytes: 65_536,
   maxAnswerBytes: 16_000_000,
+  maxHeldBytes: 64_000_000,
+  maxEventBytes: 262_144,
   askAgainMs: 400,
   uncontrolledShare: 0.3,
   minTimeLeftMs: 30,
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -1,12 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Configuration } from '@currantdrift/routes';
 import { RouteTable, serviceOf } from '@currantdrift/routes';
-import { ClientExchange } from './client-exchange';
+import { type BodyRead, ClientExchange } from './client-exchange';
 import { type ClientRequest, endOf } from './client-request';
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type Ending, ForwardRun } from './forward-run';
 
+const statusOf = { late: 408, tooLarge: 413 } as const;
+
 /** Answers clients' requests. */
 export class Forwarder {
   private table: RouteTable | undefined;
@@ -60,10 +62,9 @@
     if (fields.model !== undefined) {
       this.context.usage.arrived(service, fields.model, fields.adapter);
     }
-    const read = await client.body(configuration.limits.maxBodyBytes);
-    if (read.kind === 'gone') return { outcome: 'gone', status: 0, reason: 'client left' };
-    if (read.kind === 'too_large') return this.refuse(client, 413, 'the body is too large');
     const endsAt = endOf(route, fields, arrivedAt);
+    const read = await this.readBody(client, configuration.limits.maxBodyBytes, endsAt);
+    if (read.kind !== 'whole') return this.bodyless(client, read.kind);
     const clientRequest: ClientRequest = {
       fields,
       method,
@@ -88,6 +89,29 @@
     return this.table;
   }
 
+  private async readBody(
+    client: ClientExchange,
+    maxBytes: number,
+    endsAt: number,
+  ): Promise<BodyRead> {
+    const late = new AbortController();
+    const timer = setTimeout(() => late.abort(), Math.max(0, endsAt - this.context.clock.now()));
+    const read = await client.body(maxBytes, late.signal);
+    clearTimeout(timer);
+    return read;
+  }
+
+  /** Ends a request whose body was not read to its end. */
+  private bodyless(client: ClientExchange, kind: Exclude<BodyRead['kind'], 'whole'>): Ending {
+    if (kind === 'gone') return { outcome: 'gone', status: 0, reason: 'client left' };
+    const [status, reason] =
+      kind === 'late'
+        ? [statusOf.late, 'the body did not arrive in time']
+        : [statusOf.tooLarge, 'the body is too large'];
+    client.refuseBody(status, reason);
+    return { outcome: 'refused', status, reason };
+  }
+
   private refuse(
     client: ClientExchange,
     status: number,
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -171,6 +171,12 @@
       if (chunk.isErr()) return this.broken(chunk.error.message);
       if (chunk.value === undefined) return this.finish(answer, splitter, longestPauseMs);
       const events = splitter.push(chunk.value);
+      const { maxEventBytes } = this.context.settings;
+      if (splitter.remainder.length > maxEventBytes) {
+        const reason = `an event is above ${maxEventBytes} bytes`;
+        answer.exchange.stop(new Error(reason));
+        return this.broken(reason);
+      }
       if (events !== undefined) {
         const now = clock.now();
         longestPauseMs = Math.max(longestPauseMs, now - (lastAt ?? now));
