Keep the adapters of an engine true while orders are given up

Callers: a crash of an engine, and all that it served, for one adapter too many (LIMIT).

An unload was in use and had been refused 40 times; the line then waited 0.6 s and took the adapters of a report, while orders of other steps were carried out. The report was from before them, so four adapters that had just been unloaded counted as held. Later steps unloaded what was not there, which the engine answers with 200 and does not count; the load that followed met a wrong count, was sent again with the right one, and was the ninth in eight places.

Change: the report after a given up order is read in the line of orders, once it shows all of them, and adapters that are about to be unloaded stay out. A load of an adapter is given up if the count was too high and the engine holds others than were counted on.

--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -7,13 +7,7 @@
   type LoadStep,
   type Operation,
 } from '@currantdrift/residency';
-import {
-  EngineOrders,
-  OrderEnd,
-  type OrderOptions,
-  reportLagMs,
-  type WantedOrder,
-} from './engine-orders';
+import { EngineOrders, OrderEnd, type OrderOptions } from './engine-orders';
 
 /** Pause between two reports of a busy engine, in ms. */
 const pollMs = 120;
@@ -65,6 +59,9 @@
   /** Adapters whose load was asked for and is not done, as `model/adapter`. */
   private readonly adapterLoads = new Set<string>();
 
+  /** Adapters that are to be unloaded and are not yet, as `model/adapter`. */
+  private readonly adapterUnloads = new Set<string>();
+
   private closed = false;
 
   /** True while the engine does not answer. */
@@ -80,6 +77,7 @@
       ...options,
       record: () => this.record,
       isClosed: () => this.closed,
+      expects: (report) => this.expects(report),
     });
   }
 
@@ -199,40 +197,74 @@
     const { model, adapter } = step;
     step.unload.forEach((victim) => {
       this.change(victim.model, (held) => held.filter((name) => name !== victim.adapter));
+      this.adapterUnloads.add(adapterKey(victim.model, victim.adapter));
     });
     this.adapterLoads.add(adapterKey(model, adapter));
     this.options.onChange();
     this.guard(this.carryOutAdapter(step)).finally(() => {
       this.adapterLoads.delete(adapterKey(model, adapter));
+      this.forgetUnloads(step);
     });
   }
 
-  private async carryOutAdapter({ model, adapter, unload }: AdapterStep): Promise<void> {
-    const orders: WantedOrder[] = [
-      ...unload.map((victim) => ({ kind: 'unload', ...victim }) as const),
-      { kind: 'load', model, adapter },
-    ];
-    for (const order of orders) {
-      if ((await this.orders.submit(order)) === OrderEnd.givenUp) {
-        await this.rereadAdapters();
-        return;
-      }
+  private async carryOutAdapter(step: AdapterStep): Promise<void> {
+    const { model, adapter } = step;
+    const hasRoom = await this.unloadAdapters(step);
+    const end = hasRoom
+      ? await this.orders.submit({ kind: 'load', model, adapter })
+      : OrderEnd.givenUp;
+    if (end === OrderEnd.givenUp) {
+      // What was not unloaded is still there.
+      this.forgetUnloads(step);
+      await this.rereadAdapters();
+      return;
     }
     await this.options.clock.sleep(adapterReadyMs);
-    this.change(model, (held) => [...held, adapter]);
+    this.change(model, (held) => [...new Set([...held, adapter])]);
     this.options.onChange();
   }
 
+  /** Unloads what makes room for an adapter; false if that was given up. */
+  private async unloadAdapters({ unload }: AdapterStep): Promise<boolean> {
+    for (const victim of unload) {
+      const end = await this.orders.submit({ kind: 'unload', ...victim });
+      if (end === OrderEnd.givenUp) return false;
+      this.adapterUnloads.delete(adapterKey(victim.model, victim.adapter));
+    }
+    return true;
+  }
+
+  private forgetUnloads({ unload }: AdapterStep): void {
+    unload.forEach((victim) =>
+      this.adapterUnloads.delete(adapterKey(victim.model, victim.adapter)),
+    );
+  }
+
   /** Takes the adapters from the engine's report, after an order for one was given up. */
   private async rereadAdapters(): Promise<void> {
-    await this.options.clock.sleep(reportLagMs);
-    const report = await this.read();
+    const report = await this.orders.inspect();
     if (report === undefined) return;
-    const reported = new Map(report.models.map((held) => [held.name, held]));
-    this.models = this.models.map((held) => reported.get(held.name) ?? held);
+    const reported = new Map(report.models.map((held) => [held.name, held.adapters]));
+    this.models = this.models.map(({ name, adapters }) => ({
+      name,
+      adapters: (reported.get(name) ?? adapters).filter(
+        (adapter) => !this.adapterUnloads.has(adapterKey(name, adapter)),
+      ),
+    }));
     this.options.onChange();
   }
 
+  /** Whether each adapter that a report shows is held, coming or leaving as far as is known here. */
+  private expects(report: EngineReport): boolean {
+    const held = this.models.flatMap(({ name, adapters }) =>
+      adapters.map((adapter) => adapterKey(name, adapter)),
+    );
+    const known = new Set([...held, ...this.adapterLoads, ...this.adapterUnloads]);
+    return report.models
+      .flatMap(({ name, adapters }) => adapters.map((adapter) => adapterKey(name, adapter)))
+      .every((key) => known.has(key));
+  }
+
   private change(model: string, update: (adapters: readonly string[]) => string[]): void {
     this.models = this.models.map((held) =>
       held.name === model ? { name: model, adapters: update(held.adapters) } : held,
--- a/packages/process/gateway/src/process/engine-orders.ts
+++ b/packages/process/gateway/src/process/engine-orders.ts
@@ -11,7 +11,7 @@
 const quickRetryMs = 50;
 
 /** Age up to which what a report says may be, in ms. */
-export const reportLagMs = 600;
+const reportLagMs = 600;
 
 /** Tries of one order after which it is given up. */
 const maxTries = 40;
@@ -47,6 +47,8 @@
 export interface EngineOrdersOptions extends OrderOptions {
   readonly record: () => EndpointRecord;
   readonly isClosed: () => boolean;
+  /** Whether the plans so far have counted on all adapters that a report shows. */
+  readonly expects: (report: EngineReport) => boolean;
 }
 
 /** An order before its count, holder and token are known. */
@@ -122,6 +124,17 @@
     return asked;
   }
 
+  /** The engine's report once it shows all orders so far; none is sent meanwhile. */
+  inspect(): Promise<EngineReport | undefined> {
+    const inspected = this.sending.then(async () => {
+      const { clock } = this.options;
+      await clock.sleep(Math.max(0, this.acceptedAt + reportLagMs - clock.now()));
+      return this.read();
+    });
+    this.sending = inspected.catch(() => {});
+    return inspected;
+  }
+
   private async send(wanted: WantedOrder): Promise<OrderEnd> {
     const { clock, mayOrder, isClosed } = this.options;
     await this.awaitUnload();
@@ -197,8 +210,12 @@
     const first = await this.read();
     if (first === undefined) return undefined;
     const sinceAccepted = this.options.clock.now() - this.acceptedAt;
-    // The engine did not count an order that it answered as done.
-    if (sinceAccepted > reportLagMs) this.accepted = first.orderCount;
+    if (sinceAccepted > reportLagMs) {
+      // The engine did not count an order that it answered as done: an adapter was not there.
+      this.accepted = first.orderCount;
+      const isAdapterLoad = wanted.kind === 'load' && wanted.adapter !== undefined;
+      if (isAdapterLoad && !this.options.expects(first)) return OrderEnd.givenUp;
+    }
     if (first.orderCount <= orderCount) return undefined;
     const report = await this.whenIdle(first);
     this.accepted = report.orderCount;
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -35,6 +35,15 @@
   /** Age of what reports say about a load, in ms. */
   reportLagMs = 0;
 
+  /** Adapters that the engine has room for. */
+  adapterPlaces = 8;
+
+  /** Time until which every order meets another one under way. */
+  occupiedUntil = -1;
+
+  /** What the engine held, and since when, for reports that lag. */
+  private readonly past: { readonly at: number; readonly models: readonly HeldModel[] }[] = [];
+
   /** Orders that met another one under way or a count that differs. */
   conflicts = 0;
 
@@ -60,7 +69,7 @@
     const isBusy = this.clock.now() - this.reportLagMs < this.busyUntil;
     return ok({
       bornAt: 1,
-      models: isBusy ? this.models.slice(0, -1) : this.models,
+      models: isBusy ? this.models.slice(0, -1) : this.reportedModels(),
       busy: isBusy,
       orderCount: this.count,
       copies: { inMemory: [], onDisk: [] },
@@ -99,7 +108,20 @@
     });
   }
 
+  private reportedModels(): readonly HeldModel[] {
+    const at = this.clock.now() - this.reportLagMs;
+    return this.past.findLast((state) => state.at <= at)?.models ?? this.models;
+  }
+
   private carryOut(order: EngineOrder): OrderAnswer {
+    if (this.past.length === 0) this.past.push({ at: -Infinity, models: this.models });
+    const answer = this.take(order);
+    this.past.push({ at: this.clock.now(), models: this.models });
+    return answer;
+  }
+
+  private take(order: EngineOrder): OrderAnswer {
+    if (this.clock.now() < this.occupiedUntil) return OrderAnswer.conflict;
     const isSame = order.kind === 'load' && order.model === this.loading;
     if (order.orderCount === this.count && isSame && this.clock.now() < this.busyUntil) {
       return OrderAnswer.accepted;
@@ -141,6 +163,8 @@
       const others = held.adapters.filter((name) => name !== adapter);
       return { name: model, adapters: kind === 'load' ? [...others, adapter] : others };
     });
+    const held = this.models.flatMap(({ adapters }) => adapters);
+    if (held.length > this.adapterPlaces) this.mistakes.push('more adapters than places');
     return kind === 'load' ? OrderAnswer.accepted : OrderAnswer.holds;
   }
 }
@@ -300,6 +324,51 @@
   expect(line.served[0]).toEqual({ name: 'a', adapters: ['n1', 'n2'] });
 });
 
+// Guards against adapters that count as held because a report from before their unload was read: plans
+// then unload what is not there and load more than fits.
+test('what was unloaded while an order was given up does not come back', async () => {
+  const { clock, engine, line } = await start(['a', 'b']);
+  const step = (adapter: string, ...unload: string[]) =>
+    ({
+      kind: 'adapter',
+      engine: 'e1',
+      model: 'a',
+      adapter,
+      unload: unload.map((victim) => ({ model: 'a', adapter: victim })),
+    }) as const;
+  ['n1', 'n2', 'n3'].forEach((adapter) => line.adapter(step(adapter)));
+  await clock.advance(1_000);
+  engine.reportLagMs = 550;
+  // The first unload is given up just before the engine takes orders again.
+  engine.occupiedUntil = clock.now() + 4_400;
+  line.adapter(step('n4', 'n1'));
+  line.adapter(step('n5', 'n2'));
+  line.adapter(step('n6', 'n3'));
+  await clock.advance(12_000);
+  const heldByEngine = engine.models.find(({ name }) => name === 'a')?.adapters ?? [];
+  const believed = line.served.find(({ name }) => name === 'a')?.adapters ?? [];
+  expect([...believed].sort()).toEqual([...heldByEngine].sort());
+  expect(heldByEngine).toEqual(expect.arrayContaining(['n5', 'n6']));
+});
+
+// Guards against a load beyond the engine's places: what was to make room was not there.
+test('an adapter is not loaded if the engine holds others than its plan counted on', async () => {
+  const { clock, engine, line } = await start(['a', 'b']);
+  engine.adapterPlaces = 1;
+  const step = (adapter: string, unload: { model: string; adapter: string }[]) =>
+    ({ kind: 'adapter', engine: 'e1', model: 'a', adapter, unload }) as const;
+  line.adapter(step('n1', []));
+  await clock.advance(1_000);
+  engine.models = [
+    { name: 'a', adapters: ['other'] },
+    { name: 'b', adapters: [] },
+  ];
+  line.adapter(step('n2', [{ model: 'a', adapter: 'n1' }]));
+  await clock.advance(8_000);
+  expect(engine.mistakes).toEqual([]);
+  expect(line.served[0]).toEqual({ name: 'a', adapters: ['other'] });
+});
+
 // Guards against orders after the end of the term.
 test('nothing is ordered without the right to', async () => {
   let allowed = true;
