Give lapsed endpoints their time at members that missed the store's return

Cause: only a process whose own calls had failed noticed that the store was back. One that was told by others dropped live endpoints whose entries had lapsed in the outage.

Ruled out: a mark in the messages, since each process can see the gap itself.

Change: the store was away if the word on a prefix jumps by more than messages between members may take; the two seconds count from the answer that ended it, before its changes are taken.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -74,7 +74,7 @@
   /** Whether other members are asked for all entries before the store is. */
   readonly startsFromFeed: boolean;
   readonly limits: FreshnessLimits;
-  /** Called with the time at which the store answers again after it did not. */
+  /** Called with the time at which the store answers again, here or elsewhere, after it was away. */
   readonly onReturn?: (now: number) => void;
 }
 
@@ -324,16 +324,18 @@
 
   private know(at: number, source: string): void {
     if (at <= this.knownAt) return;
+    const { limits, onReturn } = this.options;
+    // Nobody has heard from the store for longer than messages may take, so it was away.
+    if (this.isListed && at - this.knownAt > limits.relayMs) onReturn?.(at);
     this.knownAt = at;
     this.source = source;
   }
 
   private answered(): void {
     if (this.failures === 0) return;
-    const { telemetry, prefix, onReturn, clock } = this.options;
+    const { telemetry, prefix } = this.options;
     telemetry.log('dependency.regained', { dependency: 'store', prefix, failures: this.failures });
     this.failures = 0;
-    onReturn?.(clock.now());
   }
 
   private failed(reason: string): false {
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -1,4 +1,4 @@
-import { type Entry, HostState, SilentTelemetry } from '@currantdrift/core';
+import { type Change, type Entry, HostState, SilentTelemetry } from '@currantdrift/core';
 import { EndpointDirectory } from '@currantdrift/fleet';
 import {
   endpointRecord,
@@ -164,6 +164,42 @@
     ]);
   });
 
+  // Guards against dropping live endpoints at a member that was told of the store's return by others.
+  test('lapsed entries have two seconds at a member that missed the return itself', async () => {
+    const { clock, store, handle, ids, follower } = start({ ...noFeed, lifetimeMs: () => 1_650 });
+    store.write('e/1', bytes('x'));
+    store.write('e/2', bytes('y'));
+    await clock.advance(100);
+    handle.cut = true;
+    let known = 2;
+    const told = (...changes: readonly Change[]) => {
+      const after = known;
+      known += changes.length;
+      const batch = { prefix: 'e/', after, revision: known, changes, ageMs: 50 };
+      follower.receive(batch, 'relay');
+    };
+    const toldFor = async (ms: number) => {
+      for (let step = 0; step < ms / 250; step += 1) {
+        await clock.advance(250);
+        told();
+      }
+    };
+    const removed = (key: string): Change => ({ kind: 'removed', key, revision: known + 1 });
+    await toldFor(1_000);
+    // While the store is away nobody tells anything, and the entries of live endpoints lapse.
+    await clock.advance(4_000);
+    told(removed('e/1'));
+    told(removed('e/2'));
+    await toldFor(1_500);
+    expect(ids()).toEqual(['1 x', '2 y']);
+    told({ kind: 'put', entry: { key: 'e/1', value: bytes('x'), revision: known + 1 } });
+    await toldFor(1_000);
+    expect(ids()).toEqual(['1 x']);
+    // An entry that goes while the store answers is gone at once.
+    told(removed('e/1'));
+    expect(ids()).toEqual([]);
+  });
+
   // Guards against a malformed entry that removes or replaces a good one.
   test('a malformed entry changes nothing', async () => {
     const { clock, store, ids } = start();
