--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,5 +1,5 @@
 import type { Disturbances } from './disturbances';
-import { type Attempt, Kind, type Order, type Run } from './observations';
+import { type Attempt, Kind, type Order, type Refusal, type Run } from './observations';
 
 /** A broken promise. */
 export interface Violation {
@@ -30,6 +30,15 @@
 /** Name of the planned stops of a process among the disturbances. */
 export const stopOf = (process: string): string => `stop of ${process}`;
 
+/** Name of the kills and pauses of a process among the disturbances. */
+export const haltOf = (process: string): string => `halt of ${process}`;
+
+/** Time after a refusal with a pause in which requests may still be on their way, in ms. */
+const pauseSlackMs = 500;
+
+/** Requests and orders of one process that may reach an endpoint in its pause. */
+const maxInPause = 2;
+
 const isSuccess = ({ status }: Attempt): boolean =>
   status !== undefined && status >= 200 && status < 300;
 
@@ -41,6 +50,8 @@
 
   private readonly orders: Order[] = [];
 
+  private readonly refusals: Refusal[] = [];
+
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
 
@@ -61,6 +72,10 @@
     this.runs.set(run.id, [...(this.runs.get(run.id) ?? []), run]);
   }
 
+  refused(refusal: Refusal): void {
+    this.refusals.push(refusal);
+  }
+
   ordered(order: Order): void {
     this.orders.push(order);
   }
@@ -88,6 +103,8 @@
       ...this.attempts.flatMap((attempt) => this.ofLoss(attempt)),
       ...this.ofUnknownRuns(),
       ...this.ofLeaving(),
+      ...this.ofLeavingWord(),
+      ...this.ofPauses(),
       ...this.ofOrders(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
@@ -183,6 +200,57 @@
     });
   }
 
+  /** Requests to an endpoint that had said in an answer through the same process that it leaves. */
+  private ofLeavingWord(): Violation[] {
+    const keyOf = ({ process, start }: Attempt, endpoint: string) =>
+      `${process} ${start} ${endpoint}`;
+    const told = new Map<string, number>();
+    this.attempts.forEach((attempt) => {
+      if (!attempt.saysLeaving || attempt.endpoint === undefined) return;
+      const key = keyOf(attempt, attempt.endpoint);
+      told.set(key, Math.min(told.get(key) ?? Infinity, attempt.endedAt));
+    });
+    return this.attempts.flatMap((attempt) =>
+      (this.runs.get(attempt.id) ?? []).flatMap(({ endpoint, at }) => {
+        const since = told.get(keyOf(attempt, endpoint)) ?? Infinity;
+        const isLate = attempt.sentAt > since + this.limits.drainMs;
+        if (!isLate || this.disturbances.any([haltOf(attempt.process)], since, at)) return [];
+        const text = `${attempt.id} of ${attempt.process} reached ${endpoint}, which had told it that it leaves`;
+        return [{ at, rule: 'leaving endpoint', text }];
+      }),
+    );
+  }
+
+  /** Requests and orders that reached an endpoint in the pause that it had asked the process for. */
+  private ofPauses(): Violation[] {
+    const byId = new Map(this.attempts.map((attempt) => [attempt.id, attempt]));
+    const arrivals = [...[...this.runs.values()].flat(), ...this.refusals].flatMap(
+      ({ id, endpoint, at }) => {
+        const process = byId.get(id)?.process;
+        return process === undefined ? [] : [{ process, endpoint, at }];
+      },
+    );
+    const orders = this.orders.map(({ holder, endpoint, at }) => ({
+      process: holder,
+      endpoint,
+      at,
+    }));
+    return this.refusals.flatMap(({ id, endpoint, at, pauseMs }) => {
+      const process = byId.get(id)?.process;
+      if (process === undefined || this.disturbances.any([process], at, at + pauseMs)) return [];
+      const inPause = [...arrivals, ...orders].filter(
+        (one) =>
+          one.process === process &&
+          one.endpoint === endpoint &&
+          one.at > at + pauseSlackMs &&
+          one.at < at + pauseMs,
+      );
+      if (inPause.length <= maxInPause) return [];
+      const text = `${inPause.length} requests of ${process} reached ${endpoint} in its pause`;
+      return [{ at, rule: 'pause of an endpoint', text }];
+    });
+  }
+
   private ofOrders(): Violation[] {
     const last = new Map<string, Order>();
     return [...this.orders]
--- a/packages/tooling/soak/src/child.ts
+++ b/packages/tooling/soak/src/child.ts
@@ -24,6 +24,11 @@
     return this.startCount;
   }
 
+  /** Undefined while the program does not run. */
+  get pid(): number | undefined {
+    return this.process?.isRunning === true ? this.process.pid : undefined;
+  }
+
   /** Time since the last start, in ms. */
   get ageMs(): number {
     return performance.now() - this.startedAt;
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -21,6 +21,9 @@
   readonly endedAt: number;
   /** Undefined if the connection ended before a status came. */
   readonly status: number | undefined;
+  /** Whether the answer said that its endpoint leaves, and which endpoint it names. */
+  readonly saysLeaving: boolean;
+  readonly endpoint: string | undefined;
   /** Whether the answer names an endpoint, and whether its body is of this request. */
   readonly sealed: boolean;
   readonly ownBody: boolean;
@@ -40,6 +43,14 @@
   readonly leavingSince: number | undefined;
 }
 
+/** A request that an endpoint refused, asking for a pause. */
+export interface Refusal {
+  readonly id: string;
+  readonly endpoint: string;
+  readonly at: number;
+  readonly pauseMs: number;
+}
+
 /** An order that an engine received. */
 export interface Order {
   readonly endpoint: string;
