Gather what a process knows of the store in one part

Ruled out: none.

Change: StoreKnowledge owns them, with the messages that concern them. GatewayPlatform extends what it needs of the store's layout. Behaviour stays as it is.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -2,7 +2,6 @@
 import {
   type Clock,
   type Message,
-  type PrefixStore,
   SilentTelemetry,
   SteadyClock,
   SystemRandom,
@@ -24,25 +23,16 @@
 import type { EngineControl, HeadListener } from '../connection/engine-control';
 import { PausingControl } from '../connection/pausing-control';
 import {
-  encodeFeed,
-  encodeListing,
-  feedSchema,
   inventorySchema,
   leavingSchema,
-  parseMessage,
   PeerKind,
   resignedSchema,
-  snapshotAnswerSchema,
-  snapshotSchema,
   usageSchema,
   wantSchema,
 } from '../connection/peer-messages';
 import { PeerInbox } from '../connection/peer-inbox';
 import { dutyOrder } from '../version/duty-order';
-import { type ConfigurationDecoder, ConfigurationHolder } from '../version/configuration-holder';
-import { type EndpointDecoder, EndpointFollower } from '../version/endpoint-follower';
-import { type FreshnessLimits, freshnessLimits } from '../version/freshness';
-import { type Member, Members, ownPrefix } from '../version/members';
+import type { Member, Members } from '../version/members';
 import { Announcements } from './announcements';
 import { Controller } from './controller';
 import { ControllerTerm, type Term } from './controller-term';
@@ -50,26 +40,17 @@
 import type { GatewaySettings } from './gateway-settings';
 import { LeavingNotices } from './leaving-notices';
 import { ModelRequests } from './model-requests';
-import { PrefixFollower, type ToldListing } from './prefix-follower';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
-import { StoreFeed } from './store-feed';
+import { StoreKnowledge, type StoreLayout } from './store-knowledge';
 import { UsageReports } from './usage-reports';
 
 /** What a gateway needs to know of the platform that it runs on. */
-export interface GatewayPlatform {
-  readonly store: PrefixStore;
+export interface GatewayPlatform extends StoreLayout {
   readonly protocol: EndpointProtocol;
   /** Calls to engines; the head of each answer goes to `onHead`. */
   readonly createControl: (onHead: HeadListener) => EngineControl;
-  /** Prefix and key of the configuration's entry, and its decoder. */
-  readonly configurationPrefix: string;
-  readonly configurationKey: string;
-  readonly decodeConfiguration: ConfigurationDecoder;
-  /** Prefix of the endpoints' entries, and their decoder. */
-  readonly endpointPrefix: string;
-  readonly decodeEndpoint: EndpointDecoder;
 }
 
 export interface GatewayOptions {
@@ -82,12 +63,6 @@
 /** Times of a message to a domain and back, in ms. */
 const roundTripMs = { sameDomain: 0.5, sameRegion: 3, otherRegion: 17 } as const;
 
-/** Pause between two waits for changes, in ms; changes in between come together. */
-const followPauseMs = 250;
-
-/** Time for another member's answer with all entries below a prefix, in ms. */
-const snapshotTimeoutMs = 2_000;
-
 /** Pause between two looks for endpoints that are gone, in ms. */
 const retainMs = 1_000;
 
@@ -118,9 +93,7 @@
 
   private readonly closing = new AbortController();
 
-  private readonly holder: ConfigurationHolder;
-
-  private readonly members: Members;
+  private readonly knowledge: StoreKnowledge;
 
   private readonly self: Member;
 
@@ -134,10 +107,6 @@
 
   private readonly registration: Registration;
 
-  private readonly limits: FreshnessLimits;
-
-  private readonly feed: StoreFeed;
-
   private readonly announcements: Announcements;
 
   private readonly leavingNotices: LeavingNotices;
@@ -159,32 +128,24 @@
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
-    this.limits = freshnessLimits(settings.changeBoundMs);
-    this.members = Members.create(telemetry, this.clock);
     this.choice = PredictedChoice.create(SystemRandom.create(), () => this.members.all().length);
-    this.holder = ConfigurationHolder.create(
-      platform.configurationKey,
-      platform.decodeConfiguration,
-      telemetry,
-      ({ limits }) => this.front.limit(limits),
-    );
     this.peers = PeerConnections.create({
       network: WebSocketNetwork.create(),
       clock: this.clock,
       address: settings.peerAddress,
       telemetry: SilentTelemetry.create(),
     });
-    const { clock, self, members, directory, send } = this;
-    this.feed = StoreFeed.create({
-      clock,
-      random: SystemRandom.create(),
+    this.knowledge = StoreKnowledge.create({
+      layout: platform,
+      clock: this.clock,
       telemetry,
-      self,
-      members,
-      limits: this.limits,
-      send: (target, message) => send(target, encodeFeed(message)),
-      ask: (source, prefix) => this.askForEntries(source, prefix),
+      self: this.self,
+      boundMs: settings.changeBoundMs,
+      peers: this.peers,
+      directory: this.directory,
+      onConfiguration: ({ limits }) => this.front.limit(limits),
     });
+    const { clock, self, members, directory, send } = this;
     this.announcements = Announcements.create({
       clock,
       self,
@@ -229,6 +190,10 @@
     return new Gateway(options);
   }
 
+  private get members(): Members {
+    return this.knowledge.members;
+  }
+
   /** Opens the ports and starts the tasks of the process. */
   async start(): Promise<Result<void, ListenFailure>> {
     const { settings, telemetry, metrics } = this.options;
@@ -277,7 +242,9 @@
   /** A process is ready once it knows a configuration and endpoints. */
   private isReady(): boolean {
     return (
-      !this.stopping && this.holder.configuration !== undefined && this.directory.all().length > 0
+      !this.stopping &&
+      this.knowledge.configuration !== undefined &&
+      this.directory.all().length > 0
     );
   }
 
@@ -296,8 +263,8 @@
       stopping: this.stopped.signal,
       closing: this.closing.signal,
       waker: ModelRequests.create(this.peers, this.members, this.self, () => this.controller),
-      configuration: () => this.holder.configuration,
-      configurationAgeMs: (now) => this.feed.ageOf(platform.configurationPrefix, now),
+      configuration: () => this.knowledge.configuration,
+      configurationAgeMs: (now) => this.knowledge.configurationAgeMs(now),
       client: (record) => this.clients.of(record),
       budget: (service) => budgets.of(service),
       roundTripMs: (domain) => this.roundTripTo(domain),
@@ -325,44 +292,13 @@
     const { signal } = this.stopped;
     // A stopping process still follows, because it still serves; only its roles end.
     const forever = new AbortController().signal;
-    this.createFollowers().forEach((follower) => this.background(follower.run(forever)));
-    this.background(this.feed.run(forever));
+    this.background(this.knowledge.run(forever));
     this.background(this.createUsageReports().run(forever));
     this.background(this.forgetEndpoints(forever));
     this.background(this.registration.run(signal));
     this.background(this.contend(signal));
   }
 
-  private createFollowers(): PrefixFollower[] {
-    const { platform, telemetry } = this.options;
-    const { clock, feed, limits } = this;
-    const random = SystemRandom.create();
-    const { store } = platform;
-    const common = { store, clock, random, telemetry, feed, pauseMs: followPauseMs, limits };
-    const endpoints = EndpointFollower.create(
-      platform.endpointPrefix,
-      platform.decodeEndpoint,
-      this.directory,
-      telemetry,
-      clock,
-    );
-    return [
-      { prefix: platform.configurationPrefix, follower: this.holder, startsFromFeed: true },
-      // The members tell who the watchers are, so they are read from the store itself.
-      { prefix: ownPrefix, follower: this.members, startsFromFeed: false },
-      {
-        prefix: platform.endpointPrefix,
-        follower: endpoints,
-        startsFromFeed: true,
-        onReturn: (now: number) => endpoints.returned(now),
-      },
-    ].map((each) => {
-      const follower = PrefixFollower.create({ ...common, ...each });
-      feed.attach(each.prefix, follower);
-      return follower;
-    });
-  }
-
   private createUsageReports(): UsageReports {
     const { clock, self, members, usage } = this;
     return UsageReports.create({
@@ -370,20 +306,12 @@
       self,
       members,
       usage,
-      isRelay: () => this.feed.isRelay(),
+      isRelay: () => this.knowledge.feed.isRelay(),
       local: () => this.controller,
       send: this.send,
     });
   }
 
-  private async askForEntries(address: string, prefix: string): Promise<ToldListing | undefined> {
-    const message = { kind: PeerKind.snapshot, prefix };
-    const answer = await this.peers.request(address, message, snapshotTimeoutMs);
-    if (answer.isErr()) return undefined;
-    const parsed = parseMessage(snapshotAnswerSchema, answer.value);
-    return parsed?.kind === 'listing' ? parsed : undefined;
-  }
-
   private async forgetEndpoints(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(retainMs, signal);
@@ -412,7 +340,7 @@
         telemetry,
         control: this.control,
         directory: this.directory,
-        configuration: () => this.holder.configuration,
+        configuration: () => this.knowledge.configuration,
         settings: defaultResidencySettings,
         holder: settings.host,
         mayOrder: () => this.term.mayOrder(this.clock.now()),
@@ -437,13 +365,9 @@
   }
 
   private handlePeers(): void {
-    const { feed, announcements, leavingNotices, term } = this;
+    const { announcements, leavingNotices, term } = this;
     const inbox = PeerInbox.create(this.peers, this.options.telemetry);
     inbox.onRequest(PeerKind.want, wantSchema, (want) => this.controller?.want(want));
-    inbox.onRequest(PeerKind.snapshot, snapshotSchema, ({ prefix }) => {
-      const listing = feed.entriesFor(prefix);
-      return listing && encodeListing(listing);
-    });
     inbox.onNotification(PeerKind.usage, usageSchema, (usage) => this.controller?.used(usage));
     inbox.onNotification(PeerKind.inventory, inventorySchema, (inventory) =>
       announcements.heard(inventory),
@@ -451,7 +375,7 @@
     inbox.onNotification(PeerKind.leaving, leavingSchema, (message, from) =>
       leavingNotices.heard(message, from),
     );
-    inbox.onNotification(PeerKind.feed, feedSchema, (message) => feed.heard(message));
+    this.knowledge.handle(inbox);
     inbox.onNotification(PeerKind.resigned, resignedSchema, (resigned) => term.resigned(resigned));
   }
 
--- /dev/null
+++ b/packages/process/gateway/src/process/store-knowledge.ts
@@ -0,0 +1,162 @@
+import { type Clock, type PrefixStore, SystemRandom, type Telemetry } from '@currantdrift/core';
+import type { EndpointDirectory } from '@currantdrift/fleet';
+import type { PeerConnections } from '@currantdrift/peer';
+import type { Configuration } from '@currantdrift/routes';
+import {
+  encodeFeed,
+  encodeListing,
+  feedSchema,
+  parseMessage,
+  PeerKind,
+  snapshotAnswerSchema,
+  snapshotSchema,
+} from '../connection/peer-messages';
+import type { PeerInbox } from '../connection/peer-inbox';
+import { type ConfigurationDecoder, ConfigurationHolder } from '../version/configuration-holder';
+import { type EndpointDecoder, EndpointFollower } from '../version/endpoint-follower';
+import { freshnessLimits } from '../version/freshness';
+import { type Member, Members, ownPrefix } from '../version/members';
+import { PrefixFollower, type ToldListing } from './prefix-follower';
+import { StoreFeed } from './store-feed';
+
+/** Pause between two waits for changes, in ms; changes in between come together. */
+const followPauseMs = 250;
+
+/** Time for another member's answer with all entries below a prefix, in ms. */
+const snapshotTimeoutMs = 2_000;
+
+/** Where the platform's store keeps what, and how it is read. */
+export interface StoreLayout {
+  readonly store: PrefixStore;
+  /** Prefix and key of the configuration's entry, and its decoder. */
+  readonly configurationPrefix: string;
+  readonly configurationKey: string;
+  readonly decodeConfiguration: ConfigurationDecoder;
+  /** Prefix of the endpoints' entries, and their decoder. */
+  readonly endpointPrefix: string;
+  readonly decodeEndpoint: EndpointDecoder;
+}
+
+export interface StoreKnowledgeOptions {
+  readonly layout: StoreLayout;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly self: Member;
+  /** Time within which a change has to be in force, in ms. */
+  readonly boundMs: number;
+  readonly peers: PeerConnections;
+  /** Takes the endpoints. */
+  readonly directory: EndpointDirectory;
+  readonly onConfiguration: (configuration: Configuration) => void;
+}
+
+/**
+ * What this process knows of the platform's store: configuration, endpoints and members. It reads the store
+ * or hears from other members, and tells them.
+ */
+export class StoreKnowledge {
+  readonly members: Members;
+
+  readonly feed: StoreFeed;
+
+  private readonly holder: ConfigurationHolder;
+
+  private readonly followers: readonly PrefixFollower[];
+
+  private constructor(private readonly options: StoreKnowledgeOptions) {
+    const { clock, telemetry, self, boundMs, layout, onConfiguration } = options;
+    const { configurationKey, decodeConfiguration } = layout;
+    this.members = Members.create(telemetry, clock);
+    this.holder = ConfigurationHolder.create(
+      configurationKey,
+      decodeConfiguration,
+      telemetry,
+      onConfiguration,
+    );
+    this.feed = StoreFeed.create({
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      self,
+      members: this.members,
+      limits: freshnessLimits(boundMs),
+      send: (address, message) => options.peers.notify(address, encodeFeed(message)),
+      ask: (address, prefix) => this.ask(address, prefix),
+    });
+    this.followers = this.createFollowers();
+  }
+
+  static create(options: StoreKnowledgeOptions): StoreKnowledge {
+    return new StoreKnowledge(options);
+  }
+
+  /** Undefined until the first one is known. */
+  get configuration(): Configuration | undefined {
+    return this.holder.configuration;
+  }
+
+  /** Time since the configuration was known to be the newest, in ms. */
+  configurationAgeMs(now: number): number {
+    return this.feed.ageOf(this.options.layout.configurationPrefix, now);
+  }
+
+  /** Takes what other members tell, and answers those that ask. */
+  handle(inbox: PeerInbox): void {
+    inbox.onRequest(PeerKind.snapshot, snapshotSchema, ({ prefix }) => {
+      const listing = this.feed.entriesFor(prefix);
+      return listing && encodeListing(listing);
+    });
+    inbox.onNotification(PeerKind.feed, feedSchema, (message) => this.feed.heard(message));
+  }
+
+  /** Follows and tells until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const tasks = this.followers.map((follower) => follower.run(signal));
+    await Promise.all([...tasks, this.feed.run(signal)]);
+  }
+
+  private createFollowers(): readonly PrefixFollower[] {
+    const { layout, clock, telemetry, directory, boundMs } = this.options;
+    const { store, configurationPrefix, endpointPrefix, decodeEndpoint } = layout;
+    const { feed } = this;
+    const common = {
+      store,
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      feed,
+      pauseMs: followPauseMs,
+      limits: freshnessLimits(boundMs),
+    };
+    const endpoints = EndpointFollower.create(
+      endpointPrefix,
+      decodeEndpoint,
+      directory,
+      telemetry,
+      clock,
+    );
+    return [
+      { prefix: configurationPrefix, follower: this.holder, startsFromFeed: true },
+      // The members tell who the watchers are, so they are read from the store itself.
+      { prefix: ownPrefix, follower: this.members, startsFromFeed: false },
+      {
+        prefix: endpointPrefix,
+        follower: endpoints,
+        startsFromFeed: true,
+        onReturn: (now: number) => endpoints.returned(now),
+      },
+    ].map((each) => {
+      const follower = PrefixFollower.create({ ...common, ...each });
+      feed.attach(each.prefix, follower);
+      return follower;
+    });
+  }
+
+  private async ask(address: string, prefix: string): Promise<ToldListing | undefined> {
+    const message = { kind: PeerKind.snapshot, prefix };
+    const answer = await this.options.peers.request(address, message, snapshotTimeoutMs);
+    if (answer.isErr()) return undefined;
+    const parsed = parseMessage(snapshotAnswerSchema, answer.value);
+    return parsed?.kind === 'listing' ? parsed : undefined;
+  }
+}
