--- a/packages/tooling/soak/src/memory-watch.ts
+++ b/packages/tooling/soak/src/memory-watch.ts
@@ -33,6 +33,11 @@
     return new MemoryWatch(children);
   }
 
+  /** Most memory that any of the programs has used so far, in MB. */
+  get peakMb(): number {
+    return Math.max(0, ...this.peaks.values());
+  }
+
   /** Ends the watch; a program that used more than `maxMb` is a violation. */
   violations(at: number, maxMb: number): Violation[] {
     clearInterval(this.timer);
