Give lapsed endpoints their time where the history was forgotten too

Ruled out: early refusals that close a kept connection (a new test passes).

Change: only the first knowledge of a prefix is no return.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -325,8 +325,9 @@
   private know(at: number, source: string): void {
     if (at <= this.knownAt) return;
     const { limits, onReturn } = this.options;
+    const isFirst = this.knownAt === -Infinity;
     // Nobody has heard from the store for longer than messages may take, so it was away.
-    if (this.isListed && at - this.knownAt > limits.relayMs) onReturn?.(at);
+    if (!isFirst && at - this.knownAt > limits.relayMs) onReturn?.(at);
     this.knownAt = at;
     this.source = source;
   }
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -41,7 +41,7 @@
 
 /**
  * Lets two members follow the store for the whole fleet, and two relays in each failure domain pass on
- * what these watchers read. A member that hears of no recent contact with the store asks it itself.
+ * what these watchers read. A member that hears nothing recent of a prefix reads it from the store.
  */
 export class StoreFeed implements Feed {
   private readonly followers = new Map<string, PrefixFollower>();
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -164,6 +164,22 @@
     ]);
   });
 
+  // Guards against the same when the store has also forgotten its history, so that a new list is read.
+  test('lapsed entries have two seconds also where the history was forgotten', async () => {
+    const { clock, store, handle, ids } = start();
+    store.write('e/1', bytes('x'));
+    await clock.advance(100);
+    handle.cut = true;
+    await clock.advance(5_000);
+    store.write('e/1', undefined);
+    store.compact();
+    handle.cut = false;
+    await clock.advance(1_500);
+    expect(ids()).toEqual(['1 x']);
+    await clock.advance(1_500);
+    expect(ids()).toEqual([]);
+  });
+
   // Guards against dropping live endpoints at a member that was told of the store's return by others.
   test('lapsed entries have two seconds at a member that missed the return itself', async () => {
     const { clock, store, handle, ids, follower } = start({ ...noFeed, lifetimeMs: () => 1_650 });
--- a/packages/request/forward/test/endless-answers.test.ts
+++ b/packages/request/forward/test/endless-answers.test.ts
@@ -131,6 +131,30 @@
     },
   );
 
+  // Guards against a connection that is closed although its request was whole.
+  test('a connection stays open after a request that was refused early', async () => {
+    harness = await ForwardHarness.create((socket) => socket.end());
+    const [host, port] = harness.address.split(':');
+    const socket = connect(Number(port), host);
+    let text = '';
+    let isClosed = false;
+    socket.on('data', (data: Buffer) => {
+      text += data.toString();
+    });
+    socket.on('close', () => {
+      isClosed = true;
+    });
+    const unknown = request.replace('/unsafe/', '/unknown/');
+    socket.write(`${unknown.replace('POST', 'GET')}\r\n`);
+    socket.write(`${unknown}Content-Length: 5\r\n\r\nwhole`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 2_600);
+    });
+    expect(text.match(/404 Not Found/gu)).toHaveLength(2);
+    expect(isClosed).toBe(false);
+    socket.destroy();
+  });
+
   // Guards against a request that never ends because a byte comes now and then.
   test('a byte now and then: it gets 408 when the time of its route is up', async () => {
     harness = await ForwardHarness.create((socket) => socket.end());
