Do not count orders that a healed link or a resumed process has held up

Change: the check leaves out orders that arrive within 0.3 s of the end of a disturbance of the engine or the holder, and nothing else.

--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -18,6 +18,8 @@
   readonly configurationMs: number;
   /** Shortest time between orders of two holders to one engine. */
   readonly holderPauseMs: number;
+  /** Time after the end of a disturbance within which orders arrive that were held up by it. */
+  readonly healedMs: number;
   /** Time after which an answer may be ended because its route's time is up. */
   readonly answerMs: number;
   /** Part of the requests of the calm end that must be served. */
@@ -254,6 +256,7 @@
   private ofOrders(): Violation[] {
     const last = new Map<string, Order>();
     return [...this.orders]
+      .filter((order) => !this.wasHeldUp(order))
       .sort((a, b) => a.at - b.at)
       .flatMap((order) => {
         const before = last.get(order.endpoint);
@@ -269,6 +272,11 @@
       });
   }
 
+  /** Whether an order may have waited in a link that has just healed, or in a process that was paused. */
+  private wasHeldUp({ endpoint, holder, at }: Order): boolean {
+    return this.disturbances.ended([endpoint, holder], at - this.limits.healedMs, at);
+  }
+
   private ofRecovery(calmFrom: number): Violation[] {
     const calm = this.attempts.filter(({ sentAt }) => sentAt >= calmFrom);
     const served = calm.filter((attempt) => isSuccess(attempt) && attempt.complete).length;
--- a/packages/tooling/soak/src/disturbances.ts
+++ b/packages/tooling/soak/src/disturbances.ts
@@ -22,6 +22,13 @@
     };
   }
 
+  /** Whether a disturbance of one of the names ended between two times. */
+  ended(names: readonly string[], from: number, to: number): boolean {
+    return names.some((name) =>
+      (this.spans.get(name) ?? []).some((span) => span.to >= from && span.to <= to),
+    );
+  }
+
   /** Whether one of the names was disturbed between two times. */
   any(names: readonly string[], from: number, to: number): boolean {
     return names.some((name) =>
