Let adapters load beside a model that is on its way out

Cause: the guard against engines that hold other adapters than were counted on also counted those of models that are being unloaded, which go with their model.

Change: only adapters of models that are counted on are compared.

Figures: the new test failed before (no load).

--- a/packages/process/gateway/src/process/engine-line.ts
+++ b/packages/process/gateway/src/process/engine-line.ts
@@ -260,7 +260,10 @@
       adapters.map((adapter) => adapterKey(name, adapter)),
     );
     const known = new Set([...held, ...this.adapterLoads, ...this.adapterUnloads]);
+    // The adapters of a model that is being unloaded go with it.
+    const names = new Set(this.models.map(({ name }) => name));
     return report.models
+      .filter(({ name }) => names.has(name))
       .flatMap(({ name, adapters }) => adapters.map((adapter) => adapterKey(name, adapter)))
       .every((key) => known.has(key));
   }
--- a/packages/process/gateway/test/engine-line.test.ts
+++ b/packages/process/gateway/test/engine-line.test.ts
@@ -369,6 +369,21 @@
   expect(line.served[0]).toEqual({ name: 'a', adapters: ['other'] });
 });
 
+// Guards against adapters that are not loaded because of those of a model that is on its way out.
+test('adapters of a model that is not counted on are no reason to give a load up', async () => {
+  const { clock, engine, line } = await start(['a', 'b']);
+  engine.models = [...engine.models, { name: 'z', adapters: ['other'] }];
+  line.adapter({
+    kind: 'adapter',
+    engine: 'e1',
+    model: 'a',
+    adapter: 'n1',
+    unload: [{ model: 'a', adapter: 'absent' }],
+  });
+  await clock.advance(4_000);
+  expect(engine.accepted).toEqual(['load a/n1']);
+});
+
 // Guards against orders after the end of the term.
 test('nothing is ordered without the right to', async () => {
   let allowed = true;
