--- a/packages/process/gateway/src/connection/entry-codec.ts
+++ b/packages/process/gateway/src/connection/entry-codec.ts
@@ -5,7 +5,7 @@
 /** Size of a value from which it is compressed, in bytes. */
 const compressedFromBytes = 4_096;
 
-/** Largest value that a peer may send, in bytes; a compressed one may claim more. */
+/** Largest size to which a value of a peer may decompress, in bytes. */
 const maxValueBytes = 4 * 1024 * 1024;
 
 /** Compressed forms of values that this process holds, so that each is compressed once. */
--- a/packages/version/fleet/src/directory.ts
+++ b/packages/version/fleet/src/directory.ts
@@ -5,7 +5,7 @@
 /** Time for which the controller's inventory goes before an endpoint's own record, in ms. */
 const inventoryLifetimeMs = 6_000;
 
-/** Endpoints of which it is remembered that they said that they leave. */
+/** Most starts of endpoints for which the word that they leave is kept. */
 const maxLeaving = 10_000;
 
 interface Known {
