Read, log and count the request limits that endpoints state

Cause: nothing read the limit that an endpoint states in its answers, and no log line or metric told whether a process knew of it, what it sent to a limited endpoint, or of which kind the calls were.

Change: EndpointLimits keeps what answers state. Answers may overtake each other, so one replaces a statement only if its request was sent after that statement had arrived. The log has endpoint.limit lines, send lines name the limit, and a counter splits the calls to limited endpoints into requests, reports and orders. Nothing is sent differently yet.

--- a/packages/process/gateway/src/connection/engine-control.ts
+++ b/packages/process/gateway/src/connection/engine-control.ts
@@ -32,8 +32,8 @@
 } as const;
 export type OrderResponse = (typeof OrderResponse)[keyof typeof OrderResponse];
 
-/** Receives the status and headers of each response from an endpoint. */
-export type ResponseHeadListener = (record: EndpointRecord, head: Head) => void;
+/** Receives the status and headers of each response from an endpoint, to a call sent at `sentAt`. */
+export type ResponseHeadListener = (record: EndpointRecord, head: Head, sentAt: number) => void;
 
 /** Reads and changes which models an engine holds. */
 export interface EngineControl {
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -21,6 +21,7 @@
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
 import type { EngineControl, ResponseHeadListener } from '../connection/engine-control';
+import { LimitAwareEngineControl } from '../connection/limit-aware-engine-control';
 import { PauseAwareEngineControl } from '../connection/pause-aware-engine-control';
 import {
   inventorySchema,
@@ -50,7 +51,7 @@
 export interface GatewayPlatform extends StoreLayout {
   readonly protocol: EndpointProtocol;
   /** Creates the engine control; the head of each response is passed to `onHead`. */
-  readonly createControl: (onHead: ResponseHeadListener) => EngineControl;
+  readonly createControl: (onHead: ResponseHeadListener, clock: Clock) => EngineControl;
 }
 
 export interface GatewayOptions {
@@ -173,8 +174,15 @@
       directory,
       onLeaving: (record) => this.leavingNotices.publish(record),
     });
-    const control = platform.createControl((record, head) => this.signals.observe(record, head));
-    this.control = PauseAwareEngineControl.create(control, directory, clock);
+    const control = platform.createControl(
+      (record, head, sentAt) => this.signals.observe(record, head, sentAt),
+      clock,
+    );
+    this.control = PauseAwareEngineControl.create(
+      LimitAwareEngineControl.create(control, directory, telemetry),
+      directory,
+      clock,
+    );
     this.forwarder = this.createForwarder();
     this.clientServer = ClientHttpServer.create(
       (request, response) => this.forwarder.handle(request, response),
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -112,6 +112,16 @@
     help: 'Entries of the store that were refused as malformed',
     labels: ['kind'],
   },
+  currantdrift_malformed_limits_total: {
+    type: 'counter',
+    help: 'Answers of endpoints whose request limit could not be read',
+    labels: [],
+  },
+  currantdrift_limited_calls_total: {
+    type: 'counter',
+    help: 'Calls of this process to endpoints that limit their requests, by kind of call',
+    labels: ['kind'],
+  },
   currantdrift_prefix_age_seconds: {
     type: 'gauge',
     help: 'Time since the store last said, directly or through members, that no newer entry exists',
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -33,6 +33,14 @@
   readonly waiting: number;
 }
 
+/** What an answer states about the requests per second that its endpoint takes. */
+export type StatedLimit =
+  /** All daemons together may send at most `ratePerS` requests per second. */
+  | { readonly kind: 'limit'; readonly ratePerS: number }
+  | { readonly kind: 'none' }
+  /** The statement cannot be read; `text` holds it. */
+  | { readonly kind: 'malformed'; readonly text: string };
+
 /** Maps between header names and formats of a platform and the fields used for forwarding. */
 export interface EndpointProtocol {
   /** Returns undefined if the request has no valid id. */
@@ -59,4 +67,6 @@
   isLeaving(head: Head): boolean;
   /** Time for which the endpoint asks this process to send nothing, in ms; undefined if it does not. */
   pauseMs(head: Head): number | undefined;
+  /** The request limit that the endpoint states. */
+  statedLimit(head: Head): StatedLimit;
 }
--- a/packages/request/forward/src/endpoint-signals.ts
+++ b/packages/request/forward/src/endpoint-signals.ts
@@ -1,7 +1,7 @@
 import type { Clock, Telemetry } from '@currantdrift/core';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { Head } from '@currantdrift/http';
-import type { EndpointProtocol } from './endpoint-protocol';
+import type { EndpointProtocol, StatedLimit } from './endpoint-protocol';
 
 export interface EndpointSignalsOptions {
   readonly clock: Clock;
@@ -12,19 +12,33 @@
   readonly onLeaving: (record: EndpointRecord) => void;
 }
 
-/** Applies the state that endpoints report in the headers of their responses: shutdown and pauses. */
+/** Maximum number of endpoints with an unreadable limit that are remembered. */
+const maxMalformed = 1_000;
+
+/** Maximum length of an unreadable limit in the log, in characters. */
+const maxLoggedText = 100;
+
+/** Applies the state that endpoints report in the headers of their responses: shutdown, pauses and limits. */
 export class EndpointSignals {
+  /** Start time by id of the endpoints whose limit could not be read. */
+  private readonly malformed = new Map<string, number>();
+
   private constructor(private readonly options: EndpointSignalsOptions) {}
 
   static create(options: EndpointSignalsOptions): EndpointSignals {
     return new EndpointSignals(options);
   }
 
-  /** Processes the head of any response from the endpoint, to a forwarded request or a control call. */
-  observe(record: EndpointRecord, head: Head): void {
+  /**
+   * Processes the head of any response from the endpoint, to a forwarded request or a control call that
+   * was sent at `sentAt`.
+   */
+  observe(record: EndpointRecord, head: Head, sentAt: number): void {
     const { protocol } = this.options;
     // Another endpoint may have taken over the address.
     if ((protocol.respondingEndpoint(head) ?? record.id) !== record.id) return;
+    // Only another endpoint, or one that lacks the model, answers like this; it may be either.
+    if (!protocol.isMisdirected(head)) this.applyLimit(record, protocol.statedLimit(head), sentAt);
     if (protocol.isLeaving(head)) this.leaving(record);
     const pauseMs = protocol.pauseMs(head);
     if (pauseMs !== undefined) this.recordPause(record, pauseMs);
@@ -37,6 +51,28 @@
     onLeaving(record);
   }
 
+  private applyLimit(record: EndpointRecord, stated: StatedLimit, sentAt: number): void {
+    const { clock, directory, telemetry } = this.options;
+    const { id: endpoint } = record;
+    if (stated.kind === 'malformed') {
+      this.reportMalformed(record, stated.text);
+      return;
+    }
+    const ratePerS = stated.kind === 'limit' ? stated.ratePerS : undefined;
+    if (!directory.limits.observe(record, ratePerS, sentAt, clock.now())) return;
+    telemetry.log('endpoint.limit', { endpoint, ratePerS, source: 'answer' });
+  }
+
+  /** Counts each limit that cannot be read, and logs the first one of each instance. */
+  private reportMalformed({ id, bornAt }: EndpointRecord, text: string): void {
+    const { telemetry } = this.options;
+    telemetry.count('currantdrift_malformed_limits_total');
+    if (this.malformed.get(id) === bornAt) return;
+    this.malformed.set(id, bornAt);
+    if (this.malformed.size > maxMalformed) this.malformed.delete([...this.malformed.keys()][0]);
+    telemetry.log('endpoint.limit.malformed', { endpoint: id, text: text.slice(0, maxLoggedText) });
+  }
+
   private recordPause({ id, bornAt }: EndpointRecord, pauseMs: number): void {
     const { clock, directory, telemetry } = this.options;
     directory.pause(id, bornAt, clock.now() + pauseMs);
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -81,6 +81,10 @@
     const { fields } = this.request;
     const { record, place } = found;
     const startedAt = clock.now();
+    const limitPerS = directory.limits.rate(record);
+    if (limitPerS !== undefined) {
+      telemetry.count('currantdrift_limited_calls_total', { kind: 'request' });
+    }
     const inventoryAgeMs = directory.inventoryAge(record.id, startedAt);
     this.sends += 1;
     const end =
@@ -101,6 +105,7 @@
       model: fields.model,
       service: this.request.service,
       candidates: found.candidates,
+      limitPerS,
       inventoryAgeMs: inventoryAgeMs === undefined ? undefined : Math.round(inventoryAgeMs),
       predictedMs: Math.round(place.predictedMs),
       inFlight: this.context.balancer.inFlight(record.id),
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -3,6 +3,7 @@
   ForwardingFields,
   ReportedLoad,
   RequestFields,
+  StatedLimit,
 } from './endpoint-protocol';
 export { EndpointSignals, type EndpointSignalsOptions } from './endpoint-signals';
 export { EventSplitter } from './event-splitter';
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -77,7 +77,7 @@
         : { kind: SendFailure.unknown, reason: message };
     }
     const answer = opened.value;
-    this.context.signals.observe(this.selected.record, answer);
+    this.context.signals.observe(this.selected.record, answer, startedAt);
     this.recordLoad(answer);
     const rejection = this.checkHead(answer);
     if (rejection !== undefined) {
--- a/packages/request/forward/test/endpoint-signals.test.ts
+++ b/packages/request/forward/test/endpoint-signals.test.ts
@@ -107,3 +107,26 @@
     expect(maxInOneTenth).toBeLessThanOrEqual(burst.length / 5);
   });
 });
+
+describe('an endpoint that limits its requests', () => {
+  // Guards against a limit that only some kinds of answers make known.
+  test.each([
+    ['a success', whole(200, 'ok', 'Limit: 2\r\n')],
+    ['a failure', whole(500, 'no', 'Limit: 2\r\n')],
+    ['a refusal', whole(503, 'no', 'Limit: 2\r\nNot-Run: 1\r\n')],
+  ])('is known by %s', async (_name, text) => {
+    harness = await ForwardHarness.create(answering(text));
+    await harness.call('/unsafe/');
+    expect(harness.directory.limits.rate({ id: 'e1', bornAt: 1 })).toBe(2);
+  });
+
+  // Guards against a limit that an answer of another endpoint ends.
+  test('keeps its limit when another endpoint answers at its address', async () => {
+    const answers = [whole(200, 'ok', 'Limit: 2\r\n'), whole(421, '', 'Not-Run: 1\r\n')];
+    harness = await ForwardHarness.create((socket) => {
+      socket.end(answers.shift() ?? whole(421, ''));
+    });
+    await calls('/unsafe/', 2);
+    expect(harness.directory.limits.rate({ id: 'e1', bornAt: 1 })).toBe(2);
+  });
+});
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -50,6 +50,10 @@
   isSealed: (head: Head) => head.headers.seal !== undefined,
   reportedLoad: () => undefined,
   respondingEndpoint: (head: Head) => first(head.headers.from),
+  statedLimit: ({ headers }: Head) =>
+    headers.limit === undefined
+      ? { kind: 'none' }
+      : { kind: 'limit', ratePerS: Number(first(headers.limit)) },
   isLeaving: (head: Head) => head.headers.leaving !== undefined,
   pauseMs: (head: Head) =>
     head.headers.pause === undefined ? undefined : Number(first(head.headers.pause)),
--- a/packages/version/fleet/src/endpoint-directory.ts
+++ b/packages/version/fleet/src/endpoint-directory.ts
@@ -1,4 +1,5 @@
 import { HostState } from '@currantdrift/core';
+import { EndpointLimits } from './endpoint-limits';
 import type { EndpointRecord, LoadedModel } from './endpoint-record';
 import type { Inventory } from './inventory';
 
@@ -18,6 +19,9 @@
 
 /** The endpoints known to this process, with the models that they have loaded. */
 export class EndpointDirectory {
+  /** The request limits that the endpoints state. */
+  readonly limits = EndpointLimits.create(() => this.notify());
+
   private readonly endpoints = new Map<string, KnownEndpoint>();
 
   /** Start time (`bornAt`) by id of the endpoints that announced that they are leaving. */
