--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,15 +1,19 @@
 import type { Disturbances } from './disturbances';
-import { type Attempt, Kind, type Order, type Refusal, type Run } from './observations';
-
-/** A broken promise. */
-export interface Violation {
-  readonly at: number;
-  readonly rule: string;
-  readonly text: string;
-}
+import { limitViolations } from './limit-check';
+import {
+  type Arrival,
+  type Attempt,
+  Kind,
+  type Limit,
+  type Order,
+  type ReceivedCall,
+  type Refusal,
+  type Run,
+} from './observations';
+import type { Violation } from './violation';
 
 /** Bounds of the promises, in ms. */
-export interface CheckerLimits {
+export interface CheckerBounds {
   /** Time without disturbance after which a process is held to bounds of time. */
   readonly contactMs: number;
   /** Time after which a leaving endpoint gets no more requests. */
@@ -54,16 +58,20 @@
 
   private readonly refusals: Refusal[] = [];
 
+  private readonly calls: ReceivedCall[] = [];
+
+  private readonly limits: Limit[] = [];
+
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
 
   private constructor(
-    private readonly limits: CheckerLimits,
+    private readonly bounds: CheckerBounds,
     private readonly disturbances: Disturbances,
   ) {}
 
-  static create(limits: CheckerLimits, disturbances: Disturbances): Checker {
-    return new Checker(limits, disturbances);
+  static create(bounds: CheckerBounds, disturbances: Disturbances): Checker {
+    return new Checker(bounds, disturbances);
   }
 
   attempted(attempt: Attempt): void {
@@ -82,6 +90,15 @@
     this.orders.push(order);
   }
 
+  /** Any call that an endpoint received: a request, an order or a question for its state. */
+  received(call: ReceivedCall): void {
+    this.calls.push(call);
+  }
+
+  limited(limit: Limit): void {
+    this.limits.push(limit);
+  }
+
   acknowledged(version: number, at: number): void {
     this.versions.set(version, at);
   }
@@ -108,6 +125,7 @@
       ...this.ofLeavingWord(),
       ...this.ofPauses(),
       ...this.ofOrders(),
+      ...this.ofLimits(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
@@ -163,7 +181,7 @@
       return [{ at: attempt.endedAt, rule: 'configuration never older', text }];
     }
     const acknowledgedAt = this.versions.get(addedIn) ?? Infinity;
-    const dueAt = acknowledgedAt + this.limits.configurationMs;
+    const dueAt = acknowledgedAt + this.bounds.configurationMs;
     if (sentAt < dueAt || !this.inTouch(process, Math.min(acknowledgedAt, sentAt), sentAt))
       return [];
     const text = `${id} got 404 at ${process}, version ${addedIn} was acknowledged at ${Math.round(acknowledgedAt)}`;
@@ -173,10 +191,10 @@
   /** Requests that were passed on to a sound endpoint by a sound process and got no whole answer. */
   private ofLoss({ id, process, sentAt, endedAt, status, complete }: Attempt): Violation[] {
     const runs = this.runs.get(id) ?? [];
-    const isOver = complete || endedAt - sentAt >= this.limits.answerMs;
+    const isOver = complete || endedAt - sentAt >= this.bounds.answerMs;
     if (isOver || runs.length === 0) return [];
     const names = [process, ...runs.map(({ endpoint }) => endpoint)];
-    if (this.disturbances.any(names, sentAt - this.limits.contactMs, endedAt)) return [];
+    if (this.disturbances.any(names, sentAt - this.bounds.contactMs, endedAt)) return [];
     const text = `${id} of ${process} ended with ${status ?? 'a closed connection'}, not whole`;
     return [{ at: endedAt, rule: 'no loss', text }];
   }
@@ -195,7 +213,7 @@
     return [...this.runs.values()].flat().flatMap(({ id, endpoint, at, leavingSince }) => {
       const process = processOf.get(id);
       if (leavingSince === undefined || process === undefined) return [];
-      const lateMs = at - leavingSince - this.limits.drainMs;
+      const lateMs = at - leavingSince - this.bounds.drainMs;
       if (lateMs <= 0 || !this.inTouch(process, leavingSince, at)) return [];
       const text = `${id} of ${process} reached ${endpoint} ${Math.round(lateMs)} ms too late`;
       return [{ at, rule: 'leaving endpoint', text }];
@@ -215,7 +233,7 @@
     return this.attempts.flatMap((attempt) =>
       (this.runs.get(attempt.id) ?? []).flatMap(({ endpoint, at }) => {
         const since = told.get(keyOf(attempt, endpoint)) ?? Infinity;
-        const isLate = attempt.sentAt > since + this.limits.drainMs;
+        const isLate = attempt.sentAt > since + this.bounds.drainMs;
         if (!isLate || this.disturbances.any([haltOf(attempt.process)], since, at)) return [];
         const text = `${attempt.id} of ${attempt.process} reached ${endpoint}, which had told it that it leaves`;
         return [{ at, rule: 'leaving endpoint', text }];
@@ -253,6 +271,28 @@
     });
   }
 
+  /** Calls of all processes together beyond the limit that an endpoint states. */
+  private ofLimits(): Violation[] {
+    const byId = new Map(this.attempts.map((attempt) => [attempt.id, attempt]));
+    const arrivals = this.calls.map((call): Arrival => {
+      const attempt = call.request === undefined ? undefined : byId.get(call.request);
+      const process = attempt?.process ?? call.holder;
+      const answeredAt = attempt?.endedAt ?? call.at;
+      return { ...call, process, start: attempt?.start ?? call.start, answeredAt };
+    });
+    const { contactMs } = this.bounds;
+    return [...new Set(this.limits.map(({ endpoint }) => endpoint))].flatMap((endpoint) =>
+      limitViolations(
+        this.limits.filter((limit) => limit.endpoint === endpoint),
+        arrivals.filter((arrival) => arrival.endpoint === endpoint),
+        contactMs,
+        // What a paused process had begun to send arrives when it goes on.
+        ({ process, at }) =>
+          process !== undefined && this.disturbances.any([haltOf(process)], at - contactMs, at),
+      ),
+    );
+  }
+
   private ofOrders(): Violation[] {
     const last = new Map<string, Order>();
     return [...this.orders]
@@ -266,7 +306,7 @@
         const pair = `${before.holder} ${before.fence}, ${order.holder} ${order.fence}`;
         const text = `${order.endpoint}: ${pair}, ${Math.round(pauseMs)} ms apart`;
         const inOrder = order.fence > before.fence;
-        return inOrder && pauseMs >= this.limits.holderPauseMs
+        return inOrder && pauseMs >= this.bounds.holderPauseMs
           ? []
           : [{ at: order.at, rule: 'one holder', text }];
       });
@@ -274,13 +314,13 @@
 
   /** Whether an order may have waited in a link that has just healed, or in a process that was paused. */
   private wasHeldUp({ endpoint, holder, at }: Order): boolean {
-    return this.disturbances.ended([endpoint, holder], at - this.limits.healedMs, at);
+    return this.disturbances.ended([endpoint, holder], at - this.bounds.healedMs, at);
   }
 
   private ofRecovery(calmFrom: number): Violation[] {
     const calm = this.attempts.filter(({ sentAt }) => sentAt >= calmFrom);
     const served = calm.filter((attempt) => isSuccess(attempt) && attempt.complete).length;
-    if (calm.length > 0 && served >= this.limits.recoveredShare * calm.length) return [];
+    if (calm.length > 0 && served >= this.bounds.recoveredShare * calm.length) return [];
     const text = `${served} of ${calm.length} requests were served after the last fault`;
     return [{ at: calmFrom, rule: 'recovery', text }];
   }
@@ -288,6 +328,6 @@
   /** Whether a process and the store were undisturbed from a while before `from` up to `to`. */
   private inTouch(process: string, from: number, to: number): boolean {
     const names = [process, stopOf(process), 'store'];
-    return !this.disturbances.any(names, from - this.limits.contactMs, to);
+    return !this.disturbances.any(names, from - this.bounds.contactMs, to);
   }
 }
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -1,9 +1,19 @@
-export { Checker, type CheckerLimits, haltOf, stopOf, type Violation } from './checker';
+export { Checker, type CheckerBounds, haltOf, stopOf } from './checker';
 export { Child } from './child';
 export { Disturbances } from './disturbances';
 export { FaultSeries, type Fault } from './fault-series';
+export { limitViolations } from './limit-check';
 export { MemoryWatch } from './memory-watch';
 export { LoopbackProxy } from './loopback-proxy';
-export { type Attempt, Kind, type Order, type Refusal, type Run } from './observations';
+export {
+  type Arrival,
+  type Attempt,
+  Kind,
+  type Limit,
+  type Order,
+  type Refusal,
+  type Run,
+} from './observations';
 export { report } from './report';
 export { Timeline } from './timeline';
+export type { Violation } from './violation';
--- a/packages/tooling/soak/src/memory-watch.ts
+++ b/packages/tooling/soak/src/memory-watch.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import type { Violation } from './checker';
+import type { Violation } from './violation';
 import type { Child } from './child';
 
 /** Pause between two looks, in ms. */
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -58,3 +58,35 @@
   readonly fence: number;
   readonly at: number;
 }
+
+/** A call of any kind that an endpoint received. */
+export interface ReceivedCall {
+  readonly endpoint: string;
+  readonly at: number;
+  /** Id of the request, or name of the holder that sent an order; neither for other calls. */
+  readonly request: string | undefined;
+  readonly holder: string | undefined;
+  /** Start of the process that sent an order; undefined for other calls. */
+  readonly start: number | undefined;
+  /** Whether the answer stated a limit. */
+  readonly saysLimit: boolean;
+}
+
+/** A call with the process that sent it. */
+export interface Arrival extends ReceivedCall {
+  /** Undefined if the call does not tell who sent it. */
+  readonly process: string | undefined;
+  /** Time at which the answer was passed on; undefined if there was none. */
+  readonly answeredAt: number | undefined;
+}
+
+/** A limit on its requests that an endpoint stated for a time. */
+export interface Limit {
+  readonly endpoint: string;
+  /** Requests a second, from all processes together. */
+  readonly ratePerS: number;
+  /** Time from which the endpoint has stated limits without a break. */
+  readonly firstAt: number;
+  readonly from: number;
+  readonly to: number;
+}
--- a/packages/tooling/soak/src/report.ts
+++ b/packages/tooling/soak/src/report.ts
@@ -1,4 +1,4 @@
-import type { Violation } from './checker';
+import type { Violation } from './violation';
 import type { Timeline } from './timeline';
 
 /** Time before and after a violation that the report shows, in ms. */
--- /dev/null
+++ b/packages/tooling/soak/src/violation.ts
@@ -0,0 +1,6 @@
+/** A broken promise. */
+export interface Violation {
+  readonly at: number;
+  readonly rule: string;
+  readonly text: string;
+}
