Keep the calls of all processes together within the limits of endpoints

What callers saw: engines that had named a limit of 1 request a second got 12 to 14 in 4 s; such an engine is in need and gets worse.

Cause: nothing acted on the limit (H1). The controller's orders and reports count as well: without the 5 orders in the window the record does not reach its 14 (H3). The class: a bound on a sum over machines that each machine could only judge by its own part.

Change: the controller, which holds its lease in the store and so is alone, issues permits for calls to limited endpoints from one schedule; requests, orders and reports all need one. A permit may be reserved for up to 2 s ahead, which makes the queue. A new controller begins when the permits of its predecessor have expired. Limits are told to the controller with permit requests and usage reports, and to all by its announcements. An endpoint without a limit goes first; a request that no permit can serve in time is refused at once with the time of the next permit, spread.

Ruled out: equal shares (at 8 members and 1 a second a member sends once in 8 s); a share for each member by demand (its burst is one call for each member).

Why it holds: one schedule, at most 0.8 of the limit plus 250 ms of burst; the shares add up to 0.2; permits expire by time before somebody else issues.

--- a/packages/process/gateway/src/connection/limit-aware-engine-control.ts
+++ b/packages/process/gateway/src/connection/limit-aware-engine-control.ts
@@ -1,40 +1,61 @@
-import type { Failure, Telemetry } from '@currantdrift/core';
-import type { EndpointDirectory, EndpointRecord, EngineReport } from '@currantdrift/fleet';
-import type { Result } from 'neverthrow';
+import { type Clock, type Failure, FailureKind, type Telemetry } from '@currantdrift/core';
+import type { EndpointLimits, EndpointRecord, EngineReport } from '@currantdrift/fleet';
+import type { RequestPermits } from '@currantdrift/rate-limit';
+import { err, ok, type Result } from 'neverthrow';
 import type { EngineControl, EngineOrder, OrderResponse } from './engine-control';
 
-/** Counts the calls to engines that limit their requests. */
+/** Longest time for which a call to an engine waits for its permit, in ms. */
+const maxPermitWaitMs = 2_000;
+
+export interface LimitAwareEngineControlOptions {
+  readonly control: EngineControl;
+  readonly limits: EndpointLimits;
+  readonly permits: RequestPermits;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+}
+
+/** Delays reports and orders to engines that limit their requests until a permit allows them. */
 export class LimitAwareEngineControl implements EngineControl {
-  private constructor(
-    private readonly control: EngineControl,
-    private readonly directory: EndpointDirectory,
-    private readonly telemetry: Telemetry,
-  ) {}
+  private constructor(private readonly options: LimitAwareEngineControlOptions) {}
 
-  static create(
-    control: EngineControl,
-    directory: EndpointDirectory,
-    telemetry: Telemetry,
-  ): LimitAwareEngineControl {
-    return new LimitAwareEngineControl(control, directory, telemetry);
+  static create(options: LimitAwareEngineControlOptions): LimitAwareEngineControl {
+    return new LimitAwareEngineControl(options);
   }
 
-  report(record: EndpointRecord): Promise<Result<EngineReport, Failure>> {
-    this.count(record, 'report');
-    return this.control.report(record);
+  async report(record: EndpointRecord): Promise<Result<EngineReport, Failure>> {
+    const permitted = await this.awaitPermit('report', record);
+    return permitted.isErr() ? err(permitted.error) : this.options.control.report(record);
   }
 
-  order(
+  async order(
     record: EndpointRecord,
     order: EngineOrder,
     mayOrder: () => boolean,
   ): Promise<Result<OrderResponse, Failure>> {
-    this.count(record, 'order');
-    return this.control.order(record, order, mayOrder);
+    const permitted = await this.awaitPermit('order', record);
+    return permitted.isErr()
+      ? err(permitted.error)
+      : this.options.control.order(record, order, mayOrder);
   }
 
-  private count(record: EndpointRecord, kind: 'report' | 'order'): void {
-    if (this.directory.limits.rate(record) === undefined) return;
-    this.telemetry.count('currantdrift_limited_calls_total', { kind });
+  private async awaitPermit(
+    kind: 'report' | 'order',
+    { id, bornAt }: EndpointRecord,
+  ): Promise<Result<void, Failure>> {
+    const { limits, permits, clock, telemetry } = this.options;
+    const ratePerS = limits.rate({ id, bornAt });
+    if (ratePerS === undefined) return ok();
+    const permit = await permits.acquire([{ endpoint: id, bornAt, ratePerS }], maxPermitWaitMs);
+    const fail = (message: string) =>
+      err({ kind: FailureKind.refused, step: `engine.${kind}`, peer: id, message });
+    if (permit.isErr()) {
+      const leftMs = Math.round(permit.error.retryAfterMs);
+      return fail(`the engine limits its requests; the next call is free in ${leftMs} ms`);
+    }
+    await clock.sleep(Math.max(0, permit.value.usableAt - clock.now()));
+    if (clock.now() > permit.value.expiresAt) return fail('the permit for the call has expired');
+    telemetry.count('currantdrift_limited_calls_total', { kind });
+    return ok();
   }
 }
--- a/packages/process/gateway/src/connection/peer-inbox.ts
+++ b/packages/process/gateway/src/connection/peer-inbox.ts
@@ -32,11 +32,11 @@
   onRequest<T>(
     kind: string,
     schema: z.ZodType<T>,
-    respond: (parsed: T) => Message | undefined,
+    respond: (parsed: T, from: string) => Message | undefined,
   ): void {
     this.peers.onRequest(kind, (message, from) => {
       const parsed = this.parse(schema, message, from);
-      return (parsed && respond(parsed)) ?? { kind: 'elsewhere' };
+      return (parsed && respond(parsed, from)) ?? { kind: 'elsewhere' };
     });
   }
 
--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -10,6 +10,7 @@
   inventory: 'gateway.inventory',
   resigned: 'gateway.resigned',
   leaving: 'gateway.leaving',
+  permit: 'gateway.permit',
   feed: 'gateway.feed',
   snapshot: 'gateway.snapshot',
 } as const;
@@ -19,6 +20,43 @@
   .nullish()
   .transform((value) => value ?? undefined);
 
+/** What a member knows about the request limit of an endpoint. */
+const limitSchema = z.object({
+  endpoint: z.string(),
+  bornAt: z.number(),
+  /** Requests per second; null if the endpoint has ended its limit. */
+  ratePerS: z.number().nonnegative().nullable(),
+  /** Time since an answer of the endpoint stated this, in ms. */
+  ageMs: z.number(),
+});
+
+/** Empty in messages of processes that do not know of limits. */
+const limitsSchema = z.array(limitSchema).default([]);
+
+/** Sent to the controller for a request to one of several endpoints that limit their requests. */
+export const permitRequestSchema = z.object({
+  kind: z.literal(PeerMessageKind.permit),
+  limits: z.array(limitSchema).min(1),
+  /** Time for which the request can wait, in ms. */
+  maxWaitMs: z.number(),
+});
+export type PermitRequestMessage = z.infer<typeof permitRequestSchema>;
+
+/** The controller's response to a permit request. */
+export const permitResponseSchema = z.union([
+  z.object({
+    kind: z.literal('granted'),
+    endpoint: z.string(),
+    waitMs: z.number().nonnegative(),
+  }),
+  z.object({
+    kind: z.literal('refused'),
+    retryAfterMs: z.number().nonnegative(),
+  }),
+  z.object({ kind: z.literal('elsewhere') }),
+]);
+export type PermitResponse = z.infer<typeof permitResponseSchema>;
+
 /** Sent to the controller for a request that waits for a model. */
 export const loadRequestSchema = z.object({
   kind: z.literal(PeerMessageKind.want),
@@ -60,6 +98,8 @@
       count: z.number(),
     }),
   ),
+  /** Limits that endpoints have stated to the member since its last report. */
+  limits: limitsSchema,
 });
 export type UsageMessage = z.infer<typeof usageSchema>;
 
@@ -80,6 +120,8 @@
       models: z.array(z.object({ name: z.string(), adapters: z.array(z.string()) })),
     }),
   ),
+  /** Request limits that the controller knows; empty if there is no update. */
+  limits: limitsSchema,
 });
 
 export type InventoryMessage = z.infer<typeof inventorySchema>;
--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -1,8 +1,7 @@
 import { type Clock, HostState, type Telemetry } from '@currantdrift/core';
-import type { EndpointDirectory, EndpointRecord, Inventory } from '@currantdrift/fleet';
+import type { EndpointDirectory, EndpointRecord, LimitReport } from '@currantdrift/fleet';
 import type { ModelLoadRequest } from '@currantdrift/forward';
 import {
-  adapterKey,
   Demand,
   type EngineView,
   planAdapter,
@@ -14,12 +13,13 @@
   AdaptiveLoadLimit,
 } from '@currantdrift/residency';
 import type { Configuration, Service } from '@currantdrift/routes';
-import type { EndpointLoad } from '@currantdrift/routing';
 import type { EngineControl } from '../connection/engine-control';
 import type { UsageMessage, LoadRequestResponse } from '../connection/peer-messages';
+import { Announcer, type Announcement } from './announcer';
 import type { Term } from './controller-election';
 import { ManagedEngine } from './managed-engine';
 import { UnloadDelayEstimator } from './unload-delay-estimator';
+import { UsageLedger } from './usage-ledger';
 
 /** Interval between plans if none is requested earlier, in ms. */
 const planIntervalMs = 100;
@@ -31,21 +31,6 @@
 /** Time for which the computed engine views are reused for estimates, in ms. */
 const viewCacheMs = 25;
 
-/** Interval at which all inventories are announced even if unchanged, in ms. */
-const fullAnnouncementIntervalMs = 2_000;
-
-/** Shortest interval between announcements, in ms. */
-const minAnnouncementIntervalMs = 100;
-
-/** Interval between announcements of the requests in flight, in ms. */
-const loadAnnouncementIntervalMs = 300;
-
-/** Age of a member's last usage report up to which it counts as reachable, in ms. */
-const reportTimeoutMs = 1_500;
-
-/** Age at which a usage report is dropped, so that its requests in flight no longer count, in ms. */
-const usageLifetimeMs = 5_000;
-
 const noFlights: ReadonlyMap<string, number> = new Map();
 
 /** Limit on the steps of each kind that one plan may order. */
@@ -60,12 +45,10 @@
   readonly settings: ResidencySettings;
   readonly holder: string;
   readonly mayOrder: () => boolean;
-  /** Announces inventories and requests in flight to all members. */
-  readonly announce: (
-    fence: number,
-    inventories: readonly Inventory[],
-    loads: readonly EndpointLoad[],
-  ) => void;
+  /** Receives the request limits that a member reports. */
+  readonly onLimits: (limits: readonly LimitReport[], source: string) => void;
+  /** Sends an announcement to all members. */
+  readonly announce: (fence: number, announcement: Announcement) => void;
 }
 
 /** A view of all engines at one time, grouped by service. */
@@ -86,9 +69,9 @@
 
   private readonly managedEngines = new Map<string, ManagedEngine>();
 
-  private readonly usage = new Map<string, { message: UsageMessage; at: number }>();
+  private readonly usage = UsageLedger.create();
 
-  private readonly announced = new Map<string, string>();
+  private readonly announcer: Announcer;
 
   private readonly stopped = new AbortController();
 
@@ -97,22 +80,16 @@
   /** Whether a new plan was requested since the last one. */
   private isPlanRequested = false;
 
-  private announcedAt = -Infinity;
-
-  private fullAnnouncementAt = -Infinity;
-
-  private loadsAnnouncedAt = -Infinity;
-
   private views: EngineViews | undefined;
 
-  private flightCounts:
-    | { readonly at: number; readonly counts: ReadonlyMap<string, ReadonlyMap<string, number>> }
-    | undefined;
-
   private constructor(
     private readonly options: ControllerOptions,
     private readonly term: Term,
-  ) {}
+  ) {
+    this.announcer = Announcer.create(options.directory.limits, (announcement) =>
+      options.announce(term.fence, announcement),
+    );
+  }
 
   static create(options: ControllerOptions, term: Term): Controller {
     return new Controller(options, term);
@@ -214,7 +191,8 @@
 
   recordUsage(message: UsageMessage): void {
     const now = this.options.clock.now();
-    this.usage.set(message.host, { message, at: now });
+    this.usage.record(message, now);
+    this.options.onLimits(message.limits, message.host);
     message.uses.forEach(({ service, model, adapter, arrivals }) => {
       this.demand.recordArrivals(service, model, arrivals, now);
       if (adapter !== undefined) this.demand.recordAdapterUse(service, model, adapter, now);
@@ -223,8 +201,7 @@
 
   /** Whether a member has sent a usage report recently. */
   hasReported(host: string): boolean {
-    const report = this.usage.get(host);
-    return report !== undefined && this.options.clock.now() - report.at < reportTimeoutMs;
+    return this.usage.hasReported(host, this.options.clock.now());
   }
 
   /** Waits until the next plan is due; requests during the minimum pause are planned together. */
@@ -260,7 +237,7 @@
     services.forEach((service) => {
       if (service.engines !== undefined) this.plan(service.name, now);
     });
-    this.announceChanges(now);
+    this.announcer.announceChanges(this.managedEngines, this.usage.flights(now), now);
   }
 
   private updateManagedEngines(): void {
@@ -279,7 +256,7 @@
   }
 
   private updateManagedEngine(record: EndpointRecord): void {
-    const { clock, telemetry, control, holder, mayOrder } = this.options;
+    const { clock, telemetry, control, directory, holder, mayOrder } = this.options;
     const managed = this.managedEngines.get(record.id);
     if (managed?.bornAt === record.bornAt) {
       managed.update(record);
@@ -293,6 +270,7 @@
     const earliestOrderAt = this.term.earliestOrderAt(record.id);
     const created = ManagedEngine.create(record, {
       control,
+      limits: directory.limits,
       clock,
       telemetry,
       holder,
@@ -337,7 +315,7 @@
   /** The engine views, at most `viewCacheMs` old. */
   private engineViews(now: number): EngineViews {
     if (this.views !== undefined && now - this.views.at < viewCacheMs) return this.views;
-    const inFlight = this.inFlight(now);
+    const inFlight = this.usage.inFlight(now);
     const engines = new Map<string, EngineView[]>();
     let remoteLoads = 0;
     this.managedEngines.forEach((managed, id) => {
@@ -351,36 +329,6 @@
     return this.views;
   }
 
-  /** Requests in flight by engine, then by model and adapter, at most `viewCacheMs` old. */
-  private inFlight(now: number): ReadonlyMap<string, ReadonlyMap<string, number>> {
-    const known = this.flightCounts;
-    if (known !== undefined && now - known.at < viewCacheMs) return known.counts;
-    const counts = this.countFlights(now);
-    this.flightCounts = { at: now, counts };
-    return counts;
-  }
-
-  private countFlights(now: number): Map<string, Map<string, number>> {
-    const byEngine = new Map<string, Map<string, number>>();
-    this.flights(now).forEach(({ endpoint, model, adapter, count }) => {
-      const counts = byEngine.get(endpoint) ?? new Map<string, number>();
-      byEngine.set(endpoint, counts);
-      counts.set(model, (counts.get(model) ?? 0) + count);
-      if (adapter === undefined) return;
-      const key = adapterKey(model, adapter);
-      counts.set(key, (counts.get(key) ?? 0) + count);
-    });
-    return byEngine;
-  }
-
-  /** Requests in flight as last reported by the members; drops old reports. */
-  private flights(now: number): UsageMessage['flights'] {
-    this.usage.forEach(({ at }, host) => {
-      if (now - at > usageLifetimeMs) this.usage.delete(host);
-    });
-    return [...this.usage.values()].flatMap(({ message }) => message.flights);
-  }
-
   private plan(service: string, now: number): void {
     this.views = undefined;
     this.order(service, now, planLoad, (managed, step) => managed.load(step));
@@ -402,41 +350,4 @@
       sendStep(managed, step);
     }
   }
-
-  /** Announces changes to all members; batches changes within the minimum interval. */
-  private announceChanges(now: number): void {
-    if (now - this.announcedAt < minAnnouncementIntervalMs) return;
-    const inventories = this.changedInventories(now);
-    const loads = this.currentLoads(now);
-    if (inventories.length === 0 && loads.length === 0) return;
-    this.announcedAt = now;
-    this.options.announce(this.term.fence, inventories, loads);
-  }
-
-  /** Inventories that changed since they were announced; periodically all inventories. */
-  private changedInventories(now: number): Inventory[] {
-    const isFull = now - this.fullAnnouncementAt >= fullAnnouncementIntervalMs;
-    if (isFull) this.fullAnnouncementAt = now;
-    return [...this.managedEngines.entries()]
-      .filter(([, managed]) => managed.isReady)
-      .map(([endpoint, managed]) => ({ endpoint, bornAt: managed.bornAt, models: managed.served }))
-      .filter((inventory) => {
-        const text = JSON.stringify(inventory);
-        const isNew = this.announced.get(inventory.endpoint) !== text;
-        this.announced.set(inventory.endpoint, text);
-        return isNew || isFull;
-      });
-  }
-
-  /** Requests in flight at each engine; empty until the next announcement of them is due. */
-  private currentLoads(now: number): EndpointLoad[] {
-    if (now - this.loadsAnnouncedAt < loadAnnouncementIntervalMs) return [];
-    this.loadsAnnouncedAt = now;
-    const counts = new Map([...this.managedEngines.keys()].map((id) => [id, 0]));
-    this.flights(now).forEach(({ endpoint, count }) => {
-      const before = counts.get(endpoint);
-      if (before !== undefined) counts.set(endpoint, before + count);
-    });
-    return [...counts].map(([endpoint, inFlight]) => ({ endpoint, inFlight }));
-  }
 }
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -17,6 +17,7 @@
 } from '@currantdrift/forward';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultResidencySettings } from '@currantdrift/residency';
+import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
@@ -28,6 +29,7 @@
   leavingSchema,
   loadRequestSchema,
   PeerMessageKind,
+  permitRequestSchema,
   resignedSchema,
   usageSchema,
 } from '../connection/peer-messages';
@@ -41,6 +43,7 @@
 import type { GatewaySettings } from './gateway-settings';
 import { LeavingNotices } from './leaving-notices';
 import { ControllerModelWaker } from './controller-model-waker';
+import { PermitService } from './permit-service';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
@@ -116,6 +119,10 @@
 
   private readonly control: EngineControl;
 
+  private readonly permitService: PermitService;
+
+  private readonly permits: MemberPermits;
+
   private readonly send = (address: string, message: Message): void =>
     this.peers.notify(address, message);
 
@@ -156,6 +163,7 @@
       members,
       directory,
       send,
+      onLimits: (limits) => this.signals.applyReports(limits, 'controller'),
       onLoads: (loads) => this.balancer.observeFleetLoads(loads, clock.now()),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
@@ -178,11 +186,23 @@
       (record, head, sentAt) => this.signals.observe(record, head, sentAt),
       clock,
     );
-    this.control = PauseAwareEngineControl.create(
-      LimitAwareEngineControl.create(control, directory, telemetry),
-      directory,
+    this.permitService = this.createPermitService();
+    this.permits = MemberPermits.create({
       clock,
-    );
+      random: SystemRandom.create(),
+      settings: defaultRateLimitSettings,
+      issuer: this.permitService,
+      members: () => members.all().length,
+    });
+    const { limits } = directory;
+    const { permits } = this;
+    this.control = LimitAwareEngineControl.create({
+      control: PauseAwareEngineControl.create(control, directory, clock),
+      limits,
+      permits,
+      clock,
+      telemetry,
+    });
     this.forwarder = this.createForwarder();
     this.clientServer = ClientHttpServer.create(
       (request, response) => this.forwarder.handle(request, response),
@@ -271,6 +291,7 @@
       signals: this.signals,
       balancer: this.balancer,
       usage: this.usage,
+      permits: this.permits,
       stopping: this.stopped.signal,
       closing: this.closing.signal,
       waker: ControllerModelWaker.create(
@@ -287,6 +308,20 @@
     });
   }
 
+  private createPermitService(): PermitService {
+    const { clock, peers, self, members, directory } = this;
+    return PermitService.create({
+      clock,
+      peers,
+      self,
+      members,
+      limits: directory.limits,
+      settings: defaultRateLimitSettings,
+      onLimits: (limits, from) => this.signals.applyReports(limits, from),
+      mayIssue: () => this.election.mayOrder(clock.now()),
+    });
+  }
+
   private createElection(): ControllerElection {
     const { settings, platform, telemetry } = this.options;
     return ControllerElection.create({
@@ -322,6 +357,7 @@
       self,
       members,
       usage,
+      limits: this.directory.limits,
       isRelay: () => this.storeCache.feed.isRelay(),
       localController: () => this.controller,
       send: this.send,
@@ -350,6 +386,7 @@
   private beginTerm(term: Term): void {
     const { telemetry, settings } = this.options;
     this.inventoryBroadcaster.beginTerm(term.fence);
+    this.permitService.beginTerm(term.isFirst);
     const controller = Controller.create(
       {
         clock: this.clock,
@@ -360,8 +397,8 @@
         settings: defaultResidencySettings,
         holder: settings.host,
         mayOrder: () => this.election.mayOrder(this.clock.now()),
-        announce: (fence, inventories, loads) =>
-          this.inventoryBroadcaster.announce(fence, inventories, loads),
+        onLimits: (limits, from) => this.signals.applyReports(limits, from),
+        announce: (fence, announcement) => this.inventoryBroadcaster.announce(fence, announcement),
       },
       term,
     );
@@ -372,6 +409,7 @@
   private endTerm(fence: number): void {
     const { controller } = this;
     this.controller = undefined;
+    this.permitService.endTerm();
     if (controller === undefined) return;
     this.broadcast({ kind: PeerMessageKind.resigned, fence, orderAges: controller.stop() });
   }
@@ -384,6 +422,9 @@
     const { inventoryBroadcaster, leavingNotices, election } = this;
     const inbox = PeerInbox.create(this.peers, this.options.telemetry);
     inbox.onRequest(PeerMessageKind.want, loadRequestSchema, (want) => this.controller?.want(want));
+    inbox.onRequest(PeerMessageKind.permit, permitRequestSchema, (message, from) =>
+      this.permitService.respond(message, from),
+    );
     inbox.onNotification(PeerMessageKind.usage, usageSchema, (usage) =>
       this.controller?.recordUsage(usage),
     );
--- a/packages/process/gateway/src/process/inventory-broadcaster.ts
+++ b/packages/process/gateway/src/process/inventory-broadcaster.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@currantdrift/core';
-import type { EndpointDirectory, Inventory } from '@currantdrift/fleet';
+import type { EndpointDirectory, LimitReport } from '@currantdrift/fleet';
 import type { EndpointLoad } from '@currantdrift/routing';
 import { type InventoryMessage, PeerMessageKind } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
+import type { Announcement } from './announcer';
 
 /** Largest remote failure domain whose members the controller contacts directly, without a relay. */
 const maxDirectMembers = 3;
@@ -14,6 +15,8 @@
   readonly directory: EndpointDirectory;
   /** Receives the number of requests in flight at each engine, summed over all members. */
   readonly onLoads: (loads: readonly EndpointLoad[]) => void;
+  /** Receives the request limits that the controller announces. */
+  readonly onLimits: (limits: readonly LimitReport[]) => void;
   /** Whether a member has recently sent a usage report to this process as the controller. */
   readonly hasReported: (host: string) => boolean;
   readonly send: (address: string, message: InventoryMessage) => void;
@@ -51,8 +54,8 @@
     this.raiseFence(fence);
   }
 
-  /** Applies the inventories of engines to the local directory and sends them to all members. */
-  announce(fence: number, inventories: readonly Inventory[], loads: readonly EndpointLoad[]): void {
+  /** Applies an announcement to the local directory and sends it to all members. */
+  announce(fence: number, { inventories, loads, limits }: Announcement): void {
     const { clock, directory, members, onLoads, self } = this.options;
     this.raiseFence(fence);
     this.sent += 1;
@@ -62,6 +65,7 @@
       number: this.sent,
       inventories: inventories as InventoryMessage['inventories'],
       loads: [...loads],
+      limits: [...limits],
     };
     directory.applyInventories(inventories, clock.now());
     onLoads(loads);
@@ -85,6 +89,7 @@
     );
     current.forEach(({ endpoint }) => this.newestNumbers.set(endpoint, number));
     directory.applyInventories(current, clock.now());
+    this.options.onLimits(message.limits);
     onLoads(message.loads);
     if (!message.passOn) return;
     const all = members.recipients(self.host, clock.now());
--- a/packages/process/gateway/src/process/managed-engine.ts
+++ b/packages/process/gateway/src/process/managed-engine.ts
@@ -1,5 +1,11 @@
 import { HostState } from '@currantdrift/core';
-import type { EndpointRecord, EngineReport, LoadedModel, ModelCopies } from '@currantdrift/fleet';
+import type {
+  EndpointLimits,
+  EndpointRecord,
+  EngineReport,
+  LoadedModel,
+  ModelCopies,
+} from '@currantdrift/fleet';
 import {
   adapterKey,
   type AdapterStep,
@@ -33,6 +39,8 @@
 
 /** What a managed engine needs from its controller. */
 export interface ManagedEngineOptions extends EngineOrderOptions {
+  /** The request limits that engines state. */
+  readonly limits: EndpointLimits;
   /** Earliest time at which an order may be sent, in ms. */
   readonly earliestOrderAt: number;
   /** Called after a load from the weight store, with its full-speed and actual duration, in ms. */
@@ -127,6 +135,7 @@
         : { kind: 'pause', model: '', endsAt: readyAt, remote: false },
       adapterLoads: this.adapterLoads,
       inFlight,
+      requestLimitPerS: this.options.limits.rate(this.record),
     };
   }
 
--- a/packages/process/gateway/src/process/usage-reporter.ts
+++ b/packages/process/gateway/src/process/usage-reporter.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@currantdrift/core';
+import type { EndpointLimits } from '@currantdrift/fleet';
 import type { ModelUsage } from '@currantdrift/forward';
 import { PeerMessageKind, type UsageMessage } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
@@ -15,6 +16,8 @@
   readonly self: Member;
   readonly members: Members;
   readonly usage: ModelUsage;
+  /** The request limits that endpoints have stated. */
+  readonly limits: EndpointLimits;
   /** Relays also report while idle, so that the controller knows which relays are reachable. */
   readonly isRelay: () => boolean;
   /** The controller in this process, or undefined if it runs elsewhere. */
@@ -46,9 +49,10 @@
   }
 
   private report(): void {
-    const { self, members, usage, localController, send } = this.options;
+    const { clock, self, members, usage, limits, localController, send } = this.options;
     const { uses, flights } = usage.takeReport();
-    const isIdle = uses.length === 0 && flights.length === 0;
+    const stated = limits.takeUnreported(clock.now());
+    const isIdle = uses.length + flights.length + stated.length === 0;
     if (isIdle && this.wasIdle && !this.options.isRelay()) return;
     this.wasIdle = isIdle;
     const message = {
@@ -56,6 +60,7 @@
       host: self.host,
       uses: [...uses],
       flights: [...flights],
+      limits: stated,
     };
     const controller = localController();
     if (controller !== undefined) controller.recordUsage(message);
--- a/packages/process/gateway/test/inventory-broadcaster.test.ts
+++ b/packages/process/gateway/test/inventory-broadcaster.test.ts
@@ -35,6 +35,7 @@
       members,
       directory,
       onLoads: () => {},
+      onLimits: (limits) => directory.limits.merge(limits, clock.now()),
       hasReported: (host) => reporting.has(host),
       send: (to, message) => {
         sends.push({ from: self.host, to });
@@ -57,7 +58,7 @@
   test('a large remote domain gets an announcement through one relay', () => {
     const { processes, sends } = createMembers(20);
     const [controller] = processes;
-    controller.broadcaster.announce(1, inventory('a'), []);
+    controller.broadcaster.announce(1, { inventories: inventory('a'), loads: [], limits: [] });
     expect(processes.every(({ held }) => held().includes('a'))).toBe(true);
     const remoteSends = sends.filter(
       ({ from, to }) => from === controller.self.host && to.startsWith('south'),
@@ -69,11 +70,11 @@
   test('a relay without a recent usage report is not used', () => {
     const { processes, sends, lost, reporting } = createMembers(20);
     const [controller] = processes;
-    controller.broadcaster.announce(1, inventory('a'), []);
+    controller.broadcaster.announce(1, { inventories: inventory('a'), loads: [], limits: [] });
     const [relay] = sends.filter(({ to }) => to.startsWith('south')).map(({ to }) => to);
     lost.add(relay);
     reporting.delete(relay);
-    controller.broadcaster.announce(1, inventory('b'), []);
+    controller.broadcaster.announce(1, { inventories: inventory('b'), loads: [], limits: [] });
     const others = processes.filter(({ self }) => self.host !== relay);
     expect(others.every(({ held }) => held().includes('b'))).toBe(true);
   });
@@ -85,7 +86,7 @@
     const message = { kind: 'gateway.inventory', passOn: false } as const;
     const at = (fence: number, number: number, model: string) => {
       const inventories = inventory(model);
-      member.broadcaster.receive({ ...message, fence, number, inventories, loads: [] });
+      member.broadcaster.receive({ ...message, fence, number, inventories, loads: [], limits: [] });
       return member.held();
     };
     expect(at(2, 5, 'new')).toEqual(['new']);
--- /dev/null
+++ b/packages/process/gateway/test/limit-aware-engine-control.test.ts
@@ -0,0 +1,77 @@
+import { NoopTelemetry, SeededRandom } from '@currantdrift/core';
+import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
+import { EndpointLimits, type EngineReport } from '@currantdrift/fleet';
+import { defaultRateLimitSettings, MemberPermits, PermitIssuer } from '@currantdrift/rate-limit';
+import { ok } from 'neverthrow';
+import { type EngineOrder, OrderResponse } from '../src/connection/engine-control';
+import { LimitAwareEngineControl } from '../src/connection/limit-aware-engine-control';
+
+const report: EngineReport = {
+  bornAt: 1,
+  models: [],
+  busy: false,
+  orderCount: 0,
+  copies: { inMemory: [], onDisk: [] },
+};
+
+const order: EngineOrder = {
+  kind: 'load',
+  model: 'm1',
+  adapter: undefined,
+  orderCount: 0,
+  holder: 'h1',
+  fence: 1,
+};
+
+const create = () => {
+  const clock = VirtualClock.create();
+  const limits = EndpointLimits.create(() => {});
+  const calls: number[] = [];
+  const issuer = PermitIssuer.create(defaultRateLimitSettings);
+  const control = LimitAwareEngineControl.create({
+    control: {
+      report: async () => {
+        calls.push(clock.now());
+        return ok(report);
+      },
+      order: async () => {
+        calls.push(clock.now());
+        return ok(OrderResponse.accepted);
+      },
+    },
+    limits,
+    permits: MemberPermits.create({
+      clock,
+      random: SeededRandom.create(1),
+      settings: defaultRateLimitSettings,
+      issuer: {
+        ask: async (candidates, maxWaitMs) => issuer.acquire(candidates, maxWaitMs, clock.now()),
+      },
+      members: () => 8,
+    }),
+    clock,
+    telemetry: NoopTelemetry.create(),
+  });
+  return { clock, limits, calls, control };
+};
+
+const record = endpointRecord({ id: 'e1', bornAt: 1 });
+
+// Guards against orders and reports that are sent beyond the limit, which counts every call.
+test('orders and reports to a limited engine wait for their permits', async () => {
+  const { clock, limits, calls, control } = create();
+  limits.observe(record, 2, 0, 1);
+  const results = [0, 1, 2, 3, 4].map((index) =>
+    index % 2 === 0 ? control.report(record) : control.order(record, order, () => true),
+  );
+  await clock.advance(10_000);
+  const outcomes = (await Promise.all(results)).map((result) => result.isOk());
+  expect({ outcomes, calls }).toMatchSnapshot();
+});
+
+test('an engine without a limit is called at once', async () => {
+  const { calls, control } = create();
+  await control.report(record);
+  await control.report(record);
+  expect(calls).toEqual([0, 0]);
+});
--- a/packages/process/gateway/test/managed-engine.test.ts
+++ b/packages/process/gateway/test/managed-engine.test.ts
@@ -1,5 +1,10 @@
 import { type Failure, FailureKind, NoopTelemetry } from '@currantdrift/core';
-import type { EndpointRecord, EngineReport, LoadedModel } from '@currantdrift/fleet';
+import {
+  EndpointLimits,
+  type EndpointRecord,
+  type EngineReport,
+  type LoadedModel,
+} from '@currantdrift/fleet';
 import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
 import { err, ok, type Result } from 'neverthrow';
 import {
@@ -177,6 +182,7 @@
   const engine = new FakeEngine(clock, names);
   const managed = ManagedEngine.create(record, {
     control: engine,
+    limits: EndpointLimits.create(() => {}),
     clock,
     telemetry: NoopTelemetry.create(),
     holder: 'h1',
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -117,6 +117,11 @@
     help: 'Answers of endpoints whose request limit could not be read',
     labels: [],
   },
+  currantdrift_limited_refusals_total: {
+    type: 'counter',
+    help: 'Requests that were refused because all endpoints limit their requests',
+    labels: [],
+  },
   currantdrift_limited_calls_total: {
     type: 'counter',
     help: 'Calls of this process to endpoints that limit their requests, by kind of call',
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,8 +1,10 @@
 import { hash32 } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
+import type { PermitSource } from '@currantdrift/rate-limit';
 import type { Reservation } from '@currantdrift/routing';
 import type { ClientRequest } from './client-request';
 import type { ForwardContext } from './forward-context';
+import { PermitWait } from './permit-wait';
 
 /** The endpoint that was selected for a request. */
 export interface SelectedEndpoint {
@@ -10,6 +12,8 @@
   readonly record: EndpointRecord;
   readonly place: Reservation;
   readonly candidates: number;
+  /** Who permitted the request, if the endpoint limits its requests. */
+  readonly permit?: PermitSource;
 }
 
 /** Why no endpoint was selected. */
@@ -31,11 +35,16 @@
   /** Time at which the first pause ends, if the last search found only paused endpoints. */
   private pauseEndsAt: number | undefined;
 
+  /** The wait for a permit, while only endpoints that limit their requests can serve the request. */
+  private readonly permitWait: PermitWait;
+
   private constructor(
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
     private readonly gone: AbortSignal,
-  ) {}
+  ) {
+    this.permitWait = PermitWait.create(context);
+  }
 
   static create(
     context: ForwardContext,
@@ -51,12 +60,8 @@
     let nextRequestAt = -Infinity;
     for (;;) {
       const now = clock.now();
-      if (this.gone.aborted)
-        return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
-      if (now + settings.minTimeLeftMs >= this.request.firstByteDeadline) {
-        const retryAfterMs = settings.defaultRetryAfterMs;
-        return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
-      }
+      const ended = this.checkEnd(now);
+      if (ended !== undefined) return ended;
       const selected = this.tryReserve(tried, now);
       if (selected !== undefined) return selected;
       if (this.pauseEndsAt !== undefined) return this.refuseDuringPause(this.pauseEndsAt, now);
@@ -68,62 +73,141 @@
         await clock.sleep(settings.prefillPollMs, this.gone);
         continue;
       }
-      if (this.request.fields.model === undefined) {
-        const retryAfterMs = settings.defaultRetryAfterMs;
-        return { kind: 'refused', reason: 'no endpoint is known', retryAfterMs };
-      }
+      const permitted = await this.tryPermit(tried, now);
+      if (permitted !== undefined) return permitted;
       if (now >= nextRequestAt) {
-        const refusal = await this.requestLoad(now);
+        const refusal = await this.requestLoad(clock.now());
         if (refusal !== undefined) return refusal;
         nextRequestAt = clock.now() + settings.loadRequestIntervalMs;
         continue;
       }
-      await this.changed(Math.min(nextRequestAt, this.request.firstByteDeadline) - now);
+      await this.awaitChange(nextRequestAt);
     }
   }
 
+  /** Why the request has ended before an endpoint was selected; undefined if it has not. */
+  private checkEnd(now: number): NoEndpoint | undefined {
+    const { settings } = this.context;
+    if (this.gone.aborted)
+      return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
+    if (now + settings.minTimeLeftMs < this.request.firstByteDeadline) return undefined;
+    const retryAfterMs = settings.defaultRetryAfterMs;
+    return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
+  }
+
+  /** Reserves a place at an endpoint that does not limit its requests. */
   private tryReserve(tried: ReadonlySet<string>, now: number): SelectedEndpoint | undefined {
-    const { directory, balancer, roundTripMs } = this.context;
-    const { service, fields } = this.request;
-    const usable =
-      fields.model === undefined
-        ? directory.live(service)
-        : directory.replicas(service, fields.model, fields.adapter, now);
-    // A model can be loaded on another engine, so unreachable engines are not used for it.
-    const reachable =
-      fields.model === undefined
-        ? usable
-        : usable.filter(({ id }) => !balancer.isUnreachable(id, now));
+    const { directory } = this.context;
+    const reachable = this.reachableEndpoints(now);
     const notPaused = reachable.filter(({ id }) => directory.pausedUntil(id) <= now);
     const pauseEnds = reachable.map(({ id }) => directory.pausedUntil(id));
     const allPause = reachable.length > 0 && notPaused.length === 0;
     this.pauseEndsAt = allPause ? Math.min(...pauseEnds) : undefined;
-    const untried = notPaused.filter(({ id }) => !tried.has(id));
-    const records = untried.length > 0 ? untried : notPaused;
+    const unlimited = notPaused.filter((record) => directory.limits.rate(record) === undefined);
+    const records = EndpointSelector.preferUntried(unlimited, tried);
+    const selected = this.reserve(records, this.prefillLimit(now), now);
+    this.isPrefillLimited = selected === undefined && records.length > 0;
+    return selected;
+  }
+
+  /** Endpoints that can serve the request and that this process can reach. */
+  private reachableEndpoints(now: number): EndpointRecord[] {
+    const { directory, balancer } = this.context;
+    const { service, fields } = this.request;
+    if (fields.model === undefined) return directory.live(service);
+    // A model can be loaded on another engine, so unreachable engines are not used for it.
+    return directory
+      .replicas(service, fields.model, fields.adapter, now)
+      .filter(({ id }) => !balancer.isUnreachable(id, now));
+  }
+
+  private static preferUntried(
+    records: readonly EndpointRecord[],
+    tried: ReadonlySet<string>,
+  ): readonly EndpointRecord[] {
+    const untried = records.filter(({ id }) => !tried.has(id));
+    return untried.length > 0 ? untried : records;
+  }
+
+  private reserve(
+    records: readonly EndpointRecord[],
+    maxUnreadTokens: number,
+    now: number,
+  ): SelectedEndpoint | undefined {
+    const { directory, balancer, roundTripMs } = this.context;
     const candidates = records.map(({ id, bornAt, slots, domain }) => ({
       id,
       bornAt,
       slots,
       roundTripMs: roundTripMs(domain),
     }));
-    const place = balancer.reserve(candidates, fields.promptTokens, this.prefillLimit(now), now);
-    this.isPrefillLimited = place === undefined && candidates.length > 0;
+    const { promptTokens } = this.request.fields;
+    const place = balancer.reserve(candidates, promptTokens, maxUnreadTokens, now);
     const record = place && directory.get(place.endpoint);
     if (place === undefined || record === undefined) return undefined;
     return { kind: 'selected', record, place, candidates: candidates.length };
   }
 
   /**
-   * Handles the case that all replicas ask for a pause: refuses the request at once and spreads the
-   * retries of the clients over some time after the first pause ends.
+   * Handles the case that only endpoints which limit their requests can serve this one: reserves a
+   * place once it has a permit that may be used. Without models, a request that gets no permit in time
+   * is refused at once.
    */
+  private async tryPermit(
+    tried: ReadonlySet<string>,
+    now: number,
+  ): Promise<SelectedEndpoint | NoEndpoint | undefined> {
+    const { clock, settings } = this.context;
+    const limited = this.limitedEndpoints(tried, now);
+    const isPlain = this.request.fields.model === undefined;
+    if (limited.length === 0) {
+      this.permitWait.clear();
+      const retryAfterMs = settings.defaultRetryAfterMs;
+      return isPlain
+        ? { kind: 'refused', reason: 'no endpoint is known', retryAfterMs }
+        : undefined;
+    }
+    const maxWaitMs = this.request.firstByteDeadline - now - settings.minTimeLeftMs;
+    await this.permitWait.acquire(limited, maxWaitMs);
+    const at = clock.now();
+    const permit = this.permitWait.take(at);
+    const record = permit && limited.find(({ id }) => id === permit.endpoint);
+    const selected = record && this.reserve([record], Infinity, at);
+    if (selected !== undefined) return { ...selected, permit: permit?.source };
+    if (!isPlain) return undefined;
+    const { retryAt } = this.permitWait;
+    if (retryAt !== undefined) return this.refuseForLimit(retryAt, at);
+    await this.awaitChange(Infinity);
+    return undefined;
+  }
+
+  private limitedEndpoints(tried: ReadonlySet<string>, now: number): readonly EndpointRecord[] {
+    const { directory } = this.context;
+    const limited = this.reachableEndpoints(now).filter(
+      (record) =>
+        directory.limits.rate(record) !== undefined && directory.pausedUntil(record.id) <= now,
+    );
+    return EndpointSelector.preferUntried(limited, tried);
+  }
+
+  private refuseForLimit(retryAt: number, now: number): NoEndpoint {
+    this.context.telemetry.count('currantdrift_limited_refusals_total');
+    const reason = 'all endpoints limit their requests';
+    return { kind: 'refused', reason, retryAfterMs: this.spreadRetry(retryAt - now) };
+  }
+
+  /** Refuses the request at once if all replicas ask for a pause. */
   private refuseDuringPause(endsAt: number, now: number): NoEndpoint {
+    const reason = 'all endpoints ask for a pause';
+    return { kind: 'refused', reason, retryAfterMs: this.spreadRetry(endsAt - now) };
+  }
+
+  /** Spreads the retries of the clients that are refused until the same moment over the time after it. */
+  private spreadRetry(leftMs: number): number {
     const { minRetrySpreadMs, retrySpreadShare } = this.context.settings;
-    const leftMs = endsAt - now;
     const spreadMs = Math.max(minRetrySpreadMs, leftMs * retrySpreadShare);
     const jitter = hash32(this.request.fields.id) / 2 ** 32;
-    const retryAfterMs = leftMs + jitter * spreadMs;
-    return { kind: 'refused', reason: 'all endpoints ask for a pause', retryAfterMs };
+    return Math.max(0, leftMs) + jitter * spreadMs;
   }
 
   /**
@@ -165,11 +249,23 @@
     const answer = await this.context.waker.wake(loadRequest);
     if (answer.isOk()) return undefined;
     const { kind, message, retryAfterMs } = answer.error;
+    // The request has a permit for an engine that limits its requests and is served there.
+    if (this.permitWait.usableAt !== undefined) return undefined;
     // Without a controller, the request waits for the next one for a part of its time only.
     const waitedMs = now - arrivedAt;
     const maxWaitMs = this.context.settings.noControllerWaitShare * (firstByteDeadline - arrivedAt);
     if (kind === 'no_controller' && waitedMs < maxWaitMs) return undefined;
-    return { kind: 'refused', reason: message, retryAfterMs };
+    const { retryAt } = this.permitWait;
+    return retryAt !== undefined && retryAt - now < retryAfterMs
+      ? this.refuseForLimit(retryAt, now)
+      : { kind: 'refused', reason: message, retryAfterMs };
+  }
+
+  /** Waits for a change of the endpoints, the time of the permit, or until `until`. */
+  private awaitChange(until: number): Promise<void> {
+    const { usableAt = Infinity } = this.permitWait;
+    const endsAt = Math.min(until, usableAt, this.request.firstByteDeadline);
+    return this.changed(endsAt - this.context.clock.now());
   }
 
   private async changed(longestMs: number): Promise<void> {
--- a/packages/request/forward/src/endpoint-signals.ts
+++ b/packages/request/forward/src/endpoint-signals.ts
@@ -1,5 +1,5 @@
 import type { Clock, Telemetry } from '@currantdrift/core';
-import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
+import type { EndpointDirectory, EndpointRecord, LimitReport } from '@currantdrift/fleet';
 import type { Head } from '@currantdrift/http';
 import type { EndpointProtocol, StatedLimit } from './endpoint-protocol';
 
@@ -44,6 +44,14 @@
     if (pauseMs !== undefined) this.recordPause(record, pauseMs);
   }
 
+  /** Applies limits that another member reported; `source` is its host or address. */
+  applyReports(reports: readonly LimitReport[], source: string): void {
+    const { clock, directory, telemetry } = this.options;
+    directory.limits.merge(reports, clock.now()).forEach(({ endpoint, ratePerS }) => {
+      telemetry.log('endpoint.limit', { endpoint, ratePerS: ratePerS ?? undefined, source });
+    });
+  }
+
   private leaving(record: EndpointRecord): void {
     const { directory, telemetry, onLeaving } = this.options;
     if (!directory.markLeaving(record.id, record.bornAt)) return;
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -3,6 +3,7 @@
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { HttpClient } from '@currantdrift/http';
 import type { Configuration } from '@currantdrift/routes';
+import type { RequestPermits } from '@currantdrift/rate-limit';
 import type { PredictiveBalancer } from '@currantdrift/routing';
 import type { EndpointProtocol } from './endpoint-protocol';
 import type { EndpointSignals } from './endpoint-signals';
@@ -20,6 +21,8 @@
   readonly signals: EndpointSignals;
   readonly balancer: PredictiveBalancer;
   readonly usage: ModelUsage;
+  /** Permits for requests to endpoints that limit their requests. */
+  readonly permits: RequestPermits;
   readonly waker: ModelWaker;
   /**
    * Aborted when the process begins to shut down: requests that still wait for an endpoint are
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -106,6 +106,7 @@
       service: this.request.service,
       candidates: found.candidates,
       limitPerS,
+      permit: found.permit,
       inventoryAgeMs: inventoryAgeMs === undefined ? undefined : Math.round(inventoryAgeMs),
       predictedMs: Math.round(place.predictedMs),
       inFlight: this.context.balancer.inFlight(record.id),
--- a/packages/request/forward/test/endpoint-signals.test.ts
+++ b/packages/request/forward/test/endpoint-signals.test.ts
@@ -129,4 +129,68 @@
     await calls('/unsafe/', 2);
     expect(harness.directory.limits.rate({ id: 'e1', bornAt: 1 })).toBe(2);
   });
+
+  const limited = (text: string, rate: number) => whole(200, text, `Limit: ${rate}\r\n`);
+
+  // Guards against requests to a limited endpoint while another one can serve them.
+  test('gets no request while another endpoint can serve it', async () => {
+    harness = await ForwardHarness.create(
+      answering(limited('slow', 1)),
+      answering(whole(200, 'ok')),
+    );
+    harness.directory.limits.observe({ id: 'e1', bornAt: 1 }, 1, 0, 1);
+    const seen = await calls('/unsafe/', 20);
+    expect(seen.map(({ status }) => status)).toEqual(Array(20).fill(200));
+    expect(harness.arrivals[0]).toBe(0);
+  });
+
+  // Guards against a limit that each process keeps to by itself.
+  test('gets no more requests from two processes than it takes from all', async () => {
+    harness = await ForwardHarness.create(answering(limited('ok', 4)));
+    const other = await ForwardHarness.create();
+    other.issuer = harness.issuer;
+    other.directory.put(harness.endpoint(0).record());
+    const endsAt = Date.now() + 2_000;
+    const callUntilEnd = async ({ call }: { call: () => Promise<unknown> }) => {
+      while (Date.now() < endsAt) await call();
+    };
+    await Promise.all(
+      [harness, other, harness, other].map((one) =>
+        callUntilEnd({ call: () => one.call('/short/') }),
+      ),
+    );
+    other.close();
+    expect(harness.arrivals[0]).toBeGreaterThanOrEqual(6);
+    // The first request of each caller is sent before a limit is known.
+    expect(harness.arrivals[0]).toBeLessThanOrEqual(2 * 4 + 4);
+  });
+
+  // Guards against a request that is refused although a permit comes in time.
+  test('serves a request that can wait for its permit', async () => {
+    harness = await ForwardHarness.create(answering(limited('ok', 4)));
+    const seen = await calls('/unsafe/', 4);
+    expect(seen.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+    expect(seen[3].elapsedMs).toBeGreaterThan(150);
+  });
+
+  // Guards against requests that wait until their deadline although no permit can come in time.
+  test('refuses at once what cannot wait, and tells when to come back', async () => {
+    harness = await ForwardHarness.create(answering(limited('ok', 0.5)));
+    const [, , refused] = await calls('/short/', 3);
+    expect(refused.status).toBe(503);
+    expect(refused.elapsedMs).toBeLessThan(100);
+    expect(Number(refused.retryAfter)).toBeGreaterThan(2);
+    expect(harness.arrivals).toEqual([2]);
+  });
+
+  // Guards against requests that stay restricted after the endpoint has ended its limit.
+  test('is used as before once its answers state no limit', async () => {
+    const answers = [limited('ok', 4)];
+    harness = await ForwardHarness.create((socket) => {
+      socket.end(answers.shift() ?? whole(200, 'ok'));
+    });
+    const seen = await calls('/unsafe/', 10);
+    expect(seen.every(({ status }) => status === 200)).toBe(true);
+    expect(harness.arrivals).toEqual([10]);
+  });
 });
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -6,6 +6,7 @@
 import { EndpointDirectory, type EndpointRecord, type LoadedModel } from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
 import { type Configuration, RequestKind, type Route } from '@currantdrift/routes';
+import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
 import {
@@ -177,6 +178,9 @@
   /** The controller's answer for a model that no endpoint holds. */
   wake: () => Result<number, WakeRefusal> = () => ok(0);
 
+  /** Issues permits for endpoints that limit their requests; forwarders may share one. */
+  issuer = PermitIssuer.create(defaultRateLimitSettings);
+
   private requestCount = 0;
 
   private constructor(
@@ -268,7 +272,18 @@
     const telemetry = NoopTelemetry.create();
     const { directory } = this;
     const onLeaving = ({ id }: EndpointRecord) => this.leaving.push(id);
+    const permits = MemberPermits.create({
+      clock,
+      random: SeededRandom.create(1),
+      settings: defaultRateLimitSettings,
+      issuer: {
+        ask: async (candidates, maxWaitMs) =>
+          this.issuer.acquire(candidates, maxWaitMs, clock.now()),
+      },
+      members: () => 1,
+    });
     return Forwarder.create({
+      permits,
       clock,
       telemetry,
       signals: EndpointSignals.create({ clock, telemetry, protocol, directory, onLeaving }),
--- a/packages/version/fleet/src/endpoint-limits.ts
+++ b/packages/version/fleet/src/endpoint-limits.ts
@@ -34,6 +34,9 @@
 export class EndpointLimits {
   private readonly facts = new Map<string, LimitFact>();
 
+  /** Endpoints of which this member knows something that the others may not know. */
+  private readonly unreported = new Set<string>();
+
   private constructor(private readonly onChange: () => void) {}
 
   /** `onChange` is called after a limit was stated, changed or ended. */
@@ -61,16 +64,24 @@
     if (known === undefined && ratePerS === undefined) return false;
     const isConcurrent = known !== undefined && sentAt < known.learntAt;
     if (isConcurrent && !EndpointLimits.isLower(ratePerS, known.ratePerS)) return false;
-    return this.set(endpoint, ratePerS, now);
+    const isChanged = this.set(endpoint, ratePerS, now);
+    if (isChanged) this.unreported.add(endpoint.id);
+    return isChanged;
   }
 
-  /** Applies what another member reported, unless something newer is known. */
-  merge(reports: readonly LimitReport[], now: number): void {
-    reports.forEach(({ endpoint: id, bornAt, ratePerS, ageMs }) => {
+  /**
+   * Applies what another member reported, unless something newer is known. Returns the reports that
+   * changed a limit.
+   */
+  merge(reports: readonly LimitReport[], now: number): LimitReport[] {
+    return reports.filter(({ endpoint: id, bornAt, ratePerS, ageMs }) => {
       const known = this.factOf({ id, bornAt });
       const learntAt = now - Math.max(0, ageMs);
-      if (known !== undefined && learntAt <= known.learntAt) return;
-      this.set({ id, bornAt }, ratePerS ?? undefined, learntAt);
+      if (known !== undefined && learntAt <= known.learntAt) {
+        if (known.ratePerS !== (ratePerS ?? undefined)) this.unreported.add(id);
+        return false;
+      }
+      return this.set({ id, bornAt }, ratePerS ?? undefined, learntAt);
     });
   }
 
@@ -81,12 +92,25 @@
         ([, { ratePerS, learntAt }]) =>
           ratePerS !== undefined || now - learntAt < endedLimitLifetimeMs,
       )
-      .map(([endpoint, { bornAt, ratePerS, learntAt }]) => ({
-        endpoint,
-        bornAt,
-        ratePerS: ratePerS ?? null,
-        ageMs: now - learntAt,
-      }));
+      .map(([endpoint, fact]) => EndpointLimits.toReport(endpoint, fact, now));
+  }
+
+  /** Returns what was learnt from answers since the last call, or what a member's report missed. */
+  takeUnreported(now: number): LimitReport[] {
+    const ids = [...this.unreported];
+    this.unreported.clear();
+    return ids.flatMap((id) => {
+      const fact = this.facts.get(id);
+      return fact === undefined ? [] : [EndpointLimits.toReport(id, fact, now)];
+    });
+  }
+
+  private static toReport(
+    endpoint: string,
+    { bornAt, ratePerS, learntAt }: LimitFact,
+    now: number,
+  ): LimitReport {
+    return { endpoint, bornAt, ratePerS: ratePerS ?? null, ageMs: now - learntAt };
   }
 
   /** What is known of this instance or, if that is newer, of a later one. */
--- a/packages/version/fleet/test/endpoint-limits.test.ts
+++ b/packages/version/fleet/test/endpoint-limits.test.ts
@@ -71,6 +71,17 @@
     expect(limits.rate(e1)).toBe(2);
   });
 
+  // Guards against a controller that goes on announcing a limit after its end.
+  test('what a report misses is told again', () => {
+    limits.observe(e1, 2, 0, 10);
+    limits.observe(e1, undefined, 20, 30);
+    expect(limits.takeUnreported(40)).toMatchObject([{ ratePerS: null, ageMs: 10 }]);
+    limits.merge([{ endpoint: 'e1', bornAt: 1, ratePerS: null, ageMs: 90 }], 100);
+    expect(limits.takeUnreported(100)).toEqual([]);
+    limits.merge([{ endpoint: 'e1', bornAt: 1, ratePerS: 2, ageMs: 90 }], 110);
+    expect(limits.takeUnreported(110)).toMatchObject([{ ratePerS: null, ageMs: 80 }]);
+  });
+
   test('the end of a limit is reported for some seconds only', () => {
     limits.observe(e1, 2, 0, 10);
     limits.observe(e1, undefined, 20, 30);
--- a/packages/version/residency/src/engine-view.ts
+++ b/packages/version/residency/src/engine-view.ts
@@ -32,6 +32,8 @@
   readonly adapterLoads: ReadonlySet<string>;
   /** Requests in flight by model and by `model/adapter`, summed over all daemons. */
   readonly inFlight: ReadonlyMap<string, number>;
+  /** Requests per second that it takes from all daemons together; undefined if it has no limit. */
+  readonly requestLimitPerS: number | undefined;
 }
 
 /** Key of an adapter in `EngineView.inFlight`. */
--- a/packages/version/residency/test/plan-input.ts
+++ b/packages/version/residency/test/plan-input.ts
@@ -39,6 +39,7 @@
   copies: { inMemory: [], onDisk: [] },
   operation: undefined,
   adapterLoads: new Set(),
+  requestLimitPerS: undefined,
   inFlight: new Map(),
   ...change,
 });
