Let the planner see what an engine that limits its requests can do

Cause: the planner took a replica on a limited engine for a whole one.

Change: a replica on a limited engine counts for what the limit allows, shared by the engine's models. It makes no other replica a surplus, gets no further replicas or copies, and the orders for a load there cost the time that their permits take. Adapters go to engines without a limit first.

--- a/packages/version/residency/src/evictions.ts
+++ b/packages/version/residency/src/evictions.ts
@@ -8,7 +8,8 @@
   type Victim,
 } from './engine-memory';
 import { type EngineView, loadSource } from './engine-view';
-import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
+import { loadTimeMs, type PlanInput } from './plan-input';
+import { effectiveReplicas, replicaWeight } from './replica-weight';
 import { targetReplicas } from './target-replicas';
 
 const plannerCache = new WeakMap<PlanInput, EvictionPlanner>();
@@ -74,8 +75,8 @@
     if (this.awaitedModels.has(name)) return undefined;
     const { settings, demand, service } = this.input;
     const rate = demand.rate(service, name, this.now);
-    const replicas = fleetIndex(this.input).replicas(name).length;
-    const isSurplus = replicas > targetReplicas(this.input, name, this.now);
+    const others = effectiveReplicas(this.input, name) - replicaWeight(this.input, engine);
+    const isSurplus = others >= targetReplicas(this.input, name, this.now);
     // Running requests finish before the unload, and new requests go to the other replicas.
     if (isSurplus) return rate + (this.isInUse(engine, name) ? settings.expectedRunMs : 0);
     return this.isInUse(engine, name) ? undefined : this.reloadCostMs(engine, name);
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -3,6 +3,11 @@
 import { EvictionPlanner } from './evictions';
 import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
 
+const msPerSecond = 1_000;
+
+/** Lowest request limit that is told apart in costs, in requests per second. */
+const minRequestLimitPerS = 0.1;
+
 /** A candidate engine for loading a model now, with its costs. */
 export interface LoadOption {
   readonly engine: EngineView;
@@ -39,6 +44,15 @@
   ).length;
 };
 
+/** Calls to an engine for a load: the order itself and the confirmation that it is done. */
+const callsPerLoad = 2;
+
+/** Time that the calls for a load and its unloads take at an engine that limits its requests, in ms. */
+const orderMs = ({ requestLimitPerS }: EngineView, unloads: number): number =>
+  requestLimitPerS === undefined
+    ? 0
+    : ((callsPerLoad + unloads) * msPerSecond) / Math.max(requestLimitPerS, minRequestLimitPerS);
+
 /** An engine without an operation in progress. */
 interface AvailableEngine {
   readonly engine: EngineView;
@@ -95,7 +109,7 @@
     // During the load, the models whose only copy is on this engine cannot be loaded anywhere else.
     const soleMs = sole * loadMs * this.input.settings.soleCopyCostRatio;
     const { victims, costMs: evictionMs } = eviction;
-    const costMs = loadMs + evictionMs + busyMs + soleMs;
+    const costMs = loadMs + evictionMs + busyMs + soleMs + orderMs(engine, victims.length);
     return { engine, source, loadMs, victims, evictionMs, costMs };
   }
 }
--- a/packages/version/residency/src/needed-models.ts
+++ b/packages/version/residency/src/needed-models.ts
@@ -1,7 +1,8 @@
 import type { Model } from '@currantdrift/routes';
 import type { WaitingRequest } from './demand';
-import { loadSource } from './engine-view';
+import { hasLoadedModel, loadSource } from './engine-view';
 import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
+import { isServed } from './replica-weight';
 
 /**
  * Shortest time until an engine with a copy could have the model ready, in ms, including the wait for
@@ -10,6 +11,8 @@
 export const readyMsFromCopy = (input: PlanInput, model: Model, now: number): number | undefined =>
   fleetIndex(input)
     .enginesWithCopy(model.name)
+    // A replica on an engine that limits its requests is no help, and cannot be loaded there again.
+    .filter((engine) => !hasLoadedModel(engine, model.name))
     .map((engine) => {
       const occupiedMs = Math.max(0, (engine.operation?.endsAt ?? now) - now);
       return occupiedMs + loadTimeMs(model, loadSource(engine, model.name));
@@ -50,7 +53,7 @@
 };
 
 /**
- * Models that requests wait for and that no engine has loaded or is loading. Models whose requests can
+ * Models that requests wait for, that no engine is loading and whose replicas cannot serve them. Models whose requests can
  * still be on time go first: when more models are requested than engines can load, serving the oldest
  * request first would make every response late.
  */
@@ -63,7 +66,7 @@
     .filter((one) => one.service === service)
     .forEach((one) => byModel.set(one.model, [...(byModel.get(one.model) ?? []), one]));
   return [...byModel.entries()]
-    .filter(([name]) => fleet.replicas(name).length === 0 && fleet.loading(name) === 0)
+    .filter(([name]) => !isServed(input, name, now) && fleet.loading(name) === 0)
     .flatMap(([name, waiting]) => {
       const model = pool.models.get(name);
       return model === undefined ? [] : [assessNeed(input, model, waiting, now)];
--- a/packages/version/residency/src/plan-adapter.ts
+++ b/packages/version/residency/src/plan-adapter.ts
@@ -1,6 +1,7 @@
 import { freeMemoryMb } from './engine-memory';
 import { adapterKey, type EngineView } from './engine-view';
 import { type AdapterStep, fleetIndex, type PlanInput } from './plan-input';
+import { replicaWeight } from './replica-weight';
 
 const adapterCount = ({ models, unloading, adapterLoads }: EngineView): number =>
   [...models, ...unloading].reduce((sum, { adapters }) => sum + adapters.length, 0) +
@@ -40,7 +41,12 @@
       return { engine, count, unload: idle.slice(0, excess), fits };
     })
     .filter(({ fits }) => fits)
-    .sort((a, b) => a.unload.length - b.unload.length || a.count - b.count);
+    .sort(
+      (a, b) =>
+        replicaWeight(input, b.engine) - replicaWeight(input, a.engine) ||
+        a.unload.length - b.unload.length ||
+        a.count - b.count,
+    );
   const [best] = options;
   if (best === undefined) return undefined;
   const { engine, unload } = best;
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -3,6 +3,7 @@
 import { cheapest, type LoadOption, LoadOptions } from './load-options';
 import { neededModels, readyMsFromCopy } from './needed-models';
 import { fleetIndex, LoadReason, type LoadStep, type PlanInput } from './plan-input';
+import { effectiveReplicas } from './replica-weight';
 import { targetReplicas } from './target-replicas';
 
 const loadStep = (option: LoadOption, model: Model, reason: LoadReason): LoadStep => ({
@@ -73,7 +74,7 @@
     .sort((a, b) => b.rate - a.rate)
     .flatMap(({ model }) => model ?? []);
   return firstStep(busy, (model) => {
-    const replicas = fleet.replicas(model.name).length;
+    const replicas = effectiveReplicas(input, model.name);
     const missing = targetReplicas(input, model.name, now) - replicas;
     const loading = fleet.loading(model.name);
     if (replicas === 0 || missing <= loading) return undefined;
@@ -81,8 +82,10 @@
     const allowed = options
       .forModel(model)
       .filter(
-        ({ source, evictionMs }) =>
-          (remoteAllowed || source !== LoadSource.remote) && evictionMs < maxEvictionMs,
+        ({ engine, source, evictionMs }) =>
+          engine.requestLimitPerS === undefined &&
+          (remoteAllowed || source !== LoadSource.remote) &&
+          evictionMs < maxEvictionMs,
       );
     const option = cheapest(allowed);
     return option && loadStep(option, model, LoadReason.busy);
@@ -100,7 +103,10 @@
     .map((model) => ({ model, rate: demand.rate(service, model.name, now) }))
     .sort((a, b) => b.rate - a.rate);
   if (missing === undefined) return undefined;
-  const option = cheapest(options.forModel(missing.model));
+  const unlimited = options
+    .forModel(missing.model)
+    .filter(({ engine }) => engine.requestLimitPerS === undefined);
+  const option = cheapest(unlimited);
   if (option === undefined || option.evictionMs > settings.maxCopyEvictionMs) {
     return undefined;
   }
--- a/packages/version/residency/src/ready-estimate.ts
+++ b/packages/version/residency/src/ready-estimate.ts
@@ -1,6 +1,7 @@
 import type { EngineView } from './engine-view';
 import { neededModels, readyMsFromCopy } from './needed-models';
 import { fleetIndex, type PlanInput } from './plan-input';
+import { isServed } from './replica-weight';
 
 /** Assumed remaining time of a load that is past its expected end, in ms. */
 const overdueLoadMs = 300;
@@ -24,7 +25,7 @@
   const model = pool.models.get(name);
   if (model === undefined) return undefined;
   const replicas = fleetIndex(input).replicas(name);
-  if (replicas.length > 0) return adapter === undefined ? 0 : adapterReadyMs(replicas, now);
+  if (isServed(input, name, now)) return adapter === undefined ? 0 : adapterReadyMs(replicas, now);
   const loading = engines.find(
     ({ operation }) => operation?.kind === 'load' && operation.model === name,
   );
--- /dev/null
+++ b/packages/version/residency/test/request-limits.test.ts
@@ -0,0 +1,97 @@
+import { Demand, estimateReadyMs, planAdapter, planLoad } from '../src';
+import { addWaitingRequest, engine, loaded, loadMs, planInput } from './plan-input';
+
+const onDisk = (...models: string[]) => ({ inMemory: [], onDisk: models });
+
+/** Demand with a number of arrivals per second for a model. */
+const busyDemand = (model: string, ratePerS: number): Demand => {
+  const demand = Demand.create();
+  for (let at = 0; at <= 20_000; at += 500) {
+    demand.recordArrivals('s', model, ratePerS / 2, at);
+  }
+  return demand;
+};
+
+const now = 20_000;
+
+describe('an engine that limits its requests', () => {
+  // Guards against requests that wait for a limited engine while others could load the model.
+  test('does not count as a replica of a model with more arrivals than it takes', () => {
+    const demand = busyDemand('a', 2);
+    addWaitingRequest(demand, 'a', { now, deadline: now + 10_000 });
+    const engines = [
+      engine('e1', { models: loaded('a'), copies: onDisk('a'), requestLimitPerS: 1 }),
+      engine('e2', { copies: onDisk('a') }),
+    ];
+    const input = planInput(engines, ['a'], { demand });
+    expect(planLoad(input, now)).toMatchObject({ engine: 'e2', model: 'a' });
+    expect(estimateReadyMs(input, 'a', undefined, now)).toBe(loadMs.disk);
+  });
+
+  // Guards against copies of rarely used models that are loaded for nothing.
+  test('serves a model with fewer arrivals than it takes', () => {
+    const demand = busyDemand('a', 0.1);
+    addWaitingRequest(demand, 'a', { now, deadline: now + 10_000 });
+    const engines = [
+      engine('e1', { models: loaded('a'), copies: onDisk('a'), requestLimitPerS: 1 }),
+      engine('e2', { copies: onDisk('a') }),
+    ];
+    const input = planInput(engines, ['a'], { demand });
+    expect(planLoad(input, now)).toBeUndefined();
+    expect(estimateReadyMs(input, 'a', undefined, now)).toBe(0);
+  });
+
+  // Guards against replicas of busy models on engines that cannot use them.
+  test('gets no further replica of a busy model', () => {
+    const engines = [
+      engine('e1', { models: loaded('a'), copies: onDisk('a') }),
+      engine('e2', { copies: onDisk('a'), requestLimitPerS: 2 }),
+      engine('e3', { copies: onDisk('a') }),
+    ];
+    const input = planInput(engines, ['a'], { demand: busyDemand('a', 3) });
+    expect(planLoad(input, now)).toMatchObject({ engine: 'e3', model: 'a', reason: 'busy' });
+    const [first, limited] = engines;
+    const withoutE3 = planInput([first, limited], ['a'], { demand: busyDemand('a', 3) });
+    expect(planLoad(withoutE3, now)).toBeUndefined();
+  });
+
+  // Guards against the unload of the last replica that serves a model, for one that hardly does.
+  test('does not make the replica of another engine a surplus', () => {
+    const demand = busyDemand('a', 0.4);
+    addWaitingRequest(demand, 'd', { now, deadline: now + 10_000 });
+    const full = engine('e1', {
+      models: loaded('a', 'b', 'c'),
+      copies: onDisk('a', 'b', 'c', 'd'),
+    });
+    const limited = engine('e2', { models: loaded('a'), requestLimitPerS: 1 });
+    const names = ['a', 'b', 'c', 'd'];
+    const planned = (other: typeof limited) =>
+      planLoad(planInput([full, other], names, { demand }), now);
+    expect(planned(limited)).toMatchObject({ engine: 'e1', model: 'd', unload: ['b'] });
+  });
+
+  // Guards against orders that use up what the engine takes.
+  test('loads a model that requests wait for only if the others are much slower', () => {
+    const demand = Demand.create();
+    addWaitingRequest(demand, 'a', { now, deadline: now + 20_000 });
+    const limitedTo = (requestLimitPerS: number) =>
+      planLoad(
+        planInput([engine('e1', { copies: onDisk('a'), requestLimitPerS }), engine('e2')], ['a'], {
+          demand,
+        }),
+        now,
+      );
+    expect(limitedTo(20)).toMatchObject({ engine: 'e1' });
+    expect(limitedTo(0.2)).toBeUndefined();
+  });
+
+  test('loads an adapter only if no other replica can', () => {
+    const demand = Demand.create();
+    addWaitingRequest(demand, 'a', { adapter: 'n1', now, deadline: now + 10_000 });
+    const engines = [
+      engine('e1', { models: loaded('a'), requestLimitPerS: 1 }),
+      engine('e2', { models: loaded('a') }),
+    ];
+    expect(planAdapter(planInput(engines, ['a'], { demand }), now)).toMatchObject({ engine: 'e2' });
+  });
+});
