Load models elsewhere when limited engines leave no place in time

Cause: a request whose permit was refused, for a model that the planner held for served, asked again every 400 ms until its deadline. An order that was not sent for want of a permit was followed by a report, which needs a permit too.

Change: a request says when it finds no place at limited engines in time; its model then counts as not served, so that another engine loads it, or the request is refused at once. A permit in time for the first-byte target asks for no load. Replicas on limited engines count for 0.6 of the limit, since random arrivals near the limit wait. Unsent orders are tried again without a report. The controller hands out 0.9 of a limit, the members share 0.1 (0.8 and 0.2).

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -66,6 +66,7 @@
   timeLeftMs: z.number(),
   onTimeLeftMs: z.number(),
   priority: z.number(),
+  limited: z.boolean().default(false),
   request: z.string(),
   unreachable: z.array(z.string()),
 });
--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -137,7 +137,7 @@
       };
     }
     want.unreachable.forEach((id) => this.managedEngines.get(id)?.probe());
-    const readyInMs = estimateReadyMs(planInput, want.model, want.adapter, now);
+    const readyInMs = estimateReadyMs(planInput, want, now);
     if (readyInMs === undefined) {
       return {
         kind: 'refused',
@@ -156,6 +156,7 @@
       deadline: now + (refused ? readyInMs + settings.firstByteMs : want.timeLeftMs),
       onTimeDeadline: now + want.onTimeLeftMs - settings.firstByteMs,
       priority: want.priority,
+      limited: want.limited,
       lastSeenAt: now,
       refused,
     });
@@ -182,6 +183,7 @@
       occupied: engines.filter(({ operation }) => operation !== undefined).length,
       remoteLoads,
       remoteCapacity,
+      limited: want.limited,
       readyInMs: Math.round(readyInMs),
       timeLeftMs: Math.round(want.timeLeftMs),
       onTimeLeftMs: Math.round(want.onTimeLeftMs),
--- a/packages/process/gateway/src/process/engine-order-queue.ts
+++ b/packages/process/gateway/src/process/engine-order-queue.ts
@@ -1,4 +1,4 @@
-import { type Clock, describeFailure, type Telemetry } from '@currantdrift/core';
+import { type Clock, describeFailure, FailureKind, type Telemetry } from '@currantdrift/core';
 import type { EndpointRecord, EngineReport } from '@currantdrift/fleet';
 import { type EngineControl, type EngineOrder, OrderResponse } from '../connection/engine-control';
 import type { UnloadDelayEstimator } from './unload-delay-estimator';
@@ -20,6 +20,9 @@
 const pollMs = 120;
 const maxPolls = 400;
 
+/** An order that was not sent, because the engine takes no calls of this process now. */
+const unsent = 'unsent';
+
 /** Outcome of an order. */
 export const OrderOutcome = {
   /** The engine has accepted the order and is executing it. */
@@ -149,23 +152,27 @@
         if (response === OrderResponse.accepted || isUnloaded) this.recordAccepted(orderCount);
         return OrderOutcome.accepted;
       }
-      if (response !== undefined && response !== OrderResponse.conflict)
-        return OrderOutcome.abandoned;
+      const isRetried =
+        response === undefined || response === unsent || response === OrderResponse.conflict;
+      if (!isRetried) return OrderOutcome.abandoned;
       // A conflict in the first attempts usually means that the previous order is still in progress.
       const isEarly = response === OrderResponse.conflict && tries <= earlyRetries;
-      const outcome = isEarly ? undefined : await this.resolveUnclearResponse(request, orderCount);
+      const isUnclear = !isEarly && response !== unsent;
+      const outcome = isUnclear
+        ? await this.resolveUnclearResponse(request, orderCount)
+        : undefined;
       if (outcome !== undefined) return outcome;
       await clock.sleep(isEarly ? earlyRetryMs : retryMs);
     }
     return OrderOutcome.abandoned;
   }
 
-  /** Sends an order once; undefined if there was no response. */
+  /** Sends an order once; undefined if there was no response, `unsent` if it was not sent. */
   private async sendOnce(
     { kind, model, adapter }: OrderRequest,
     orderCount: number,
     tries: number,
-  ): Promise<OrderResponse | undefined> {
+  ): Promise<OrderResponse | typeof unsent | undefined> {
     const { clock, control, telemetry, holder, fence, mayOrder, record } = this.options;
     const order: EngineOrder = { kind, model, adapter, orderCount, holder, fence };
     this.sentAt = clock.now();
@@ -176,7 +183,8 @@
       tries,
       outcome: response.isOk() ? response.value : describeFailure(response.error),
     });
-    return response.isOk() ? response.value : undefined;
+    if (response.isOk()) return response.value;
+    return response.error.kind === FailureKind.refused ? unsent : undefined;
   }
 
   /** Updates the order count after the engine has accepted an order. */
@@ -193,7 +201,11 @@
   }
 
   /** Updates the unload delay estimate from the first response after an unload. */
-  private recordUnload({ kind, adapter }: OrderRequest, response: OrderResponse | undefined): void {
+  private recordUnload(
+    { kind, adapter }: OrderRequest,
+    response: OrderResponse | typeof unsent | undefined,
+  ): void {
+    if (response === unsent) return;
     const now = this.options.clock.now();
     if (this.unloadedAt !== undefined && response !== undefined) {
       this.options.unloads.observe(response === OrderResponse.conflict, now - this.unloadedAt);
--- a/packages/process/gateway/test/limit-aware-engine-control.test.ts
+++ b/packages/process/gateway/test/limit-aware-engine-control.test.ts
@@ -6,6 +6,8 @@
 import { type EngineOrder, OrderResponse } from '../src/connection/engine-control';
 import { LimitAwareEngineControl } from '../src/connection/limit-aware-engine-control';
 
+const settings = { ...defaultRateLimitSettings, issuedShare: 0.8, memberShare: 0.2 };
+
 const report: EngineReport = {
   bornAt: 1,
   models: [],
@@ -27,7 +29,7 @@
   const clock = VirtualClock.create();
   const limits = EndpointLimits.create(() => {});
   const calls: number[] = [];
-  const issuer = PermitIssuer.create(defaultRateLimitSettings);
+  const issuer = PermitIssuer.create(settings);
   const control = LimitAwareEngineControl.create({
     control: {
       report: async () => {
@@ -43,7 +45,7 @@
     permits: MemberPermits.create({
       clock,
       random: SeededRandom.create(1),
-      settings: defaultRateLimitSettings,
+      settings,
       issuer: {
         ask: async (candidates, maxWaitMs) => issuer.acquire(candidates, maxWaitMs, clock.now()),
       },
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -75,7 +75,7 @@
       }
       const permitted = await this.tryPermit(tried, now);
       if (permitted !== undefined) return permitted;
-      if (now >= nextRequestAt) {
+      if (now >= nextRequestAt && !this.isPermittedOnTime()) {
         const refusal = await this.requestLoad(clock.now());
         if (refusal !== undefined) return refusal;
         nextRequestAt = clock.now() + settings.loadRequestIntervalMs;
@@ -181,6 +181,13 @@
     return undefined;
   }
 
+  /** Whether the request has a permit with which it meets the first-byte target of its route. */
+  private isPermittedOnTime(): boolean {
+    const { arrivedAt, route } = this.request;
+    const { usableAt = Infinity } = this.permitWait;
+    return usableAt < arrivedAt + route.firstByteTargetMs;
+  }
+
   private limitedEndpoints(tried: ReadonlySet<string>, now: number): readonly EndpointRecord[] {
     const { directory } = this.context;
     const limited = this.reachableEndpoints(now).filter(
@@ -243,6 +250,7 @@
       timeLeftMs,
       onTimeLeftMs,
       priority,
+      limited: this.permitWait.isWaiting,
       request: id,
       unreachable,
     };
--- a/packages/request/forward/src/permit-wait.ts
+++ b/packages/request/forward/src/permit-wait.ts
@@ -35,6 +35,11 @@
     return this.refusedUntil;
   }
 
+  /** Whether only endpoints that limit their requests can serve the request. */
+  get isWaiting(): boolean {
+    return this.permit !== undefined || this.refusedUntil !== undefined;
+  }
+
   /** Forgets what was decided before, since an endpoint without a limit can serve the request. */
   clear(): void {
     this.permit = undefined;
--- a/packages/request/forward/src/waker.ts
+++ b/packages/request/forward/src/waker.ts
@@ -12,6 +12,8 @@
   readonly onTimeLeftMs: number;
   /** Priority of the request's route; 0 is the most urgent. */
   readonly priority: number;
+  /** Whether engines hold the model, but their request limits leave no place in time. */
+  readonly limited: boolean;
   readonly request: string;
   /** Ids of the engines that hold the model but are unreachable from this process. */
   readonly unreachable: readonly string[];
--- a/packages/request/rate-limit/src/member-share.ts
+++ b/packages/request/rate-limit/src/member-share.ts
@@ -39,8 +39,8 @@
   }
 
   private slotOf(candidate: LimitedEndpoint, members: number, now: number) {
-    const { issuedShare, minRatePerS } = this.settings;
-    const rate = Math.max(candidate.ratePerS, minRatePerS) * (1 - issuedShare);
+    const { memberShare, minRatePerS } = this.settings;
+    const rate = Math.max(candidate.ratePerS, minRatePerS) * memberShare;
     const interval = intervalMs(rate / Math.max(1, members));
     const next = this.schedules.nextAt(candidate, interval, now);
     const isDue = next !== undefined && now <= next + interval;
--- a/packages/request/rate-limit/src/settings.ts
+++ b/packages/request/rate-limit/src/settings.ts
@@ -1,10 +1,12 @@
 /** Parameters of the division of an endpoint's limit among daemons. */
 export interface RateLimitSettings {
+  /** Part of a limit that the issuer hands out. */
+  readonly issuedShare: number;
   /**
-   * Part of a limit that the issuer hands out. The rest is divided among all members for the time in
-   * which they cannot reach the issuer, so that the sum stays within the limit.
+   * Part of a limit that is divided among all members, for the time in which they cannot reach the
+   * issuer. Both parts together must not exceed 1.
    */
-  readonly issuedShare: number;
+  readonly memberShare: number;
   /** Time whose permits may be used at once after a time without calls, in ms. */
   readonly burstMs: number;
   /** Longest time for which a permit is reserved ahead, in ms. */
@@ -17,7 +19,8 @@
 }
 
 export const defaultRateLimitSettings: RateLimitSettings = {
-  issuedShare: 0.8,
+  issuedShare: 0.9,
+  memberShare: 0.1,
   burstMs: 250,
   maxReservationMs: 2_000,
   minRatePerS: 0.1,
--- a/packages/request/rate-limit/test/member-share.test.ts
+++ b/packages/request/rate-limit/test/member-share.test.ts
@@ -1,12 +1,14 @@
 import { SeededRandom } from '@currantdrift/core';
 import { defaultRateLimitSettings, MemberShare } from '../src';
 
+const settings = { ...defaultRateLimitSettings, issuedShare: 0.8, memberShare: 0.2 };
+
 const endpoint = (ratePerS: number) => ({ endpoint: 'e1', bornAt: 1, ratePerS });
 
 /** Times of the calls of members that all ask every 50 ms from the time 0 on. */
 const callTimes = (members: number, ratePerS: number, endsAt: number): number[] => {
   const shares = Array.from({ length: members }, (_, index) =>
-    MemberShare.create(defaultRateLimitSettings, SeededRandom.create(index)),
+    MemberShare.create(settings, SeededRandom.create(index)),
   );
   const times: number[] = [];
   for (let now = 0; now < endsAt; now += 50) {
@@ -39,7 +41,7 @@
 });
 
 test('a refusal gives the time of the next call', () => {
-  const share = MemberShare.create(defaultRateLimitSettings, { next: () => 0.5 });
+  const share = MemberShare.create(settings, { next: () => 0.5 });
   expect(share.acquire([endpoint(1)], 8, 100, 0)).toEqual({
     kind: 'refused',
     retryAfterMs: expect.closeTo(20_000, 3),
--- a/packages/request/rate-limit/test/permit-issuer.test.ts
+++ b/packages/request/rate-limit/test/permit-issuer.test.ts
@@ -1,12 +1,14 @@
 import { defaultRateLimitSettings, type LimitedEndpoint, PermitIssuer } from '../src';
 
+const settings = { ...defaultRateLimitSettings, issuedShare: 0.8, memberShare: 0.2 };
+
 const e1 = (ratePerS: number, bornAt = 1): LimitedEndpoint => ({
   endpoint: 'e1',
   bornAt,
   ratePerS,
 });
 
-const create = () => PermitIssuer.create(defaultRateLimitSettings);
+const create = () => PermitIssuer.create(settings);
 
 /** Times of the calls that are permitted when one is asked for every `periodMs`. */
 const callTimes = (
--- a/packages/version/residency/src/demand.ts
+++ b/packages/version/residency/src/demand.ts
@@ -9,6 +9,8 @@
   /** Latest time at which the model can become ready for an on-time response, in ms. */
   readonly onTimeDeadline: number;
   readonly priority: number;
+  /** Whether engines hold the model, but their request limits leave no place in time. */
+  readonly limited: boolean;
   /** Time of the last message that reported the request as still waiting. */
   readonly lastSeenAt: number;
   /** True if the client was told to retry later. */
--- a/packages/version/residency/src/index.ts
+++ b/packages/version/residency/src/index.ts
@@ -7,7 +7,7 @@
   LoadSource,
   loadSource,
 } from './engine-view';
-export { estimateReadyMs } from './ready-estimate';
+export { estimateReadyMs, type NeededReplica } from './ready-estimate';
 export { planAdapter } from './plan-adapter';
 export { planLoad } from './plan-load';
 export { defaultResidencySettings, type ResidencySettings } from './residency-settings';
--- a/packages/version/residency/src/ready-estimate.ts
+++ b/packages/version/residency/src/ready-estimate.ts
@@ -10,6 +10,14 @@
 const adapterReadyMs = (replicas: readonly EngineView[], now: number): number =>
   Math.min(...replicas.map(({ operation }) => Math.max(0, (operation?.endsAt ?? now) - now)));
 
+/** The model, and optionally the adapter, that a request needs. */
+export interface NeededReplica {
+  readonly model: string;
+  readonly adapter: string | undefined;
+  /** Whether engines hold the model, but their request limits leave no place in time. */
+  readonly limited: boolean;
+}
+
 /**
  * Time until a model is expected to be ready, in ms; undefined if it is not in the configuration.
  * When more models without a local copy are requested than the weight store can load at once, the
@@ -17,15 +25,15 @@
  */
 export const estimateReadyMs = (
   input: PlanInput,
-  name: string,
-  adapter: string | undefined,
+  { model: name, adapter, limited }: NeededReplica,
   now: number,
 ): number | undefined => {
   const { engines, pool } = input;
   const model = pool.models.get(name);
   if (model === undefined) return undefined;
   const replicas = fleetIndex(input).replicas(name);
-  if (isServed(input, name, now)) return adapter === undefined ? 0 : adapterReadyMs(replicas, now);
+  if (!limited && isServed(input, name, now))
+    return adapter === undefined ? 0 : adapterReadyMs(replicas, now);
   const loading = engines.find(
     ({ operation }) => operation?.kind === 'load' && operation.model === name,
   );
--- a/packages/version/residency/src/replica-weight.ts
+++ b/packages/version/residency/src/replica-weight.ts
@@ -10,7 +10,7 @@
   { requestLimitPerS, models }: EngineView,
 ): number => {
   if (requestLimitPerS === undefined) return 1;
-  const limitPerModel = requestLimitPerS / Math.max(1, models.length);
+  const limitPerModel = (requestLimitPerS * settings.limitUtilization) / Math.max(1, models.length);
   return Math.min(1, limitPerModel / settings.arrivalsPerReplica);
 };
 
@@ -27,6 +27,12 @@
 export const isServed = (input: PlanInput, model: string, now: number): boolean => {
   const replicas = effectiveReplicas(input, model);
   if (replicas >= 1) return true;
+  const isLimited = input.demand
+    .current(now)
+    .some(
+      ({ service, model: name, limited }) => limited && service === input.service && name === model,
+    );
+  if (isLimited) return false;
   const rate = input.demand.rate(input.service, model, now);
   return replicas > 0 && replicas >= rate / input.settings.arrivalsPerReplica;
 };
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -14,6 +14,8 @@
   /** Requests in flight, and arrivals per second, that one replica should serve. */
   readonly requestsPerReplica: number;
   readonly arrivalsPerReplica: number;
+  /** Part of an engine's request limit up to which random arrivals hardly wait for their turn. */
+  readonly limitUtilization: number;
   /** Arrivals per second from which a model should have a second replica. */
   readonly secondReplicaRate: number;
   /** Period over which the expected demand for an unloaded model counts as eviction cost, in ms. */
@@ -37,6 +39,7 @@
   soleCopyCostRatio: 0.05,
   requestsPerReplica: 6,
   arrivalsPerReplica: 2,
+  limitUtilization: 0.6,
   secondReplicaRate: 0.5,
   evictionHorizonMs: 10_000,
   expectedRunMs: 1_000,
--- a/packages/version/residency/test/plan-input.ts
+++ b/packages/version/residency/test/plan-input.ts
@@ -72,10 +72,11 @@
     priority?: number;
     deadline?: number;
     onTimeDeadline?: number;
+    limited?: boolean;
   } = {},
 ): void => {
   requestCount += 1;
-  const { now = 0, adapter, priority = 1, deadline = now + 30_000 } = change;
+  const { now = 0, adapter, priority = 1, deadline = now + 30_000, limited = false } = change;
   const { onTimeDeadline = deadline } = change;
   demand.addWaiting({
     request: `r${requestCount}`,
@@ -85,6 +86,7 @@
     deadline,
     onTimeDeadline,
     priority,
+    limited,
     lastSeenAt: now,
     refused: false,
   });
--- a/packages/version/residency/test/plan.test.ts
+++ b/packages/version/residency/test/plan.test.ts
@@ -63,8 +63,10 @@
     ];
     const state = planInput(engines, ['a', 'd'], { demand, remoteLoads: 1 });
     expect(planLoad(state, 0)).toBeUndefined();
-    expect(estimateReadyMs(state, 'd', undefined, 0)).toBe(3_000 + loadMs.disk);
-    expect(estimateReadyMs(state, 'a', undefined, 0)).toBe(0);
+    expect(estimateReadyMs(state, { model: 'd', adapter: undefined, limited: false }, 0)).toBe(
+      3_000 + loadMs.disk,
+    );
+    expect(estimateReadyMs(state, { model: 'a', adapter: undefined, limited: false }, 0)).toBe(0);
   });
 
   // Guards against more concurrent loads than the weight store serves at full speed.
@@ -223,13 +225,14 @@
       engine('e2', { copies: onDisk('c') }),
     ];
     const state = planInput(engines, models, { demand, remoteLoads: 4 });
-    const ready = (model: string) => estimateReadyMs(state, model, undefined, 100);
+    const ready = (model: string) =>
+      estimateReadyMs(state, { model, adapter: undefined, limited: false }, 100);
     expect(ready('a')).toBe(0);
     expect(ready('b')).toBe(400);
     expect(ready('c')).toBe(loadMs.disk);
     expect(ready('f')).toBeGreaterThan(loadMs.remote);
     expect(ready('unknown')).toBeUndefined();
-    expect(estimateReadyMs(state, 'a', 'a1', 100)).toBe(400);
+    expect(estimateReadyMs(state, { model: 'a', adapter: 'a1', limited: false }, 100)).toBe(400);
   });
 });
 
--- a/packages/version/residency/test/request-limits.test.ts
+++ b/packages/version/residency/test/request-limits.test.ts
@@ -25,7 +25,9 @@
     ];
     const input = planInput(engines, ['a'], { demand });
     expect(planLoad(input, now)).toMatchObject({ engine: 'e2', model: 'a' });
-    expect(estimateReadyMs(input, 'a', undefined, now)).toBe(loadMs.disk);
+    expect(estimateReadyMs(input, { model: 'a', adapter: undefined, limited: false }, now)).toBe(
+      loadMs.disk,
+    );
   });
 
   // Guards against copies of rarely used models that are loaded for nothing.
@@ -38,7 +40,21 @@
     ];
     const input = planInput(engines, ['a'], { demand });
     expect(planLoad(input, now)).toBeUndefined();
-    expect(estimateReadyMs(input, 'a', undefined, now)).toBe(0);
+    expect(estimateReadyMs(input, { model: 'a', adapter: undefined, limited: false }, now)).toBe(0);
+  });
+
+  // Guards against requests that wait until their deadline for a replica that has no place for them.
+  test('serves no model whose requests find no place in time', () => {
+    const demand = busyDemand('a', 0.1);
+    addWaitingRequest(demand, 'a', { now, deadline: now + 10_000, limited: true });
+    const engines = [
+      engine('e1', { models: loaded('a'), copies: onDisk('a'), requestLimitPerS: 1 }),
+      engine('e2', { copies: onDisk('a') }),
+    ];
+    const input = planInput(engines, ['a'], { demand });
+    expect(planLoad(input, now)).toMatchObject({ engine: 'e2', reason: 'waiting' });
+    const need = { model: 'a', adapter: undefined, limited: true };
+    expect(estimateReadyMs(input, need, now)).toBe(loadMs.disk);
   });
 
   // Guards against replicas of busy models on engines that cannot use them.
