Order loads at engines that limit their requests only if all engines do

Change: limited engines take loads only if all engines limit their requests; then the time that the orders take counts in costs and estimates.

Ruled out: the planner's weights alone (they keep replicas in proportion, but say nothing of the time of an order).

--- a/packages/process/gateway/src/process/managed-engine.ts
+++ b/packages/process/gateway/src/process/managed-engine.ts
@@ -190,7 +190,7 @@
     this.operation = {
       kind: 'load',
       model: step.model,
-      endsAt: now + step.loadMs + step.unload.length * pollMs,
+      endsAt: now + step.orderMs + step.loadMs + step.unload.length * pollMs,
       remote: step.source === 'remote',
     };
     this.options.onChange();
--- a/packages/process/gateway/test/managed-engine.test.ts
+++ b/packages/process/gateway/test/managed-engine.test.ts
@@ -206,6 +206,7 @@
     unload,
     source: 'disk',
     loadMs: 1_000,
+    orderMs: 0,
     reason: 'waiting',
   }) as const;
 
--- a/packages/version/residency/src/evictions.ts
+++ b/packages/version/residency/src/evictions.ts
@@ -9,7 +9,7 @@
 } from './engine-memory';
 import { type EngineView, loadSource } from './engine-view';
 import { loadTimeMs, type PlanInput } from './plan-input';
-import { effectiveReplicas, replicaWeight } from './replica-weight';
+import { effectiveReplicas, replicaWeight } from './request-limits';
 import { targetReplicas } from './target-replicas';
 
 const plannerCache = new WeakMap<PlanInput, EvictionPlanner>();
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -2,17 +2,15 @@
 import { type EngineView, hasLoadedModel, type LoadSource, loadSource } from './engine-view';
 import { EvictionPlanner } from './evictions';
 import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
-
-const msPerSecond = 1_000;
-
-/** Lowest request limit that is told apart in costs, in requests per second. */
-const minRequestLimitPerS = 0.1;
+import { enginesForLoads, orderTimeMs } from './request-limits';
 
 /** A candidate engine for loading a model now, with its costs. */
 export interface LoadOption {
   readonly engine: EngineView;
   readonly source: LoadSource;
   readonly loadMs: number;
+  /** Time until the load begins, in ms: orders to engines that limit their requests wait. */
+  readonly orderMs: number;
   readonly victims: readonly string[];
   readonly evictionMs: number;
   /** Sum of the load time and the costs of evictions and of disturbing the engine, in ms. */
@@ -44,15 +42,6 @@
   ).length;
 };
 
-/** Calls to an engine for a load: the order itself and the confirmation that it is done. */
-const callsPerLoad = 2;
-
-/** Time that the calls for a load and its unloads take at an engine that limits its requests, in ms. */
-const orderMs = ({ requestLimitPerS }: EngineView, unloads: number): number =>
-  requestLimitPerS === undefined
-    ? 0
-    : ((callsPerLoad + unloads) * msPerSecond) / Math.max(requestLimitPerS, minRequestLimitPerS);
-
 /** An engine without an operation in progress. */
 interface AvailableEngine {
   readonly engine: EngineView;
@@ -72,8 +61,9 @@
     now: number,
   ) {
     this.evictionPlanner = EvictionPlanner.of(input, now);
+    const usable = enginesForLoads(input);
     this.available = input.engines
-      .filter((engine) => !engine.leaving && engine.operation === undefined)
+      .filter((engine) => usable.has(engine) && engine.operation === undefined)
       .map((engine) => ({
         engine,
         // An order delays adapter loads, and a further model competes with busy models for batches.
@@ -109,7 +99,8 @@
     // During the load, the models whose only copy is on this engine cannot be loaded anywhere else.
     const soleMs = sole * loadMs * this.input.settings.soleCopyCostRatio;
     const { victims, costMs: evictionMs } = eviction;
-    const costMs = loadMs + evictionMs + busyMs + soleMs + orderMs(engine, victims.length);
-    return { engine, source, loadMs, victims, evictionMs, costMs };
+    const orderMs = orderTimeMs(engine, victims.length);
+    const costMs = loadMs + orderMs + evictionMs + busyMs + soleMs;
+    return { engine, source, loadMs, orderMs, victims, evictionMs, costMs };
   }
 }
--- a/packages/version/residency/src/plan-adapter.ts
+++ b/packages/version/residency/src/plan-adapter.ts
@@ -1,7 +1,7 @@
 import { freeMemoryMb } from './engine-memory';
 import { adapterKey, type EngineView } from './engine-view';
 import { type AdapterStep, fleetIndex, type PlanInput } from './plan-input';
-import { replicaWeight } from './replica-weight';
+import { replicaWeight } from './request-limits';
 
 const adapterCount = ({ models, unloading, adapterLoads }: EngineView): number =>
   [...models, ...unloading].reduce((sum, { adapters }) => sum + adapters.length, 0) +
--- a/packages/version/residency/src/plan-input.ts
+++ b/packages/version/residency/src/plan-input.ts
@@ -38,6 +38,8 @@
   readonly unload: readonly string[];
   readonly source: LoadSource;
   readonly loadMs: number;
+  /** Expected time until the engine takes the order, in ms. */
+  readonly orderMs: number;
   readonly reason: LoadReason;
 }
 
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -3,7 +3,7 @@
 import { cheapest, type LoadOption, LoadOptions } from './load-options';
 import { neededModels, readyMsFromCopy } from './needed-models';
 import { fleetIndex, LoadReason, type LoadStep, type PlanInput } from './plan-input';
-import { effectiveReplicas } from './replica-weight';
+import { effectiveReplicas } from './request-limits';
 import { targetReplicas } from './target-replicas';
 
 const loadStep = (option: LoadOption, model: Model, reason: LoadReason): LoadStep => ({
@@ -13,6 +13,7 @@
   unload: option.victims,
   source: option.source,
   loadMs: option.loadMs,
+  orderMs: option.orderMs,
   reason,
 });
 
@@ -82,10 +83,8 @@
     const allowed = options
       .forModel(model)
       .filter(
-        ({ engine, source, evictionMs }) =>
-          engine.requestLimitPerS === undefined &&
-          (remoteAllowed || source !== LoadSource.remote) &&
-          evictionMs < maxEvictionMs,
+        ({ source, evictionMs }) =>
+          (remoteAllowed || source !== LoadSource.remote) && evictionMs < maxEvictionMs,
       );
     const option = cheapest(allowed);
     return option && loadStep(option, model, LoadReason.busy);
@@ -103,10 +102,7 @@
     .map((model) => ({ model, rate: demand.rate(service, model.name, now) }))
     .sort((a, b) => b.rate - a.rate);
   if (missing === undefined) return undefined;
-  const unlimited = options
-    .forModel(missing.model)
-    .filter(({ engine }) => engine.requestLimitPerS === undefined);
-  const option = cheapest(unlimited);
+  const option = cheapest(options.forModel(missing.model));
   if (option === undefined || option.evictionMs > settings.maxCopyEvictionMs) {
     return undefined;
   }
--- a/packages/version/residency/src/ready-estimate.ts
+++ b/packages/version/residency/src/ready-estimate.ts
@@ -1,7 +1,7 @@
 import type { EngineView } from './engine-view';
 import { neededModels, readyMsFromCopy } from './needed-models';
 import { fleetIndex, type PlanInput } from './plan-input';
-import { isServed } from './replica-weight';
+import { isServed } from './request-limits';
 
 /** Assumed remaining time of a load that is past its expected end, in ms. */
 const overdueLoadMs = 300;
--- a/packages/version/residency/src/replica-weight.ts
+++ b/packages/version/residency/src/request-limits.ts
@@ -1,6 +1,30 @@
-import { type EngineView } from './engine-view';
+import type { EngineView } from './engine-view';
 import { fleetIndex, type PlanInput } from './plan-input';
 
+const msPerSecond = 1_000;
+
+/** Calls to an engine for a load: the order itself and the confirmation that it is done. */
+const callsPerLoad = 2;
+
+/** Lowest request limit that is told apart, in requests per second. */
+const minRequestLimitPerS = 0.1;
+
+/** Time that the calls for a load and its unloads take at an engine that limits its requests, in ms. */
+export const orderTimeMs = ({ requestLimitPerS }: EngineView, unloads: number): number =>
+  requestLimitPerS === undefined
+    ? 0
+    : ((callsPerLoad + unloads) * msPerSecond) / Math.max(requestLimitPerS, minRequestLimitPerS);
+
+/**
+ * Engines that may load further models. Those that limit their requests do only if all do: the orders
+ * use up what the engine takes and wait for it, and the new replica could serve little.
+ */
+export const enginesForLoads = ({ engines }: PlanInput): ReadonlySet<EngineView> => {
+  const present = engines.filter(({ leaving }) => !leaving);
+  const unlimited = present.filter(({ requestLimitPerS }) => requestLimitPerS === undefined);
+  return new Set(unlimited.length > 0 ? unlimited : present);
+};
+
 /**
  * What an engine's replicas are worth, from 0 to 1: the part of the arrivals that a replica should serve
  * which the engine's request limit allows, shared by the models that it has loaded.
