Let endpoints of scenarios limit their calls, and judge all daemons together

Cause: the scenarios that play currantdriftd had no endpoint that limits its calls, so the other program's part of the incident could not be shown.

Change: two steps and one expectation, judged by the same check as the soak's; the parser of a stated limit moves to core, where both programs can use it.

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -14,3 +14,9 @@
 export * from './store';
 export * from './telemetry';
 export * from './view';
+export {
+  type LimitListener,
+  type LimitSource,
+  parseStatedLimit,
+  type StatedLimit,
+} from './request-limit';
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -1,3 +1,4 @@
+import type { StatedLimit } from '@currantdrift/core';
 import type { Head, Headers } from '@currantdrift/http';
 
 /** Fields that are parsed from the headers of a client's request. */
@@ -33,14 +34,6 @@
   readonly waiting: number;
 }
 
-/** What an answer states about the requests per second that its endpoint takes. */
-export type StatedLimit =
-  /** All daemons together may send at most `ratePerS` requests per second. */
-  | { readonly kind: 'limit'; readonly ratePerS: number }
-  | { readonly kind: 'none' }
-  /** The statement cannot be read; `text` holds it. */
-  | { readonly kind: 'malformed'; readonly text: string };
-
 /** Maps between header names and formats of a platform and the fields used for forwarding. */
 export interface EndpointProtocol {
   /** Returns undefined if the request has no valid id. */
--- a/packages/request/forward/src/endpoint-signals.ts
+++ b/packages/request/forward/src/endpoint-signals.ts
@@ -1,7 +1,7 @@
-import type { Clock, Telemetry } from '@currantdrift/core';
+import type { Clock, StatedLimit, Telemetry } from '@currantdrift/core';
 import type { EndpointDirectory, EndpointRecord, LimitReport } from '@currantdrift/fleet';
 import type { Head } from '@currantdrift/http';
-import type { EndpointProtocol, StatedLimit } from './endpoint-protocol';
+import type { EndpointProtocol } from './endpoint-protocol';
 
 export interface EndpointSignalsOptions {
   readonly clock: Clock;
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -3,7 +3,6 @@
   ForwardingFields,
   ReportedLoad,
   RequestFields,
-  StatedLimit,
 } from './endpoint-protocol';
 export { EndpointSignals, type EndpointSignalsOptions } from './endpoint-signals';
 export { EventSplitter } from './event-splitter';
--- a/packages/tooling/fakes/src/fake-service.ts
+++ b/packages/tooling/fakes/src/fake-service.ts
@@ -27,6 +27,9 @@
 export class FakeService implements Endpoint {
   readonly answers: AnswerFaults = { ...noAnswerFaults };
 
+  /** Calls a second that it says it takes; undefined for no limit. */
+  requestLimitPerS: number | undefined;
+
   state: HostState = 'live';
 
   readonly fencing = false;
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -28,6 +28,9 @@
 export class ObservedEngine implements Endpoint {
   readonly answers: AnswerFaults = { ...noAnswerFaults };
 
+  /** Requests a second that it says it takes; undefined for no limit. */
+  requestLimitPerS: number | undefined;
+
   /** The process dies in the middle of the next load. */
   diesInNextLoad = false;
 
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -1,4 +1,5 @@
 import { parseItemKey } from '@currantdrift/core';
+import { type Arrival, limitViolations } from '@currantdrift/soak';
 import type { History, RequestRecord, VersionSample } from './history';
 import type { expectationTemplates } from './language';
 import { numberOf, type Statement, wordOf } from './scenario';
@@ -36,6 +37,9 @@
 /** Time after which an endpoint that is leaving gets no new work in its domain, in ms (G7). */
 const leavingBoundMs = 2_000;
 
+/** Time after an endpoint first states a limit from which it must be kept, in ms. */
+const limitSettleMs = 3_000;
+
 /** Cost of rounding and of the steps between the caller and the daemon, in ms. */
 const refusalBoundMs = 50;
 
@@ -202,6 +206,25 @@
   return rule([...runs, ...loads]);
 };
 
+/** Calls to an endpoint of all daemons together, against the limit that it states. */
+const callsWithinLimits: Check = ({ history }) => {
+  const isExcused = ({ process, at }: Arrival) =>
+    history.outages.some(
+      ({ daemon, from, until }) => daemon === process && from <= at && until >= at - limitSettleMs,
+    );
+  const endpoints = [...new Set(history.limits.map(({ endpoint }) => endpoint))];
+  return rule(
+    endpoints.flatMap((endpoint) => {
+      const limits = history.limits.filter((limit) => limit.endpoint === endpoint);
+      const arrivals = history.arrivals.filter((arrival) => arrival.endpoint === endpoint);
+      return limitViolations(limits, arrivals, limitSettleMs, isExcused).map(({ at, text }) => ({
+        at,
+        message: text,
+      }));
+    }),
+  );
+};
+
 const versionsRise: Check = ({ history }) =>
   rule(
     history.versions.flatMap((sample, index) => {
@@ -270,6 +293,7 @@
   'refusals before deadline': refusalsBeforeDeadline,
   'requests end by deadline': endByDeadline,
   'leaving endpoints get no new work': noWorkAtLeaving,
+  'calls within limits of endpoints': callsWithinLimits,
   'bundle versions rise': versionsRise,
   'bundle versions agree': versionsAgree,
   'bundle <count> at <place>': bundleAt,
--- a/packages/tooling/scenario/src/daemon.ts
+++ b/packages/tooling/scenario/src/daemon.ts
@@ -3,8 +3,11 @@
   type EndpointConnector,
   type Host,
   type HostList,
-  SeededRandom,
+  type LimitListener,
+  type LimitSource,
   NoopTelemetry,
+  SeededRandom,
+  type StatedLimit,
   type Store,
 } from '@currantdrift/core';
 import { Process } from '@currantdrift/fakes';
@@ -178,13 +181,35 @@
     this.pause(pauseMs);
   }
 
+  /** Notes a call that an endpoint has answered, and passes on the limit that the answer states. */
+  private noteArrival(host: Host, sentAt: number, listeners: readonly LimitListener[]): void {
+    const { clock, history, platform } = this.around;
+    const { requestLimitPerS: ratePerS } = platform.endpoint(host.name);
+    history.arrivals.push({
+      endpoint: host.name,
+      at: sentAt,
+      request: undefined,
+      holder: undefined,
+      process: this.name,
+      start: this.incarnation,
+      answeredAt: clock.now(),
+      saysLimit: ratePerS !== undefined,
+    });
+    const stated: StatedLimit =
+      ratePerS === undefined ? { kind: 'none' } : { kind: 'limit', ratePerS };
+    listeners.forEach((listener) => listener(host, stated, sentAt));
+  }
+
   private createNode(): Node {
     const { clock, deployment, off, operators, platform, seed } = this.around;
     const { name, domain, process, address } = this;
     const hidesLeaving = off === 'leaving-marks';
-    const connector: EndpointConnector = {
+    const listeners: LimitListener[] = [];
+    const connector: EndpointConnector & LimitSource = {
+      onLimit: (listener) => listeners.push(listener),
       connect: (host) =>
         EndpointHandle.create({
+          onArrival: (sentAt) => this.noteArrival(host, sentAt, listeners),
           target: platform.endpoint(host.name),
           daemon: name,
           process,
--- a/packages/tooling/scenario/src/endpoint-handle.ts
+++ b/packages/tooling/scenario/src/endpoint-handle.ts
@@ -40,6 +40,8 @@
   readonly tellsKinds: boolean;
   /** False: the endpoint's word that it is leaving is not passed on. */
   readonly tellsLeaving: boolean;
+  /** Called for each call that reaches the endpoint, with the time at which it was sent. */
+  readonly onArrival: (sentAt: number) => void;
   /** Called before an order leaves the daemon. */
   readonly onOrder: () => void;
 }
@@ -108,7 +110,10 @@
   async cancel(requestId: string, attempt: number): Promise<void> {
     const { process, target } = this.options;
     await process.gate(async () => {
-      if (!this.isCut()) await target.cancel(requestId, attempt);
+      if (this.isCut()) return;
+      const sentAt = this.options.clock.now();
+      await target.cancel(requestId, attempt);
+      this.options.onArrival(sentAt);
     });
   }
 
@@ -135,10 +140,14 @@
         await clock.sleep(connectTimeoutMs);
         return err(this.failure(call, FailureKind.unreachable, 'no connection'));
       }
+      const sentAt = clock.now();
       const silent = whenAborted(line);
       const result = await Promise.race([run(target), silent.promise]);
       silent.undo();
-      if (result !== 'aborted') return this.seen(result);
+      if (result !== 'aborted') {
+        this.options.onArrival(sentAt);
+        return this.seen(result);
+      }
       await whenAborted(signal).promise;
       return this.seen(err(this.failure(call, FailureKind.unknown, 'the caller gave up')));
     });
--- a/packages/tooling/scenario/src/history.ts
+++ b/packages/tooling/scenario/src/history.ts
@@ -1,4 +1,5 @@
 import type { EndpointRun } from '@currantdrift/fakes';
+import type { Arrival, Limit } from '@currantdrift/soak';
 
 /** How a request ended as its caller saw it; `closed`: the connection ended without an answer. */
 export type RequestOutcome = 'answered' | 'not_run' | 'unknown' | 'closed';
@@ -72,6 +73,12 @@
 
   readonly rollouts: RolloutRecord[] = [];
 
+  /** Calls of all kinds that reached endpoints. */
+  readonly arrivals: Arrival[] = [];
+
+  /** Limits on their calls that endpoints stated; the last one of each may go on. */
+  readonly limits: Limit[] = [];
+
   /** Time at which each endpoint began to leave. */
   readonly leaving = new Map<string, number>();
 
@@ -89,6 +96,18 @@
     return this.lines;
   }
 
+  beginLimit(endpoint: string, ratePerS: number, at: number): void {
+    const before = this.limits.findLast((limit) => limit.endpoint === endpoint);
+    const firstAt = before?.to === at ? before.firstAt : at;
+    this.limits.push({ endpoint, ratePerS, firstAt, from: at, to: Infinity });
+  }
+
+  endLimit(endpoint: string, at: number): void {
+    const index = this.limits.findLastIndex((limit) => limit.endpoint === endpoint);
+    const limit = this.limits[index];
+    if (limit?.to === Infinity) this.limits[index] = { ...limit, to: at };
+  }
+
   note(at: number, text: string): void {
     this.lines.push(`${((at - this.start) / 1000).toFixed(3)} ${text}`);
   }
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -180,6 +180,14 @@
     this.listHost(endpoint, (host) => ({ ...host, state: 'leaving' })).catch(() => {});
   }
 
+  /** From now on the endpoint states this limit on its calls, or none. */
+  limit(name: string, ratePerS: number | undefined): void {
+    const { history, clock } = this;
+    history.endLimit(name, clock.now());
+    this.endpoint(name).requestLimitPerS = ratePerS;
+    if (ratePerS !== undefined) history.beginLimit(name, ratePerS, clock.now());
+  }
+
   /** Makes loads from the weight store slower by a factor. */
   slowWeights(factor: number): void {
     this.loadMs.remote *= factor;
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -129,6 +129,10 @@
     platform.setStore({ loses: numberOf(step, 'count') }),
   'weights slow <factor>': ({ platform }, step) => platform.slowWeights(numberOf(step, 'factor')),
   'host <endpoint> leaving': ({ platform }, step) => platform.leave(wordOf(step, 'endpoint')),
+  'endpoint <endpoint> takes <count> calls a second': ({ platform }, step) =>
+    platform.limit(wordOf(step, 'endpoint'), numberOf(step, 'count')),
+  'endpoint <endpoint> takes all calls': ({ platform }, step) =>
+    platform.limit(wordOf(step, 'endpoint'), undefined),
   'late answers from <endpoint> <time>': (world, step) =>
     setAnswers(world, step, { lateMs: numberOf(step, 'time') }),
   'lost answers from <endpoint>': (world, step) => setAnswers(world, step, { lost: true }),
