Keep the calls of a domain's daemons within the limits of endpoints

Cause: the same class of fault in currantdriftd: requests, orders, reports and cancels reach endpoints from every daemon of a domain, and nothing read a limit on their sum.

Change: responses state a limit in the header request-limit, reports in a field. Each daemon obeys what it hears itself and what the endpoint's watcher publishes, the lower of the two. Members share 0.1 while they reach no controller, watchers poll with 0.1. Endpoints without a limit are chosen first, for requests and for loads. The decision code is the gateway's.

Also: a misdirected answer that states a limit counts now; one without says nothing.

--- a/packages/connection/endpoint/src/http-endpoint-connector.ts
+++ b/packages/connection/endpoint/src/http-endpoint-connector.ts
@@ -1,4 +1,11 @@
-import type { EndpointConnector, Host } from '@currantdrift/core';
+import {
+  type Clock,
+  type EndpointConnector,
+  type Host,
+  type LimitListener,
+  type LimitSource,
+  SystemClock,
+} from '@currantdrift/core';
 import { HttpEndpoint } from './http-endpoint';
 import { defaultEndpointSettings, type EndpointSettings } from './settings';
 
@@ -18,21 +25,35 @@
  * Creates one adapter per endpoint and reuses it while the host list shows the same host. When a
  * host is replaced, its adapter finishes the calls in flight; later calls on it are `unreachable`.
  */
-export class HttpEndpointConnector implements EndpointConnector {
+export class HttpEndpointConnector implements EndpointConnector, LimitSource {
   private readonly endpoints = new Map<string, ConnectedEndpoint>();
 
-  private constructor(private readonly settings: EndpointSettings) {}
+  private readonly limitListeners: LimitListener[] = [];
+
+  private constructor(
+    private readonly settings: EndpointSettings,
+    private readonly clock: Clock,
+  ) {}
 
   /** Missing settings default to `defaultEndpointSettings`. */
-  static create(settings: Partial<EndpointSettings> = {}): HttpEndpointConnector {
-    return new HttpEndpointConnector({ ...defaultEndpointSettings, ...settings });
+  static create(
+    settings: Partial<EndpointSettings> = {},
+    clock: Clock = SystemClock.create(),
+  ): HttpEndpointConnector {
+    return new HttpEndpointConnector({ ...defaultEndpointSettings, ...settings }, clock);
+  }
+
+  onLimit(listener: LimitListener): void {
+    this.limitListeners.push(listener);
   }
 
   connect(host: Host): HttpEndpoint {
     const existing = this.endpoints.get(host.name);
     if (existing !== undefined && isSameEndpoint(existing.host, host)) return existing.endpoint;
     existing?.endpoint.close().catch(() => {});
-    const endpoint = HttpEndpoint.create(host, this.settings);
+    const onLimit: LimitListener = (...stated) =>
+      this.limitListeners.forEach((listener) => listener(...stated));
+    const endpoint = HttpEndpoint.create(host, this.settings, onLimit, this.clock);
     this.endpoints.set(host.name, { host, endpoint });
     return endpoint;
   }
--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -1,22 +1,28 @@
 import {
   type CacheEvent,
+  type Clock,
   type Endpoint,
   type EndpointReport,
   type Failure,
   FailureKind,
   type GenerationRequest,
   type Host,
+  type LimitListener,
   type Order,
+  parseStatedLimit,
   type ServiceCallResponse,
   type ServiceCallRequest,
   type StreamPart,
 } from '@currantdrift/core';
-import { HttpClient, type WholeAnswer } from '@currantdrift/http';
+import { type Head, HttpClient, type WholeAnswer, type WholeCall } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
 import { cacheEventsSchema, reportSchema } from './schemas';
 import type { EndpointSettings } from './settings';
 import { readTokenStream } from './token-stream';
 
+/** Response header with the requests per second that the endpoint takes from all daemons together. */
+const requestLimitHeader = 'request-limit';
+
 const jsonHeaders = { 'content-type': 'application/json' };
 
 /** Statuses that an HTTP gateway may return whether or not the service ran the call. */
@@ -33,9 +39,11 @@
   readonly fencing: boolean;
 
   private constructor(
-    host: Host,
+    private readonly host: Host,
     private readonly client: HttpClient,
     private readonly settings: EndpointSettings,
+    private readonly onLimit: LimitListener,
+    private readonly clock: Clock,
   ) {
     this.id = host.name;
     this.domain = host.domain;
@@ -43,9 +51,15 @@
     this.fencing = host.fencing;
   }
 
-  static create(host: Host, settings: EndpointSettings): HttpEndpoint {
+  /** `onLimit` receives the request limit that each response states. */
+  static create(
+    host: Host,
+    settings: EndpointSettings,
+    onLimit: LimitListener,
+    clock: Clock,
+  ): HttpEndpoint {
     const client = HttpClient.create(host.address, `${host.name} ${host.address}`, settings);
-    return new HttpEndpoint(host, client, settings);
+    return new HttpEndpoint(host, client, settings, onLimit, clock);
   }
 
   async generate(
@@ -54,6 +68,7 @@
   ): Promise<Result<AsyncIterable<Result<StreamPart, Failure>>, Failure>> {
     const step = 'endpoint.generate';
     const { traceparent, ...body } = generation;
+    const sentAt = this.clock.now();
     const opened = await this.client.open({
       step,
       method: 'POST',
@@ -64,6 +79,7 @@
       signal,
     });
     if (opened.isErr()) return err(opened.error);
+    this.observe(opened.value, sentAt);
     const { status, headers, exchange } = opened.value;
     if (status === 200 && String(headers['content-type']).startsWith('text/event-stream')) {
       return ok(readTokenStream(generation, exchange, this.client));
@@ -91,7 +107,7 @@
     if (call.contentType !== '') headers['content-type'] = call.contentType;
     if (call.idempotencyKey !== undefined) headers['idempotency-key'] = call.idempotencyKey;
     if (call.traceparent) headers.traceparent = call.traceparent;
-    const answer = await this.client.whole(
+    const answer = await this.exchange(
       {
         step,
         method: call.method,
@@ -107,7 +123,7 @@
 
   async order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
     const step = 'endpoint.order';
-    const answer = await this.client.whole(
+    const answer = await this.exchange(
       {
         step,
         method: 'POST',
@@ -125,7 +141,7 @@
 
   async report(signal: AbortSignal): Promise<Result<EndpointReport, Failure>> {
     const step = 'endpoint.report';
-    const answer = await this.client.whole(
+    const answer = await this.exchange(
       { step, method: 'GET', path: '/control/report', signal },
       this.settings.controlTimeoutMs,
     );
@@ -137,7 +153,7 @@
     signal: AbortSignal,
   ): Promise<Result<readonly CacheEvent[], Failure>> {
     const step = 'endpoint.cacheEvents';
-    const answer = await this.client.whole(
+    const answer = await this.exchange(
       { step, method: 'GET', path: `/control/cache-events?after=${after}`, signal },
       this.settings.controlTimeoutMs,
     );
@@ -147,7 +163,7 @@
   }
 
   async cancel(requestId: string, attempt: number): Promise<void> {
-    await this.client.whole(
+    await this.exchange(
       {
         step: 'endpoint.cancel',
         method: 'POST',
@@ -164,6 +180,21 @@
     return this.client.close();
   }
 
+  /** Sends a call and reads its whole response. */
+  private async exchange(
+    call: WholeCall,
+    timeoutMs: number,
+  ): Promise<Result<WholeAnswer, Failure>> {
+    const sentAt = this.clock.now();
+    const answer = await this.client.whole(call, timeoutMs);
+    if (answer.isOk()) this.observe(answer.value, sentAt);
+    return answer;
+  }
+
+  private observe({ headers }: Head, sentAt: number): void {
+    this.onLimit(this.host, parseStatedLimit(headers[requestLimitHeader]), sentAt);
+  }
+
   private toServiceCallResponse(
     step: string,
     answer: WholeAnswer,
--- a/packages/connection/endpoint/src/schemas.ts
+++ b/packages/connection/endpoint/src/schemas.ts
@@ -38,6 +38,7 @@
   running: nonNegativeInteger,
   waiting: nonNegativeInteger,
   slots: nonNegativeInteger,
+  requestLimitPerS: z.number().nonnegative().optional(),
 });
 
 export const cacheEventsSchema = z.object({
--- a/packages/process/core/src/endpoint.ts
+++ b/packages/process/core/src/endpoint.ts
@@ -114,6 +114,8 @@
   readonly waiting: number;
   /** Number of requests that the endpoint can run concurrently. */
   readonly slots: number;
+  /** Requests per second that it takes from all daemons together; absent if it has no limit. */
+  readonly requestLimitPerS?: number;
 }
 
 /** A change in the prefix cache of an engine. Events arrive late, and some are lost. */
--- a/packages/process/core/src/view.ts
+++ b/packages/process/core/src/view.ts
@@ -15,6 +15,8 @@
   readonly slots: number;
   /** Load in eighths of the slots, 0 to 8, or higher if requests are queued; lags. */
   readonly level: number;
+  /** Requests per second that it takes from all daemons together; absent if it has no limit. */
+  readonly requestLimitPerS?: number;
 }
 
 /** A daemon's view of the endpoints in its own domain. */
--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -1,4 +1,5 @@
 import type { Message } from '@currantdrift/core';
+import { permitDecisionSchema } from '@currantdrift/rate-limit';
 import { z } from 'zod';
 import type { AgedListing } from '../process/prefix-follower';
 import { encodeEntry, entrySchema } from './entry-codec';
@@ -44,15 +45,7 @@
 
 /** The controller's response to a permit request. */
 export const permitResponseSchema = z.union([
-  z.object({
-    kind: z.literal('granted'),
-    endpoint: z.string(),
-    waitMs: z.number().nonnegative(),
-  }),
-  z.object({
-    kind: z.literal('refused'),
-    retryAfterMs: z.number().nonnegative(),
-  }),
+  permitDecisionSchema,
   z.object({ kind: z.literal('elsewhere') }),
 ]);
 export type PermitResponse = z.infer<typeof permitResponseSchema>;
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -7,7 +7,7 @@
   SystemRandom,
   type Telemetry,
 } from '@currantdrift/core';
-import { EndpointDirectory } from '@currantdrift/fleet';
+import { EndpointDirectory, LimitObserver } from '@currantdrift/fleet';
 import {
   defaultForwardSettings,
   type EndpointProtocol,
@@ -115,6 +115,8 @@
 
   private readonly leavingNotices: LeavingNotices;
 
+  private readonly limits: LimitObserver;
+
   private readonly signals: EndpointSignals;
 
   private readonly control: EngineControl;
@@ -163,7 +165,7 @@
       members,
       directory,
       send,
-      onLimits: (limits) => this.signals.applyReports(limits, 'controller'),
+      onLimits: (limits) => this.limits.applyReports(limits, 'controller'),
       onLoads: (loads) => this.balancer.observeFleetLoads(loads, clock.now()),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
@@ -175,11 +177,13 @@
       directory,
       send,
     });
+    this.limits = LimitObserver.create({ clock, telemetry, limits: directory.limits });
     this.signals = EndpointSignals.create({
       clock,
       telemetry,
       protocol: platform.protocol,
       directory,
+      limits: this.limits,
       onLeaving: (record) => this.leavingNotices.publish(record),
     });
     const control = platform.createControl(
@@ -194,12 +198,10 @@
       issuer: this.permitService,
       members: () => members.all().length,
     });
-    const { limits } = directory;
-    const { permits } = this;
     this.control = LimitAwareEngineControl.create({
       control: PauseAwareEngineControl.create(control, directory, clock),
-      limits,
-      permits,
+      limits: directory.limits,
+      permits: this.permits,
       clock,
       telemetry,
     });
@@ -317,7 +319,7 @@
       members,
       limits: directory.limits,
       settings: defaultRateLimitSettings,
-      onLimits: (limits, from) => this.signals.applyReports(limits, from),
+      onLimits: (limits, from) => this.limits.applyReports(limits, from),
       mayIssue: () => this.election.mayOrder(clock.now()),
     });
   }
@@ -397,7 +399,7 @@
         settings: defaultResidencySettings,
         holder: settings.host,
         mayOrder: () => this.election.mayOrder(this.clock.now()),
-        onLimits: (limits, from) => this.signals.applyReports(limits, from),
+        onLimits: (limits, from) => this.limits.applyReports(limits, from),
         announce: (fence, announcement) => this.inventoryBroadcaster.announce(fence, announcement),
       },
       term,
--- a/packages/process/membership/src/endpoint-directory.ts
+++ b/packages/process/membership/src/endpoint-directory.ts
@@ -193,6 +193,7 @@
       cached: cached?.values ?? [],
       slots: base.slots,
       level: this.levelOf(id, base.watcher),
+      ...(base.requestLimitPerS !== undefined && { requestLimitPerS: base.requestLimitPerS }),
     };
   }
 
--- a/packages/process/membership/src/endpoint-facts.ts
+++ b/packages/process/membership/src/endpoint-facts.ts
@@ -17,6 +17,8 @@
   readonly slots: number;
   /** False if the endpoint does not answer its watcher. */
   readonly reachable: boolean;
+  /** Requests per second that it takes from all daemons together; undefined for no limit. */
+  readonly requestLimitPerS: number | undefined;
   /** Hash of the watcher's name. */
   readonly watcher: number;
 }
@@ -31,6 +33,9 @@
 export type StateItem = EndpointState['items'][number];
 export type CachedItem = EndpointState['cached'][number];
 
+/** Index of `reachable` in the value of a base fact. */
+export const reachableIndex = 11;
+
 const itemStates = ['loading', 'ready', 'unloading'] as const;
 const cacheTiers = ['memory', 'disk', 'remote'] as const;
 const hostKinds = Object.values(HostKind);
@@ -61,6 +66,8 @@
     report.memoryBytes,
     report.slots,
     reachable,
+    // Daemons that do not know of limits ignore further values.
+    ...(report.requestLimitPerS === undefined ? [] : [report.requestLimitPerS]),
   ],
 });
 
@@ -95,7 +102,7 @@
 export const readBase = (fact: Fact, domain: string): EndpointBase | undefined => {
   if (!Array.isArray(fact.value) || fact.value.length < 12) return undefined;
   const [kind, address, incarnation, pool, fencing, hostLeaving, ...rest] = fact.value as unknown[];
-  const [bootId, sequence, leaving, memoryBytes, slots, reachable] = rest;
+  const [bootId, sequence, leaving, memoryBytes, slots, reachable, requestLimitPerS] = rest;
   return {
     host: {
       name: fact.key.slice(FactPrefix.endpoint.length),
@@ -113,6 +120,7 @@
     memoryBytes: Number(memoryBytes),
     slots: Number(slots),
     reachable: reachable === true,
+    requestLimitPerS: typeof requestLimitPerS === 'number' ? requestLimitPerS : undefined,
     watcher: fact.rank[2] ?? 0,
   };
 };
--- a/packages/process/membership/src/endpoint-watcher.ts
+++ b/packages/process/membership/src/endpoint-watcher.ts
@@ -9,7 +9,7 @@
   type Random,
 } from '@currantdrift/core';
 import { err, type Result } from 'neverthrow';
-import { baseFact, cachedFact, itemsFact } from './endpoint-facts';
+import { baseFact, cachedFact, itemsFact, reachableIndex } from './endpoint-facts';
 import { type Fact, FactPrefix, type Rank } from './fact';
 import { loadOf, nextLevel } from './load-level';
 
@@ -34,6 +34,12 @@
 /** Time between two polls, in ms; randomized by up to 5% either way. */
 const pollMs = 1000;
 
+/** Part of an endpoint's request limit that polls may use, and the longest time between two, in ms. */
+const pollShare = 0.1;
+const maxPollMs = 10_000;
+
+const msPerSecond = 1_000;
+
 /** Timeout of a report, in ms. */
 const reportTimeoutMs = 800;
 
@@ -127,11 +133,19 @@
     while (!signal.aborted) {
       const startedAt = clock.now();
       await this.poll(signal);
-      const interval = pollMs * (0.95 + random.next() / 10);
+      const interval = this.pollMs() * (0.95 + random.next() / 10);
       await clock.sleep(Math.max(0, startedAt + interval - clock.now()), signal);
     }
   }
 
+  /** Time between two polls; longer if the endpoint limits its requests. */
+  private pollMs(): number {
+    const { requestLimitPerS } = this.last ?? {};
+    if (requestLimitPerS === undefined) return pollMs;
+    const limitedMs = msPerSecond / (requestLimitPerS * pollShare);
+    return Math.min(maxPollMs, Math.max(pollMs, limitedMs));
+  }
+
   private async poll(signal: AbortSignal): Promise<void> {
     const { clock, connector } = this.options;
     const { host } = this;
@@ -172,9 +186,8 @@
   private republishUnreachable(): void {
     const known = this.options.output.fact(`${FactPrefix.endpoint}${this.host.name}`);
     if (!Array.isArray(known?.value)) return;
-    const last = known.value.length - 1;
-    if (known.value[last] === false) return;
-    const value: unknown[] = [...(known.value as unknown[]).slice(0, last), false];
+    if (known.value[reachableIndex] === false) return;
+    const value: unknown[] = (known.value as unknown[]).with(reachableIndex, false);
     this.outrank(known);
     this.options.output.publish({ ...known, rank: this.nextRank(), value }, false);
   }
--- a/packages/process/node/src/process/controller-task.ts
+++ b/packages/process/node/src/process/controller-task.ts
@@ -56,6 +56,11 @@
     return best?.address;
   }
 
+  /** Epoch of this process's term, while no other process can hold the domain at `now`. */
+  soleEpoch(now: number): number | undefined {
+    return this.current?.isSoleHolder(now) === true ? this.current.status().epoch : undefined;
+  }
+
   /** Name of the member that is the domain's controller. */
   holderName(): string | undefined {
     const { membership } = this.options;
--- a/packages/process/node/src/process/node-options.ts
+++ b/packages/process/node/src/process/node-options.ts
@@ -5,6 +5,7 @@
   Clock,
   EndpointConnector,
   HostList,
+  LimitSource,
   Network,
   Random,
   Store,
@@ -23,6 +24,8 @@
   readonly bundle?: HolderProtections;
   readonly rollout?: RolloutProtections;
   readonly admission?: Pick<AdmissionSettings, 'earlyRefusal'>;
+  /** False: calls to endpoints that limit their requests need no permit. */
+  readonly requestLimits?: boolean;
 }
 
 /**
@@ -63,7 +66,7 @@
   readonly telemetry: Telemetry;
   readonly store: Store;
   readonly hostList: HostList;
-  readonly connector: EndpointConnector;
+  readonly connector: EndpointConnector & LimitSource;
   readonly network: Network;
   readonly attempts?: Partial<AttemptSettings>;
   readonly placement?: Partial<PlacementSettings>;
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -11,13 +11,17 @@
   MemberStatus,
   Watchers,
 } from '@currantdrift/membership';
+import { EndpointLimits, LimitObserver } from '@currantdrift/fleet';
 import { PeerConnections } from '@currantdrift/peer';
 import { Controller, defaultPlacementSettings, GapHistogram } from '@currantdrift/placement';
+import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
 import { Balancer, type Lease, PrefixIndex } from '@currantdrift/routing';
 import { CallerEntry } from '../request/caller-entry';
+import { LimitedEndpointConnector } from '../request/limited-endpoint-connector';
 import { acquireLease } from '../request/replica-chooser';
 import { ControllerTask } from './controller-task';
 import { CountedStore } from './counted-store';
+import { DomainPermits } from './domain-permits';
 import { DrainMarks } from './drain-marks';
 import { EndpointCache } from './endpoint-cache';
 import { HostTask } from './host-task';
@@ -123,11 +127,58 @@
 
 type DomainParts = ReturnType<typeof wireDomain>;
 
+/** Part of a limit that the domain controller issues; the endpoint's watcher polls with a tenth. */
+const rateLimitSettings = { ...defaultRateLimitSettings, issuedShare: 0.8 };
+
+/** Creates the permits for calls to endpoints that limit their requests. */
+const wireLimits = (
+  options: NodeOptions,
+  { directory, membership, peers }: DomainParts,
+  controllers: () => ControllerTask | undefined,
+) => {
+  const { clock, random, telemetry, connector } = options;
+  const stated = EndpointLimits.create(() => {});
+  const observer = LimitObserver.create({ clock, telemetry, limits: stated });
+  connector.onLimit(({ name, incarnation }, limit, sentAt) =>
+    observer.observe({ id: name, bornAt: incarnation }, limit, sentAt),
+  );
+  const issuer = DomainPermits.create({
+    clock,
+    peers,
+    settings: rateLimitSettings,
+    ownEpoch: (now) => controllers()?.soleEpoch(now),
+    controllerAddress: () => {
+      const holder = controllers()?.holder();
+      return typeof holder === 'string' ? holder : undefined;
+    },
+  });
+  const permits = MemberPermits.create({
+    clock,
+    random,
+    settings: rateLimitSettings,
+    issuer,
+    members: () => membership.alive().length,
+  });
+  /** The lower of what the endpoint stated to this daemon and to its watcher. */
+  const limitOf = ({ name, incarnation }: Host): number | undefined => {
+    if (options.protections?.requestLimits === false) return undefined;
+    const own = stated.rate({ id: name, bornAt: incarnation });
+    const published = directory.endpoint(name)?.requestLimitPerS;
+    if (own === undefined || published === undefined) return own ?? published;
+    return Math.min(own, published);
+  };
+  return { permits, limitOf };
+};
+
 /** Creates the components that run the domain's controller or reach it in another daemon. */
 const wirePlacement = (options: NodeOptions, domain: DomainParts) => {
   const { clock, random, telemetry } = options;
   const { directory, hosts, holder, membership, peers, state, store, view } = domain;
-  const endpoints = EndpointCache.create(options.connector);
+  let task: ControllerTask | undefined;
+  const limits = wireLimits(options, domain, () => task);
+  const endpoints = EndpointCache.create(
+    LimitedEndpointConnector.create(options.connector, { clock, telemetry, ...limits }),
+  );
   const drains = DrainMarks.create(membership, view);
   const { prices, weights } = options;
   const costOf = itemCosts(holder, options);
@@ -182,6 +233,7 @@
     clock,
     create: createController,
   });
+  task = controllers;
   const wakes = WakeClient.create({
     peers,
     clock,
@@ -191,7 +243,7 @@
   const localController = (): Waker | undefined =>
     controllers.controller?.isHolder ? controllers.controller : undefined;
   serveWakes(peers, clock, localController);
-  return { endpoints, controllers, wakes, costOf };
+  return { endpoints, controllers, wakes, costOf, limitOf: limits.limitOf };
 };
 
 /** Creates and connects the components of a daemon without starting any of them. */
@@ -210,7 +262,7 @@
     onRelease: (_endpoint, now) => admission?.pump(now),
     onEject: (peer, until) => telemetry.log('endpoint ejected', { peer, until }),
   });
-  admission = AdmissionQueues.create(acquireLease(view, balancer), {
+  admission = AdmissionQueues.create(acquireLease(view, balancer, placement.limitOf), {
     maxWaiting: queue.capacity,
     maxPerCaller: queue.callerCapacity,
     ...options.protections?.admission,
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -2,6 +2,7 @@
   type Clock,
   type DomainView,
   type EndpointState,
+  type Host,
   type Peers,
   type Span,
   type Telemetry,
@@ -61,12 +62,14 @@
  * `pool:name`.
  */
 export const acquireLease =
-  (view: DomainView, balancer: Balancer) =>
+  (view: DomainView, balancer: Balancer, limitOf: (host: Host) => number | undefined) =>
   (key: string, request: AdmissionRequest, now: number): Lease | undefined => {
     const { tried, prefixes } = request as RoutedAdmissionRequest;
     const pool = key.startsWith('pool:') ? key.slice('pool:'.length) : undefined;
     const all = pool === undefined ? view.replicas(key) : view.pool(pool);
-    const candidates = untried(all, tried);
+    // Endpoints that limit their requests are used only if no other can serve the request.
+    const unlimited = all.filter(({ host }) => limitOf(host) === undefined);
+    const candidates = untried(unlimited.length > 0 ? unlimited : all, tried);
     return balancer.acquire({ candidates, item: key, prefixes }, now).unwrapOr(undefined);
   };
 
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -3,7 +3,12 @@
 import { SeededRandom, NoopTelemetry, MonotonicClock, type WakeRefusal } from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
 import { endpointRecord } from '@currantdrift/fakes';
-import { EndpointDirectory, type EndpointRecord, type LoadedModel } from '@currantdrift/fleet';
+import {
+  EndpointDirectory,
+  type EndpointRecord,
+  LimitObserver,
+  type LoadedModel,
+} from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
 import { type Configuration, RequestKind, type Route } from '@currantdrift/routes';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
@@ -286,7 +291,14 @@
       permits,
       clock,
       telemetry,
-      signals: EndpointSignals.create({ clock, telemetry, protocol, directory, onLeaving }),
+      signals: EndpointSignals.create({
+        clock,
+        telemetry,
+        protocol,
+        directory,
+        limits: LimitObserver.create({ clock, telemetry, limits: directory.limits }),
+        onLeaving,
+      }),
       settings: { ...defaultForwardSettings, loadRequestIntervalMs: 50 },
       protocol,
       directory,
--- a/packages/tooling/fakes/src/fake-service.ts
+++ b/packages/tooling/fakes/src/fake-service.ts
@@ -95,6 +95,7 @@
       running: this.running,
       waiting: 0,
       slots: this.options.slots,
+      ...(this.requestLimitPerS !== undefined && { requestLimitPerS: this.requestLimitPerS }),
     });
   }
 
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -95,8 +95,12 @@
     return this.engine.order(order, signal);
   }
 
-  report(): Promise<Result<EndpointReport, Failure>> {
-    return this.engine.report();
+  async report(): Promise<Result<EndpointReport, Failure>> {
+    const { requestLimitPerS } = this;
+    const report = await this.engine.report();
+    return requestLimitPerS === undefined
+      ? report
+      : report.map((value) => ({ ...value, requestLimitPerS }));
   }
 
   cacheEvents(after: number): Promise<Result<readonly CacheEvent[], Failure>> {
--- a/packages/tooling/scenario/src/protections.ts
+++ b/packages/tooling/scenario/src/protections.ts
@@ -28,6 +28,8 @@
   'failure-kinds': {},
   /** A planned stop ends the process at once. */
   'graceful-stop': {},
+  /** Calls to endpoints that limit their requests need no permit. */
+  'request-limits': { protections: { requestLimits: false } },
   /** Daemons do not see that a host or an endpoint is leaving. */
   'leaving-marks': {},
 } as const satisfies Readonly<Record<string, Change>>;
--- a/packages/tooling/standins/src/engine-boot.ts
+++ b/packages/tooling/standins/src/engine-boot.ts
@@ -209,11 +209,12 @@
 
   private sample(now: number): void {
     this.sequence += 1;
+    const { requestLimitPerS, leaving } = this.faults();
     const report: EndpointReport = {
       endpoint: this.config.name,
       bootId: this.id,
       sequence: this.sequence,
-      state: this.faults().leaving ? 'leaving' : 'live',
+      state: leaving ? 'leaving' : 'live',
       epoch: this.epoch,
       memoryBytes: this.config.memoryBytes,
       items: this.memory.items(),
@@ -221,6 +222,7 @@
       running: this.batch.runningCount,
       waiting: this.batch.waitingCount,
       slots: this.config.slots,
+      ...(requestLimitPerS !== null && { requestLimitPerS }),
     };
     this.snapshots.push({ at: now, report });
     const oldest = now - this.config.loadLagMs - this.config.reportLagMs;
--- a/packages/tooling/standins/src/engine-config.ts
+++ b/packages/tooling/standins/src/engine-config.ts
@@ -75,6 +75,8 @@
   refuseOrders: z.boolean().optional(),
   /** Number of orders whose answers are lost after they were carried out. */
   loseOrderAnswers: count.optional(),
+  /** Requests per second that the engine states it takes from all daemons; null for no limit. */
+  requestLimitPerS: z.number().nonnegative().nullable().optional(),
   /** Tokens take this many times as long. */
   slowdown: z.number().positive().optional(),
 });
@@ -91,6 +93,7 @@
   refuseGenerations: false,
   refuseOrders: false,
   loseOrderAnswers: 0,
+  requestLimitPerS: null,
   slowdown: 1,
 };
 
--- a/packages/tooling/standins/src/engine-standin.ts
+++ b/packages/tooling/standins/src/engine-standin.ts
@@ -25,6 +25,7 @@
   type StandinApp,
   type StandinContext,
   StandinServer,
+  stateRequestLimit,
 } from './standin-server';
 import { TokenWriter } from './token-writer';
 
@@ -170,6 +171,7 @@
 
   private app(): StandinApp {
     const app: StandinApp = new Hono();
+    stateRequestLimit(app, () => this.faults.requestLimitPerS);
     app.post('/v1/completions', (context) => this.generate(context));
     app.post('/control/orders', (context) => this.order(context));
     app.get('/control/report', (context) => context.json(this.boot.report(Date.now())));
--- a/packages/tooling/standins/src/service-standin.ts
+++ b/packages/tooling/standins/src/service-standin.ts
@@ -12,6 +12,7 @@
   type StandinApp,
   type StandinContext,
   StandinServer,
+  stateRequestLimit,
 } from './standin-server';
 
 export const serviceConfigSchema = z.strictObject({
@@ -30,6 +31,8 @@
   refuse: z.boolean().optional(),
   /** Added to the time of each call, in ms. */
   delayMs: z.number().nonnegative().optional(),
+  /** Calls per second that the service states it takes from all daemons; null for no limit. */
+  requestLimitPerS: z.number().nonnegative().nullable().optional(),
   /** Number of calls whose answers are lost after they ran. */
   loseAnswers: z.number().int().nonnegative().optional(),
 });
@@ -79,7 +82,13 @@
 
   private latestStartAfterLeavingMs = 0;
 
-  private faults: ServiceFaults = { leaving: false, refuse: false, delayMs: 0, loseAnswers: 0 };
+  private faults: ServiceFaults = {
+    leaving: false,
+    refuse: false,
+    delayMs: 0,
+    requestLimitPerS: null,
+    loseAnswers: 0,
+  };
 
   private server: StandinServer | undefined;
 
@@ -117,6 +126,7 @@
 
   private app(): StandinApp {
     const app: StandinApp = new Hono();
+    stateRequestLimit(app, () => this.faults.requestLimitPerS);
     app.all('/calls/:service/:call', (context) => this.call(context));
     app.get('/control/report', (context) => context.json(this.report()));
     app.get('/stats', (context) => context.json(this.stats()));
@@ -170,6 +180,7 @@
   }
 
   private report(): EndpointReport {
+    const { requestLimitPerS } = this.faults;
     this.sequence += 1;
     return {
       endpoint: this.config.name,
@@ -183,6 +194,7 @@
       running: this.running,
       waiting: 0,
       slots: this.config.slots,
+      ...(requestLimitPerS !== null && { requestLimitPerS }),
     };
   }
 }
--- a/packages/tooling/standins/src/standin-server.ts
+++ b/packages/tooling/standins/src/standin-server.ts
@@ -64,3 +64,12 @@
   }
   return context.json({ error: { message, outcome: 'not_run', retryAfterMs } }, status);
 };
+
+/** Lets all responses state a limit on requests; `ratePerS` returns null for none. */
+export const stateRequestLimit = (app: StandinApp, ratePerS: () => number | null): void => {
+  app.use(async ({ env }, next) => {
+    const limit = ratePerS();
+    if (limit !== null) env.outgoing.setHeader('request-limit', String(limit));
+    await next();
+  });
+};
--- a/packages/version/placement/src/controller.ts
+++ b/packages/version/placement/src/controller.ts
@@ -135,6 +135,11 @@
     return this.reconciler?.isActive ?? false;
   }
 
+  /** Whether this process holds the domain and no other process can hold its lease at `now`. */
+  isSoleHolder(now: number): boolean {
+    return this.isHolder && this.lease.isConfirmed(now);
+  }
+
   /** Contends for the domain until `stop` is called. Never rejects. */
   run(): Promise<void> {
     this.running ??= this.contend();
--- a/packages/version/placement/src/lease.ts
+++ b/packages/version/placement/src/lease.ts
@@ -15,6 +15,9 @@
 
 const retryMs = 1_000;
 
+/** Margin before the end of the lease from which it no longer counts as confirmed, in ms. */
+const confirmMarginMs = 250;
+
 /**
  * The lease on a domain. It only elects the holder; the compare-and-swap on the domain record is
  * what prevents a former holder from changing it.
@@ -22,12 +25,23 @@
 export class DomainLease {
   private leaseId: string | undefined;
 
+  /** Time until which no other process can have the lease. */
+  private confirmedUntil = -Infinity;
+
   private constructor(private readonly options: LeaseOptions) {}
 
   static create(options: LeaseOptions): DomainLease {
     return new DomainLease(options);
   }
 
+  /**
+   * Whether no other process can hold the lease at `now`: it was granted or renewed within its time to
+   * live, less a margin for clocks that run at different rates.
+   */
+  isConfirmed(now: number): boolean {
+    return now < this.confirmedUntil - confirmMarginMs;
+  }
+
   /** Waits for the lease; false if `signal` aborted first. */
   async acquire(signal: AbortSignal): Promise<boolean> {
     const { store, clock, random, key } = this.options;
@@ -57,7 +71,9 @@
         if ((await this.isHeldByOther()) === true) return;
         await this.tryAcquire();
       } else {
+        const sentAt = clock.now();
         const renewed = await store.renewLease(this.leaseId);
+        if (renewed.isOk()) this.confirmedUntil = sentAt + this.options.leaseMs;
         if (renewed.isErr() && renewed.error.kind === FailureKind.refused) {
           // A store that is down also refuses; only the lease key shows whether the lease expired.
           const others = await this.isHeldByOther();
@@ -70,19 +86,26 @@
 
   async release(): Promise<void> {
     if (this.leaseId === undefined) return;
+    this.confirmedUntil = -Infinity;
     await this.options.store.revokeLease(this.leaseId);
     this.leaseId = undefined;
   }
 
   private async tryAcquire(): Promise<boolean> {
-    const { store, key, holder, leaseMs } = this.options;
+    const { store, clock, key, holder, leaseMs } = this.options;
+    const sentAt = clock.now();
     const lease = await store.grantLease(leaseMs);
     if (lease.isErr()) return false;
     const value = new TextEncoder().encode(JSON.stringify({ holder, lease: lease.value.id }));
     const swap = await store.compareAndSwap(key, 0, value, lease.value.id);
     this.leaseId = lease.value.id;
-    if (swap.isOk() && swap.value.kind === 'swapped') return true;
-    if (swap.isErr() && (await this.isHeldBySelf())) return true;
+    const isHeld =
+      (swap.isOk() && swap.value.kind === 'swapped') ||
+      (swap.isErr() && (await this.isHeldBySelf()));
+    if (isHeld) {
+      this.confirmedUntil = sentAt + leaseMs;
+      return true;
+    }
     await store.revokeLease(lease.value.id);
     this.leaseId = undefined;
     return false;
--- a/packages/version/placement/src/loader.ts
+++ b/packages/version/placement/src/loader.ts
@@ -262,6 +262,7 @@
         draining: drains.pairs,
         avoided,
         level: (engine) => view.endpoint(engine)?.level ?? 0,
+        isLimited: (engine) => view.endpoint(engine)?.requestLimitPerS !== undefined,
         value: (name) => keepWarm.value(name, now),
         loadMs: (bytes, tier) => speed.estimate(bytes, tier),
         queueMs: (tier) => (tier === CacheTier.remote ? budget.waitMs(remoteMs) : 0),
--- a/packages/version/placement/src/placement-choice.ts
+++ b/packages/version/placement/src/placement-choice.ts
@@ -31,6 +31,8 @@
   readonly avoided: ReadonlySet<string>;
   /** Load level of an engine, in eighths of its slots. */
   readonly level: (engine: string) => number;
+  /** Whether an engine limits its requests, so that a replica there can serve little. */
+  readonly isLimited: (engine: string) => boolean;
   /** Value of keeping an item loaded, by name without version. */
   readonly value: (name: string) => number;
   readonly loadMs: (bytes: number, tier: CacheTier) => number;
@@ -52,6 +54,8 @@
   readonly withdrawn: readonly string[];
   /** Estimated time until the item is ready, in ms, plus a penalty for the engine's load. */
   readonly estimateMs: number;
+  /** Whether the engine limits its requests. */
+  readonly limited: boolean;
 }
 
 /** Penalty, in ms, for each eighth of load: a loaded engine has a longer time to first token. */
@@ -163,10 +167,14 @@
       inputs.queueMs(tier) +
       (evictions.length > 0 ? inputs.evictMs : 0) +
       inputs.level(engine.id) * levelMs,
+    limited: inputs.isLimited(engine.id),
   };
 };
 
-/** All possible placements of the item, sorted by estimated time to first token. */
+/**
+ * All possible placements of the item, sorted by estimated time to first token; those on engines that
+ * limit their requests come last.
+ */
 export const placementsFor = (
   wanted: PlacementRequest,
   inputs: PlacementInputs,
@@ -176,6 +184,7 @@
     .filter((placement) => placement !== undefined)
     .sort(
       (a, b) =>
+        Number(a.limited) - Number(b.limited) ||
         a.estimateMs - b.estimateMs ||
         a.evictions.length - b.evictions.length ||
         a.withdrawn.length - b.withdrawn.length ||
--- a/packages/version/placement/test/accounting.test.ts
+++ b/packages/version/placement/test/accounting.test.ts
@@ -182,6 +182,7 @@
           claims: claimsOf(account),
           draining: new Set(),
           avoided: new Set(),
+          isLimited: () => false,
           level: () => 0,
           value: () => 1,
           loadMs: () => 1_000,
