Share the terms of issuers and the wait for a permit between both programs

The gateway and currantdriftd each kept the issuer of their own term and each waited for a permit before a control call; both pieces now stand in rate-limit once. The two tests of engine control share their engine. No behaviour changes.

--- a/packages/process/gateway/src/connection/limit-aware-engine-control.ts
+++ b/packages/process/gateway/src/connection/limit-aware-engine-control.ts
@@ -1,6 +1,6 @@
 import { type Clock, type Failure, FailureKind, type Telemetry } from '@currantdrift/core';
 import type { EndpointLimits, EndpointRecord, EngineReport } from '@currantdrift/fleet';
-import type { RequestPermits } from '@currantdrift/rate-limit';
+import { awaitPermit, type RequestPermits } from '@currantdrift/rate-limit';
 import { err, ok, type Result } from 'neverthrow';
 import type { EngineControl, EngineOrder, OrderResponse } from './engine-control';
 
@@ -46,15 +46,12 @@
     const { limits, permits, clock, telemetry } = this.options;
     const ratePerS = limits.rate({ id, bornAt });
     if (ratePerS === undefined) return ok();
-    const permit = await permits.acquire([{ endpoint: id, bornAt, ratePerS }], maxPermitWaitMs);
-    const fail = (message: string) =>
-      err({ kind: FailureKind.refused, step: `engine.${kind}`, peer: id, message });
-    if (permit.isErr()) {
-      const leftMs = Math.round(permit.error.retryAfterMs);
-      return fail(`the engine limits its requests; the next call is free in ${leftMs} ms`);
+    const endpoint = { endpoint: id, bornAt, ratePerS };
+    const permitted = await awaitPermit(permits, clock, endpoint, maxPermitWaitMs);
+    if (permitted.isErr()) {
+      const { message } = permitted.error;
+      return err({ kind: FailureKind.refused, step: `engine.${kind}`, peer: id, message });
     }
-    await clock.sleep(Math.max(0, permit.value.usableAt - clock.now()));
-    if (clock.now() > permit.value.expiresAt) return fail('the permit for the call has expired');
     telemetry.count('currantdrift_limited_calls_total', { kind });
     return ok();
   }
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -388,7 +388,7 @@
   private beginTerm(term: Term): void {
     const { telemetry, settings } = this.options;
     this.inventoryBroadcaster.beginTerm(term.fence);
-    this.permitService.beginTerm(term.isFirst);
+    this.permitService.beginTerm(term);
     const controller = Controller.create(
       {
         clock: this.clock,
--- a/packages/process/gateway/src/process/permit-service.ts
+++ b/packages/process/gateway/src/process/permit-service.ts
@@ -1,12 +1,11 @@
 import type { Clock, Peers } from '@currantdrift/core';
 import type { EndpointLimits, LimitReport } from '@currantdrift/fleet';
 import {
-  issuerStartMs,
   type IssuerClient,
   type LimitedEndpoint,
   type PermitDecision,
-  PermitIssuer,
   type RateLimitSettings,
+  TermIssuer,
 } from '@currantdrift/rate-limit';
 import {
   parseMessage,
@@ -16,6 +15,7 @@
   permitResponseSchema,
 } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
+import type { Term } from './controller-election';
 
 /** Timeout for the controller's response, in ms. */
 const responseTimeoutMs = 400;
@@ -33,42 +33,39 @@
   readonly mayIssue: () => boolean;
 }
 
-/** The issuer of this process's own term as the controller. */
-interface OwnIssuer {
-  readonly issuer: PermitIssuer;
-  /** Time at which the permits of the predecessor have expired. */
-  readonly startsAt: number;
-}
-
 /**
  * Permits for calls to endpoints that limit their requests. The controller issues them for all members;
  * its lease in the store ensures that no two processes do so at once.
  */
 export class PermitService implements IssuerClient {
-  private own: OwnIssuer | undefined;
+  private readonly issuer: TermIssuer;
 
-  private constructor(private readonly options: PermitServiceOptions) {}
+  /** Fencing token of this process's term as the controller. */
+  private ownTerm: number | undefined;
+
+  private constructor(private readonly options: PermitServiceOptions) {
+    this.issuer = TermIssuer.create(options.settings);
+  }
 
   static create(options: PermitServiceOptions): PermitService {
     return new PermitService(options);
   }
 
-  /** Begins this process's term; `isFirst` if no process can have been the controller before. */
-  beginTerm(isFirst: boolean): void {
-    const { clock, settings } = this.options;
-    const startsAt = clock.now() + (isFirst ? 0 : issuerStartMs(settings));
-    this.own = { issuer: PermitIssuer.create(settings), startsAt };
+  /** Begins this process's term as the controller. */
+  beginTerm({ fence, isFirst }: Pick<Term, 'fence' | 'isFirst'>): void {
+    this.ownTerm = fence;
+    if (isFirst) this.issuer.beginFirst(fence, this.options.clock.now());
   }
 
   endTerm(): void {
-    this.own = undefined;
+    this.ownTerm = undefined;
   }
 
   async ask(
     candidates: readonly LimitedEndpoint[],
     maxWaitMs: number,
   ): Promise<PermitDecision | undefined> {
-    if (this.own !== undefined) return this.decide(candidates, maxWaitMs);
+    if (this.ownTerm !== undefined) return this.decide(candidates, maxWaitMs);
     const { peers, members, self } = this.options;
     const { controller } = members;
     if (controller === undefined || controller.host === self.host) return undefined;
@@ -98,13 +95,12 @@
   ): PermitDecision | undefined {
     const { clock, limits, mayIssue } = this.options;
     const now = clock.now();
-    if (this.own === undefined || now < this.own.startsAt || !mayIssue()) return undefined;
-    if (candidates.length === 0) return undefined;
+    if (this.ownTerm === undefined || !mayIssue() || candidates.length === 0) return undefined;
     const current = candidates.map((candidate) => {
       const { endpoint: id, bornAt, ratePerS } = candidate;
       return { ...candidate, ratePerS: limits.rate({ id, bornAt }) ?? ratePerS };
     });
-    return this.own.issuer.acquire(current, maxWaitMs, now);
+    return this.issuer.decide(this.ownTerm, current, maxWaitMs, now);
   }
 
   /** What this process knows of the limits, so that the controller learns of them with the request. */
--- a/packages/process/gateway/test/limit-aware-engine-control.test.ts
+++ b/packages/process/gateway/test/limit-aware-engine-control.test.ts
@@ -1,46 +1,19 @@
 import { NoopTelemetry, SeededRandom } from '@currantdrift/core';
 import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
-import { EndpointLimits, type EngineReport } from '@currantdrift/fleet';
+import { EndpointLimits } from '@currantdrift/fleet';
 import { defaultRateLimitSettings, MemberPermits, PermitIssuer } from '@currantdrift/rate-limit';
-import { ok } from 'neverthrow';
-import { type EngineOrder, OrderResponse } from '../src/connection/engine-control';
 import { LimitAwareEngineControl } from '../src/connection/limit-aware-engine-control';
+import { order, willingEngine } from './engine-calls';
 
 const settings = { ...defaultRateLimitSettings, issuedShare: 0.8, memberShare: 0.2 };
 
-const report: EngineReport = {
-  bornAt: 1,
-  models: [],
-  busy: false,
-  orderCount: 0,
-  copies: { inMemory: [], onDisk: [] },
-};
-
-const order: EngineOrder = {
-  kind: 'load',
-  model: 'm1',
-  adapter: undefined,
-  orderCount: 0,
-  holder: 'h1',
-  fence: 1,
-};
-
 const create = () => {
   const clock = VirtualClock.create();
   const limits = EndpointLimits.create(() => {});
   const calls: number[] = [];
   const issuer = PermitIssuer.create(settings);
   const control = LimitAwareEngineControl.create({
-    control: {
-      report: async () => {
-        calls.push(clock.now());
-        return ok(report);
-      },
-      order: async () => {
-        calls.push(clock.now());
-        return ok(OrderResponse.accepted);
-      },
-    },
+    control: willingEngine(() => calls.push(clock.now())),
     limits,
     permits: MemberPermits.create({
       clock,
--- a/packages/process/gateway/test/pause-aware-engine-control.test.ts
+++ b/packages/process/gateway/test/pause-aware-engine-control.test.ts
@@ -1,29 +1,7 @@
 import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
-import { EndpointDirectory, type EngineReport } from '@currantdrift/fleet';
-import { ok } from 'neverthrow';
-import {
-  type EngineControl,
-  type EngineOrder,
-  OrderResponse,
-} from '../src/connection/engine-control';
+import { EndpointDirectory } from '@currantdrift/fleet';
 import { PauseAwareEngineControl } from '../src/connection/pause-aware-engine-control';
-
-const report: EngineReport = {
-  bornAt: 1,
-  models: [],
-  busy: false,
-  orderCount: 0,
-  copies: { inMemory: [], onDisk: [] },
-};
-
-const order: EngineOrder = {
-  kind: 'load',
-  model: 'm1',
-  adapter: undefined,
-  orderCount: 0,
-  holder: 'h1',
-  fence: 1,
-};
+import { order, willingEngine } from './engine-calls';
 
 // Guards against calls to an engine that has asked this process to pause.
 test('an engine that asked for a pause gets no calls until the pause ends', async () => {
@@ -32,16 +10,7 @@
   const record = endpointRecord({ id: 'e1', bornAt: 1 });
   directory.put(record);
   const calls: string[] = [];
-  const engine: EngineControl = {
-    report: async () => {
-      calls.push('report');
-      return ok(report);
-    },
-    order: async () => {
-      calls.push('order');
-      return ok(OrderResponse.accepted);
-    },
-  };
+  const engine = willingEngine((kind) => calls.push(kind));
   const control = PauseAwareEngineControl.create(engine, directory, clock);
   const useAll = async () => [
     (await control.report(record)).isOk(),
--- a/packages/process/gateway/test/permit-service.test.ts
+++ b/packages/process/gateway/test/permit-service.test.ts
@@ -53,7 +53,7 @@
 // Guards against a limit that each process counts for itself.
 test('the controller issues the permits of all processes from one schedule', async () => {
   const { clock, serviceAt, limitsAt } = create();
-  serviceAt('h1').beginTerm(true);
+  serviceAt('h1').beginTerm({ fence: 7, isFirst: true });
   limitsAt('h2').observe(e1, 1, 0, 1);
   expect(await serviceAt('h2').ask([candidate], 0)).toMatchObject({ kind: 'granted' });
   expect(await serviceAt('h1').ask([candidate], 0)).toMatchObject({ kind: 'refused' });
@@ -65,7 +65,7 @@
 // Guards against a new controller that adds its permits to those of its predecessor.
 test('a controller issues nothing until the permits of its predecessor have expired', async () => {
   const { clock, serviceAt } = create();
-  serviceAt('h1').beginTerm(false);
+  serviceAt('h1').beginTerm({ fence: 7, isFirst: false });
   expect(await serviceAt('h1').ask([candidate], 0)).toBeUndefined();
   await clock.advance(issuerStartMs(defaultRateLimitSettings));
   expect(await serviceAt('h1').ask([candidate], 0)).toMatchObject({ kind: 'granted' });
@@ -74,7 +74,7 @@
 // Guards against permits of a process that was suspended and has been replaced meanwhile.
 test('a process that may have lost its lease issues nothing', async () => {
   const { state, serviceAt, limitsAt } = create();
-  serviceAt('h1').beginTerm(true);
+  serviceAt('h1').beginTerm({ fence: 7, isFirst: true });
   limitsAt('h2').observe(e1, 1, 0, 1);
   state.mayIssue = false;
   expect(await serviceAt('h2').ask([candidate], 0)).toBeUndefined();
--- a/packages/process/node/src/process/domain-permits.ts
+++ b/packages/process/node/src/process/domain-permits.ts
@@ -1,12 +1,11 @@
 import type { Clock, Peers } from '@currantdrift/core';
 import {
-  issuerStartMs,
   type IssuerClient,
   type LimitedEndpoint,
   type PermitDecision,
   permitDecisionSchema,
-  PermitIssuer,
   type RateLimitSettings,
+  TermIssuer,
 } from '@currantdrift/rate-limit';
 import { z } from 'zod';
 
@@ -37,22 +36,16 @@
   readonly controllerAddress: () => string | undefined;
 }
 
-/** The issuer of one term. */
-interface TermIssuer {
-  readonly epoch: number;
-  readonly issuer: PermitIssuer;
-  /** Time at which the permits of the predecessor have expired. */
-  readonly startsAt: number;
-}
-
 /**
  * Permits for calls to the endpoints of a domain that limit their requests. The domain controller issues
  * them while its lease is confirmed, so that no two processes do so at once.
  */
 export class DomainPermits implements IssuerClient {
-  private term: TermIssuer | undefined;
+  private readonly issuer: TermIssuer;
 
-  private constructor(private readonly options: DomainPermitsOptions) {}
+  private constructor(private readonly options: DomainPermitsOptions) {
+    this.issuer = TermIssuer.create(options.settings);
+  }
 
   static create(options: DomainPermitsOptions): DomainPermits {
     const permits = new DomainPermits(options);
@@ -85,15 +78,9 @@
     candidates: readonly LimitedEndpoint[],
     maxWaitMs: number,
   ): PermitDecision | undefined {
-    const { clock, ownEpoch, settings } = this.options;
+    const { clock, ownEpoch } = this.options;
     const now = clock.now();
     const epoch = ownEpoch(now);
-    if (epoch === undefined) return undefined;
-    if (this.term?.epoch !== epoch) {
-      const startsAt = now + issuerStartMs(settings);
-      this.term = { epoch, issuer: PermitIssuer.create(settings), startsAt };
-    }
-    const { issuer, startsAt } = this.term;
-    return now < startsAt ? undefined : issuer.acquire(candidates, maxWaitMs, now);
+    return epoch === undefined ? undefined : this.issuer.decide(epoch, candidates, maxWaitMs, now);
   }
 }
--- a/packages/process/node/src/request/limited-endpoint.ts
+++ b/packages/process/node/src/request/limited-endpoint.ts
@@ -13,7 +13,7 @@
   type StreamPart,
   type Telemetry,
 } from '@currantdrift/core';
-import type { RequestPermits } from '@currantdrift/rate-limit';
+import { awaitPermit, type RequestPermits } from '@currantdrift/rate-limit';
 import { err, ok, type Result } from 'neverthrow';
 
 /** Longest time for which a call waits for its permit, in ms. */
@@ -100,23 +100,15 @@
     const { clock, limitOf, permits, telemetry } = this.options;
     const ratePerS = limitOf(this.host);
     if (ratePerS === undefined) return ok();
-    const { name: endpoint, incarnation: bornAt } = this.host;
-    const permit = await permits.acquire([{ endpoint, bornAt, ratePerS }], maxWaitMs);
-    if (permit.isErr()) {
+    const { name, incarnation: bornAt } = this.host;
+    const endpoint = { endpoint: name, bornAt, ratePerS };
+    const permitted = await awaitPermit(permits, clock, endpoint, maxWaitMs, signal);
+    if (permitted.isErr()) {
       telemetry.count('currantdrift_limited_refusals_total');
-      const { retryAfterMs } = permit.error;
-      return err({ ...this.refusal(call, 'the endpoint limits its requests'), retryAfterMs });
-    }
-    await clock.sleep(Math.max(0, permit.value.usableAt - clock.now()), signal);
-    if (signal?.aborted) return err(this.refusal(call, 'the caller gave up'));
-    if (clock.now() > permit.value.expiresAt) {
-      return err(this.refusal(call, 'the permit for the call has expired'));
+      const step = `endpoint.${call}`;
+      return err({ kind: FailureKind.refused, step, peer: this.id, ...permitted.error });
     }
     telemetry.count('currantdrift_limited_calls_total', { kind: call });
     return ok();
   }
-
-  private refusal(call: string, message: string): Failure {
-    return { kind: FailureKind.refused, step: `endpoint.${call}`, peer: this.id, message };
-  }
 }
