Wait for permits without polling, and drop those that have expired

Found while reading: a request with a permit in time for its first-byte target slept 1 ms at a time until then; a request without a model whose permit had expired waited for the next change of the endpoints; the endpoint of a permit was not looked at again after the answer; a new controller counted the time until its first permit from the first question.

--- a/packages/process/gateway/src/process/permit-service.ts
+++ b/packages/process/gateway/src/process/permit-service.ts
@@ -54,7 +54,7 @@
   /** Begins this process's term as the controller. */
   beginTerm({ fence, isFirst }: Pick<Term, 'fence' | 'isFirst'>): void {
     this.ownTerm = fence;
-    if (isFirst) this.issuer.beginFirst(fence, this.options.clock.now());
+    this.issuer.begin(fence, isFirst, this.options.clock.now());
   }
 
   endTerm(): void {
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -75,7 +75,11 @@
       }
       const permitted = await this.tryPermit(tried, now);
       if (permitted !== undefined) return permitted;
-      if (now >= nextRequestAt && !this.isPermittedOnTime()) {
+      if (this.isPermittedOnTime()) {
+        await this.awaitChange(Infinity);
+        continue;
+      }
+      if (now >= nextRequestAt) {
         const refusal = await this.requestLoad(clock.now());
         if (refusal !== undefined) return refusal;
         nextRequestAt = clock.now() + settings.loadRequestIntervalMs;
@@ -169,18 +173,25 @@
     }
     const maxWaitMs = this.request.firstByteDeadline - now - settings.minTimeLeftMs;
     await this.permitWait.acquire(limited, maxWaitMs);
+    if (this.gone.aborted) return undefined;
     const at = clock.now();
-    const permit = this.permitWait.take(at);
-    const record = permit && limited.find(({ id }) => id === permit.endpoint);
-    const selected = record && this.reserve([record], Infinity, at);
-    if (selected !== undefined) return { ...selected, permit: permit?.source };
-    if (!isPlain) return undefined;
-    const { retryAt } = this.permitWait;
+    const selected = this.usePermit(tried, at);
+    if (selected !== undefined || !isPlain) return selected;
+    const { retryAt, usableAt } = this.permitWait;
     if (retryAt !== undefined) return this.refuseForLimit(retryAt, at);
-    await this.awaitChange(Infinity);
+    if (usableAt !== undefined) await this.awaitChange(usableAt);
     return undefined;
   }
 
+  /** Reserves a place with the permit if it may be used now and its endpoint still takes requests. */
+  private usePermit(tried: ReadonlySet<string>, now: number): SelectedEndpoint | undefined {
+    const permit = this.permitWait.take(now);
+    if (permit === undefined) return undefined;
+    const record = this.limitedEndpoints(tried, now).find(({ id }) => id === permit.endpoint);
+    const selected = record && this.reserve([record], Infinity, now);
+    return selected && { ...selected, permit: permit.source };
+  }
+
   /** Whether the request has a permit with which it meets the first-byte target of its route. */
   private isPermittedOnTime(): boolean {
     const { arrivedAt, route } = this.request;
--- a/packages/request/rate-limit/src/term-issuer.ts
+++ b/packages/request/rate-limit/src/term-issuer.ts
@@ -19,9 +19,9 @@
     return new TermIssuer(settings);
   }
 
-  /** Begins a term before which nobody can have issued permits. */
-  beginFirst(term: number, now: number): void {
-    this.begin(term, now);
+  /** Begins a term; `isFirst` if nobody can have issued permits before it. */
+  begin(number: number, isFirst: boolean, now: number): void {
+    this.current = this.createTerm(number, isFirst, now);
   }
 
   /** Decides in a term; undefined while permits of an earlier one may be in use. */
@@ -31,15 +31,14 @@
     maxWaitMs: number,
     now: number,
   ): PermitDecision | undefined {
-    const { issuer, startsAt } =
-      this.current?.number === term
-        ? this.current
-        : this.begin(term, now + issuerStartMs(this.settings));
+    const known = this.current?.number === term ? this.current : undefined;
+    this.current = known ?? this.createTerm(term, false, now);
+    const { issuer, startsAt } = this.current;
     return now < startsAt ? undefined : issuer.acquire(candidates, maxWaitMs, now);
   }
 
-  private begin(number: number, startsAt: number): Term {
-    this.current = { number, issuer: PermitIssuer.create(this.settings), startsAt };
-    return this.current;
+  private createTerm(number: number, isFirst: boolean, now: number): Term {
+    const startsAt = isFirst ? now : now + issuerStartMs(this.settings);
+    return { number, issuer: PermitIssuer.create(this.settings), startsAt };
   }
 }
