--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -24,17 +24,10 @@
 import type { EngineControl, ResponseHeadListener } from '../connection/engine-control';
 import { LimitAwareEngineControl } from '../connection/limit-aware-engine-control';
 import { PauseAwareEngineControl } from '../connection/pause-aware-engine-control';
-import {
-  inventorySchema,
-  leavingSchema,
-  loadRequestSchema,
-  PeerMessageKind,
-  permitRequestSchema,
-  resignedSchema,
-  usageSchema,
-} from '../connection/peer-messages';
+import { PeerMessageKind } from '../connection/peer-messages';
 import { PeerInbox } from '../connection/peer-inbox';
 import { membersByRolePriority } from '../version/role-priority';
+import { RoundTrips } from '../version/round-trips';
 import type { Member, Members } from '../version/members';
 import { InventoryBroadcaster } from './inventory-broadcaster';
 import { Controller } from './controller';
@@ -43,6 +36,7 @@
 import type { GatewaySettings } from './gateway-settings';
 import { LeavingNotices } from './leaving-notices';
 import { ControllerModelWaker } from './controller-model-waker';
+import { registerPeerHandlers } from './peer-handlers';
 import { PermitService } from './permit-service';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
@@ -64,9 +58,6 @@
   readonly metrics: { readonly text: () => Promise<string>; readonly contentType: string };
 }
 
-/** Assumed round-trip times to a failure domain, in ms. */
-const roundTripMs = { sameDomain: 0.5, sameRegion: 3, otherRegion: 17 } as const;
-
 /** Interval at which routing state of removed endpoints is dropped, in ms. */
 const pruneIntervalMs = 1_000;
 
@@ -230,7 +221,16 @@
   /** Opens the listening ports and starts the background tasks. */
   async start(): Promise<Result<void, ListenFailure>> {
     const { settings, telemetry, metrics } = this.options;
-    this.registerPeerHandlers();
+    const inbox = PeerInbox.create(this.peers, telemetry);
+    const { permitService, inventoryBroadcaster, leavingNotices, election } = this;
+    registerPeerHandlers(inbox, {
+      controller: () => this.controller,
+      permitService,
+      inventoryBroadcaster,
+      leavingNotices,
+      election,
+    });
+    this.storeCache.registerHandlers(inbox);
     const listened = await this.clientServer.listen(settings.clientAddress);
     if (listened.isErr()) return listened;
     const ready = await serveReadiness(settings.readyAddress, settings.readyPath, () =>
@@ -284,6 +284,7 @@
   private createForwarder(): Forwarder {
     const { platform, settings, telemetry } = this.options;
     const budgets = RetryBudgets.create(settings, () => this.members.all().length);
+    const roundTrips = RoundTrips.create(settings.domain, settings.regions);
     return Forwarder.create({
       clock: this.clock,
       telemetry,
@@ -306,7 +307,7 @@
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
       client: (record) => this.clients.of(record),
       budget: (service) => budgets.of(service),
-      roundTripMs: (domain) => this.roundTripTo(domain),
+      roundTripMs: (domain) => roundTrips.to(domain),
     });
   }
 
@@ -420,28 +421,6 @@
     this.members.others(this.self.host).forEach(({ address }) => this.send(address, message));
   }
 
-  private registerPeerHandlers(): void {
-    const { inventoryBroadcaster, leavingNotices, election } = this;
-    const inbox = PeerInbox.create(this.peers, this.options.telemetry);
-    inbox.onRequest(PeerMessageKind.want, loadRequestSchema, (want) => this.controller?.want(want));
-    inbox.onRequest(PeerMessageKind.permit, permitRequestSchema, (message, from) =>
-      this.permitService.respond(message, from),
-    );
-    inbox.onNotification(PeerMessageKind.usage, usageSchema, (usage) =>
-      this.controller?.recordUsage(usage),
-    );
-    inbox.onNotification(PeerMessageKind.inventory, inventorySchema, (inventory) =>
-      inventoryBroadcaster.receive(inventory),
-    );
-    inbox.onNotification(PeerMessageKind.leaving, leavingSchema, (message, from) =>
-      leavingNotices.receive(message, from),
-    );
-    this.storeCache.registerHandlers(inbox);
-    inbox.onNotification(PeerMessageKind.resigned, resignedSchema, (resigned) =>
-      election.receiveResignation(resigned),
-    );
-  }
-
   private rank(): number {
     const order = membersByRolePriority('controller', this.members.all());
     return Math.max(
@@ -449,11 +428,4 @@
       order.findIndex(({ host }) => host === this.self.host),
     );
   }
-
-  private roundTripTo(domain: string): number {
-    const { settings } = this.options;
-    if (domain === settings.domain) return roundTripMs.sameDomain;
-    const isSameRegion = settings.regions.get(domain) === settings.regions.get(settings.domain);
-    return isSameRegion ? roundTripMs.sameRegion : roundTripMs.otherRegion;
-  }
 }
