Stop taking over a domain whose lease another process has taken

Cause: a holder that lost its lease while it still tried to read or write the record closed the writer of a reconciler that did not exist yet; the takeover then succeeded and the process went on as the holder, without renewals. The epoch in the record keeps the two from changing it at once; reads, permits and estimates had two holders. Change: the lost lease ends the takeover. The new test failed before: the process held the domain.

--- a/packages/version/placement/src/controller.ts
+++ b/packages/version/placement/src/controller.ts
@@ -223,7 +223,9 @@
     this.stopped.signal.addEventListener('abort', end, { once: true });
     // Renew from the start: with a slow store the takeover may take longer than the lease.
     const renewal = this.lease.renewUntilLost(ended.signal).then(() => {
-      if (!ended.signal.aborted) this.reconciler?.domain.parts.recordWriter.close();
+      if (ended.signal.aborted) return;
+      if (this.reconciler === undefined) end();
+      else this.reconciler.domain.parts.recordWriter.close();
     });
     try {
       const taken = await this.takeOver(ended.signal);
--- a/packages/version/placement/test/takeover.test.ts
+++ b/packages/version/placement/test/takeover.test.ts
@@ -1,6 +1,7 @@
+import { StoreHandle } from '@currantdrift/fakes';
 import { FixedTtl } from '../src';
 import { permitsUnrecordedLoad } from '../src/outage';
-import { bundleOf, model, World } from './harness';
+import { bundleOf, domain, model, World } from './harness';
 
 const item = ['a', 'b', 'c', 'd', 'e'].find((name) => permitsUnrecordedLoad('e1', name)) ?? 'a';
 
@@ -66,3 +67,22 @@
   expect(woken.isOk()).toBe(true);
   expect(replicas(world)).toBe(1);
 });
+
+// Guards against a holder that goes on without the lease after another process has taken it while the
+// first one was still reading the record.
+test('a process that loses the lease before it has the record does not hold the domain', async () => {
+  const world = worldOf(true);
+  const { controller, store } = world.addController('d1');
+  store.faults.losesAnswer = (call, key) => call === 'get' && key === `domain/${domain}/record`;
+  await world.clock.advance(3_000);
+  const other = StoreHandle.create(world.memory, world.clock);
+  const leaseKey = `domain/${domain}/lease`;
+  const held = (await other.get(leaseKey))._unsafeUnwrap();
+  const { lease } = JSON.parse(Buffer.from(held?.value ?? []).toString()) as { lease: string };
+  await other.revokeLease(lease);
+  await other.compareAndSwap(leaseKey, 0, Buffer.from('{"holder":"d2","lease":"another"}'));
+  await world.clock.advance(5_000);
+  store.faults.losesAnswer = () => false;
+  await world.clock.advance(3_000);
+  expect(controller.isHolder).toBe(false);
+});
