Take parts of other attempts for no part of a stream

Cause: any part that came first, also one of another attempt, made a later refusal 'unknown', so that a request that did not run was not tried elsewhere. Change: only parts of the own attempt count. The new test failed before with 'unknown: full 70'.

--- a/packages/connection/endpoint/src/token-stream.ts
+++ b/packages/connection/endpoint/src/token-stream.ts
@@ -78,7 +78,11 @@
   client: HttpClient,
 ): AsyncGenerator<Result<StreamPart, Failure>> {
   let parsed: ParsedEvent[] = [];
-  let hasParts = false;
+  const isOwn = (part: ParsedEvent) =>
+    part.isOk() &&
+    part.value.requestId === generation.requestId &&
+    part.value.attempt === generation.attempt;
+  let hasOwnParts = false;
   const parser = createParser({ onEvent: (event) => parsed.push(readEvent(event, client)) });
   const decoder = new StringDecoder('utf8');
   try {
@@ -92,13 +96,9 @@
       parsed = [];
       parser.feed(decoder.write(chunk.value));
       for (const received of joinTokens(parsed)) {
-        const part = hasParts && received.isErr() ? refusalAsUnknown(received) : received;
-        hasParts = true;
-        const isLast =
-          part.isErr() ||
-          (part.value.kind === 'end' &&
-            part.value.requestId === generation.requestId &&
-            part.value.attempt === generation.attempt);
+        const part = hasOwnParts && received.isErr() ? refusalAsUnknown(received) : received;
+        hasOwnParts ||= isOwn(part);
+        const isLast = part.isErr() || (part.value.kind === 'end' && isOwn(part));
         if (isLast) exchange.drain();
         yield part;
         if (isLast) return;
--- a/packages/connection/endpoint/test/http-endpoint.test.ts
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -141,6 +141,17 @@
   expect(seen).toMatchSnapshot();
 });
 
+// Guards against a refusal that is reported as `unknown` because of a stray part of another attempt.
+test('a part of another attempt does not make a refusal unknown', async () => {
+  const error = { message: 'full', outcome: 'not_run', retryAfterMs: 70 };
+  const stray = event({ id: 'r1', attempt: 1, offset: 0, tokens: ['x'] });
+  const address = await serve((_, response) =>
+    response.writeHead(200, streamHead).end(stray + event({ error })),
+  );
+  const seen = await collect(connect(address));
+  expect(seen.at(-1)).toMatch(/^refused/u);
+});
+
 // Guards against a stream that stays open at the engine after its reader has gone.
 test('an abort and an early end of the iteration close the connection', async () => {
   let closed = 0;
