Report a change whose answer was lost as unknown in the command line

Cause: any failure of a call ended with exit code 5, unreachable, also one after the request had been sent; scripts that repeat only on 4 took the change for not made. Change: only connect errors and reads are unreachable. The new test failed before (5 in place of 4).

--- a/packages/process/cli/src/daemon-client.ts
+++ b/packages/process/cli/src/daemon-client.ts
@@ -3,6 +3,18 @@
 import type { CommandFailure, CommandOption, OptionValues } from './command';
 import { ExitCode } from './exit';
 
+/** Codes of errors that occur before a byte of a request is sent. */
+const connectErrorCodes: ReadonlySet<unknown> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const isNotSent = (error: unknown): boolean =>
+  error instanceof Error && 'code' in error && connectErrorCodes.has(error.code);
+
 /** Options of the commands that send requests to a daemon. */
 export const daemonOptions: Readonly<Record<string, CommandOption>> = {
   url: {
@@ -86,7 +98,8 @@
       return { status: response.statusCode, body: await response.body.json() };
     };
     return ResultAsync.fromPromise(call(), (error) => ({
-      code: ExitCode.unreachable,
+      // A change that was sent may have taken effect although its answer was lost.
+      code: method === 'GET' || isNotSent(error) ? ExitCode.unreachable : ExitCode.unknown,
       message: `${this.url}: ${error instanceof Error ? error.message : String(error)}`,
     }));
   }
--- a/packages/process/cli/test/cli.test.ts
+++ b/packages/process/cli/test/cli.test.ts
@@ -1,3 +1,5 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { mkdtempSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -60,3 +62,16 @@
   const { code } = await invoke('status', '--url', 'http://127.0.0.1:9', '--token', 't');
   expect(code).toBe(5);
 });
+
+// Guards against reporting a change as not made although the daemon may have made it.
+test('tells a change whose answer was lost by its exit code', async () => {
+  const server = createServer((incoming) => incoming.socket.destroy());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const changed = await invoke('drain', 'writer-1', '--url', url, '--token', 't');
+  const asked = await invoke('status', '--url', url, '--token', 't');
+  server.close();
+  expect([changed.code, asked.code]).toEqual([4, 5]);
+});
