Run the demo beside keys in the example, and clamp the time of a claim

README's 'make the keys first' and then npm run demo failed with EEXIST, since the keys were copied and their folder made again; keys in the example now stay there. A claim after its deadline slept a negative time, which timers take for 1 ms; it is 0 now.

--- a/packages/request/booking/src/claim-ledger.ts
+++ b/packages/request/booking/src/claim-ledger.ts
@@ -113,7 +113,8 @@
     if (known !== undefined) return existingClaimResult(known, claim.bodyDigest, now, this.isGone);
     let wanted = true;
     const settled = new AbortController();
-    const timeout = this.options.clock.sleep(request.deadline - now, settled.signal).then(() => {
+    const timeLeftMs = Math.max(0, request.deadline - now);
+    const timeout = this.options.clock.sleep(timeLeftMs, settled.signal).then(() => {
       wanted = false;
     });
     const answer = await Promise.race([this.submitClaim(claim, () => wanted), timeout]);
--- a/packages/tooling/demo/src/deployment.ts
+++ b/packages/tooling/demo/src/deployment.ts
@@ -65,7 +65,9 @@
   /** Copies an example to a folder of its own and makes the operators' keys. */
   static async create(example: string): Promise<Deployment> {
     const folder = mkdtempSync(join(tmpdir(), 'currantdrift-'));
-    cpSync(example, folder, { recursive: true });
+    // Keys that were made in the example itself stay there.
+    const ownKeys = join(example, 'keys');
+    cpSync(example, folder, { recursive: true, filter: (source) => source !== ownKeys });
     mkdirSync(join(folder, 'keys'));
     mkdirSync(join(folder, 'logs'));
     const [first] = configNames(join(folder, 'daemons'));
