--- a/packages/process/node/src/process/endpoint-cache.ts
+++ b/packages/process/node/src/process/endpoint-cache.ts
@@ -29,11 +29,4 @@
     this.cached.set(host.name, { host, endpoint });
     return endpoint;
   }
-
-  /** Removes the clients of hosts that are not in `names`. */
-  retain(names: ReadonlySet<string>): void {
-    [...this.cached.keys()]
-      .filter((name) => !names.has(name))
-      .forEach((name) => this.cached.delete(name));
-  }
 }
