Forget the limits of endpoints that have left

Cause: what an endpoint had stated stayed for as long as the process ran, and the controller announced it every 2 s: on a fleet whose engines come and go, announcements would grow to 10,000 limits. Found while reading. Change: a limit goes once its endpoint has had no entry for 60 s; entries lapse for seconds while the store is away.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -370,7 +370,9 @@
   private async pruneEndpointStates(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(pruneIntervalMs, signal);
-      this.balancer.retain(new Set(this.directory.all().map(({ id }) => id)));
+      const present = new Set(this.directory.all().map(({ id }) => id));
+      this.balancer.retain(present);
+      this.directory.limits.retain(present, this.clock.now());
     }
   }
 
--- a/packages/version/fleet/src/endpoint-limits.ts
+++ b/packages/version/fleet/src/endpoint-limits.ts
@@ -1,6 +1,9 @@
 /** Maximum number of endpoints whose limits are remembered. */
 const maxFacts = 10_000;
 
+/** Time without an entry after which an endpoint's limit is forgotten, in ms; entries may lapse. */
+const missingLifetimeMs = 60_000;
+
 /** Time for which the end of a limit is reported to other members, in ms. */
 const endedLimitLifetimeMs = 10_000;
 
@@ -34,6 +37,9 @@
 export class EndpointLimits {
   private readonly facts = new Map<string, LimitFact>();
 
+  /** Time since which each endpoint with a limit has had no entry. */
+  private readonly missingSince = new Map<string, number>();
+
   /** Endpoints of which this member knows something that the others may not know. */
   private readonly unreported = new Set<string>();
 
@@ -113,6 +119,21 @@
     return { endpoint, bornAt, ratePerS: ratePerS ?? null, ageMs: now - learntAt };
   }
 
+  /** Forgets endpoints that have not been among `present` for `missingLifetimeMs`. */
+  retain(present: ReadonlySet<string>, now: number): void {
+    [...this.facts.keys()].forEach((id) => {
+      if (present.has(id)) {
+        this.missingSince.delete(id);
+        return;
+      }
+      const since = this.missingSince.get(id) ?? now;
+      this.missingSince.set(id, since);
+      if (now - since < missingLifetimeMs) return;
+      this.facts.delete(id);
+      this.missingSince.delete(id);
+    });
+  }
+
   /** What is known of this instance or, if that is newer, of a later one. */
   private factOf({ id, bornAt }: EndpointInstance): LimitFact | undefined {
     const fact = this.facts.get(id);
--- a/packages/version/fleet/test/endpoint-limits.test.ts
+++ b/packages/version/fleet/test/endpoint-limits.test.ts
@@ -89,3 +89,15 @@
     expect(limits.reports(10_040)).toHaveLength(0);
   });
 });
+
+// Guards against announcements that grow with every endpoint that ever stated a limit.
+test('the limit of an endpoint that has left is forgotten, not that of one whose entry lapsed', () => {
+  const e2 = { id: 'e2', bornAt: 1 };
+  limits.observe(e1, 2, 0, 10);
+  limits.observe(e2, 2, 0, 10);
+  limits.retain(new Set(), 1_000);
+  limits.retain(new Set(['e2']), 30_000);
+  limits.retain(new Set(), 61_000);
+  expect([limits.rate(e1), limits.rate(e2)]).toEqual([undefined, 2]);
+  expect(limits.reports(61_000)).toHaveLength(1);
+});
