Ignore requests in flight of a delayed announcement

Cause: inventories of a delayed announcement were ignored, its requests in flight were not, so that the balancer was set back to older loads. The new test failed before (50, 40, 60).

--- a/packages/process/gateway/src/process/inventory-broadcaster.ts
+++ b/packages/process/gateway/src/process/inventory-broadcaster.ts
@@ -43,6 +43,9 @@
   /** Number of the newest announcement applied for each engine under the fencing token `fence`. */
   private readonly newestNumbers = new Map<string, number>();
 
+  /** Number of the newest announcement of requests in flight under the fencing token `fence`. */
+  private newestLoads = 0;
+
   private constructor(private readonly options: InventoryBroadcasterOptions) {}
 
   static create(options: InventoryBroadcasterOptions): InventoryBroadcaster {
@@ -80,7 +83,7 @@
 
   /** Applies an announcement that came from the controller or from a relay. */
   receive(message: InventoryMessage): void {
-    const { clock, directory, members, onLoads, self } = this.options;
+    const { clock, directory, members, self } = this.options;
     if (message.fence < this.fence) return;
     this.raiseFence(message.fence);
     const { number } = message;
@@ -90,13 +93,20 @@
     current.forEach(({ endpoint }) => this.newestNumbers.set(endpoint, number));
     directory.applyInventories(current, clock.now());
     this.options.onLimits(message.limits);
-    onLoads(message.loads);
+    this.applyLoads(message.loads, number);
     if (!message.passOn) return;
     const all = members.recipients(self.host, clock.now());
     const domainMembers = all.filter(({ domain }) => domain === self.domain);
     this.sendTo(domainMembers, { ...message, passOn: false });
   }
 
+  /** Applies the requests in flight unless newer ones have been applied. */
+  private applyLoads(loads: readonly EndpointLoad[], number: number): void {
+    if (loads.length === 0 || number < this.newestLoads) return;
+    this.newestLoads = number;
+    this.options.onLoads(loads);
+  }
+
   /** The first relay that has recently reported; all relays if none has. */
   private relaysOf(domain: string): readonly Member[] {
     const { members, hasReported } = this.options;
@@ -109,6 +119,7 @@
     if (fence <= this.fence) return;
     this.fence = fence;
     this.newestNumbers.clear();
+    this.newestLoads = 0;
   }
 
   private sendTo(targets: readonly Member[], message: InventoryMessage): void {
--- a/packages/process/gateway/test/inventory-broadcaster.test.ts
+++ b/packages/process/gateway/test/inventory-broadcaster.test.ts
@@ -29,12 +29,13 @@
     members.onListing(entries);
     const directory = EndpointDirectory.create();
     directory.put(endpointRecord());
+    const loads: number[] = [];
     const broadcaster = InventoryBroadcaster.create({
       clock,
       self,
       members,
       directory,
-      onLoads: () => {},
+      onLoads: (applied) => loads.push(...applied.map(({ inFlight }) => inFlight)),
       onLimits: (limits) => directory.limits.merge(limits, clock.now()),
       hasReported: (host) => reporting.has(host),
       send: (to, message) => {
@@ -44,7 +45,7 @@
     });
     broadcasters.set(self.host, broadcaster);
     const held = () => directory.models('e1', clock.now()).map(({ name }) => name);
-    return { self, broadcaster, held };
+    return { self, broadcaster, held, loads };
   });
   return { clock, processes, sends, lost, reporting };
 };
@@ -79,6 +80,28 @@
     expect(others.every(({ held }) => held().includes('b'))).toBe(true);
   });
 
+  // Guards against requests in flight that a delayed announcement sets back.
+  test('delayed numbers of requests in flight are ignored', () => {
+    const { processes } = createMembers(2);
+    const [, member] = processes;
+    const message = { kind: 'gateway.inventory', passOn: false, inventories: [] } as const;
+    [
+      { number: 5, inFlight: 50 },
+      { number: 4, inFlight: 40 },
+      { number: 6, inFlight: 60 },
+    ].forEach(({ number, inFlight }) =>
+      member.broadcaster.receive({
+        ...message,
+        inventories: [],
+        fence: 2,
+        number,
+        loads: [{ endpoint: 'e1', inFlight }],
+        limits: [],
+      }),
+    );
+    expect(member.loads).toEqual([50, 60]);
+  });
+
   // Guards against a delayed announcement that replaces a newer one.
   test('announcements with an older number or fencing token are ignored', () => {
     const { processes } = createMembers(2);
