Keep the pause of an endpoint whose entry lapses

Cause: the pause was part of the known endpoint and went with its entry; when the entry came back with the same start, requests reached the endpoint in its pause. Change: pauses are kept apart, by start. The new test failed before.

--- a/packages/version/fleet/src/endpoint-directory.ts
+++ b/packages/version/fleet/src/endpoint-directory.ts
@@ -9,12 +9,19 @@
 /** Maximum number of endpoint starts that are remembered as leaving. */
 const maxLeaving = 10_000;
 
+/** Maximum number of endpoints whose pauses are remembered. */
+const maxPauses = 10_000;
+
 interface KnownEndpoint {
   readonly record: EndpointRecord;
   readonly inventory?: Inventory;
   readonly inventoryAt: number;
-  /** Time until which the endpoint accepts nothing from this process. */
-  readonly pausedUntil: number;
+}
+
+/** A pause that an endpoint asked this process for. */
+interface Pause {
+  readonly bornAt: number;
+  readonly until: number;
 }
 
 /** The endpoints known to this process, with the models that they have loaded. */
@@ -27,6 +34,9 @@
   /** Start time (`bornAt`) by id of the endpoints that announced that they are leaving. */
   private readonly leaving = new Map<string, number>();
 
+  /** Kept apart from the endpoints, since a record may lapse and come back during a pause. */
+  private readonly pauses = new Map<string, Pause>();
+
   private readonly listeners = new Set<() => void>();
 
   private constructor() {}
@@ -35,7 +45,7 @@
     return new EndpointDirectory();
   }
 
-  /** Stores an endpoint's record. Its inventory and pause are kept if it has not restarted since. */
+  /** Stores an endpoint's record. Its inventory is kept if it has not restarted since. */
   put(record: EndpointRecord): void {
     const before = this.endpoints.get(record.id);
     const same = before?.record.bornAt === record.bornAt ? before : undefined;
@@ -43,7 +53,6 @@
       record: this.withLeavingState(record),
       inventory: same?.inventory,
       inventoryAt: same?.inventoryAt ?? -Infinity,
-      pausedUntil: same?.pausedUntil ?? -Infinity,
     });
     this.notify();
   }
@@ -67,14 +76,20 @@
   /** Records that the endpoint accepts nothing from this process until `until` or its restart. */
   pause(id: string, bornAt: number, until: number): void {
     const known = this.endpoints.get(id);
-    if (known === undefined || known.record.bornAt !== bornAt) return;
-    this.endpoints.set(id, { ...known, pausedUntil: Math.max(known.pausedUntil, until) });
+    if (known !== undefined && known.record.bornAt !== bornAt) return;
+    const before = this.pauses.get(id);
+    const pausedUntil = before?.bornAt === bornAt ? before.until : -Infinity;
+    this.pauses.delete(id);
+    this.pauses.set(id, { bornAt, until: Math.max(pausedUntil, until) });
+    if (this.pauses.size > maxPauses) this.pauses.delete([...this.pauses.keys()][0]);
     this.notify();
   }
 
   /** Time until which the endpoint accepts nothing from this process; -Infinity if never paused. */
   pausedUntil(id: string): number {
-    return this.endpoints.get(id)?.pausedUntil ?? -Infinity;
+    const pause = this.pauses.get(id);
+    const bornAt = this.endpoints.get(id)?.record.bornAt;
+    return pause !== undefined && pause.bornAt === bornAt ? pause.until : -Infinity;
   }
 
   remove(id: string): void {
--- a/packages/version/fleet/test/endpoint-directory.test.ts
+++ b/packages/version/fleet/test/endpoint-directory.test.ts
@@ -88,6 +88,17 @@
     expect(directory.pausedUntil('e1')).toBe(500);
   });
 
+  // Guards against a pause that is forgotten when the entry lapses and comes back.
+  test('holds while the record is away and when it is back', () => {
+    const directory = EndpointDirectory.create();
+    directory.put(endpointRecord({ id: 'e1', bornAt: 1 }));
+    directory.pause('e1', 1, 500);
+    directory.remove('e1');
+    expect(directory.pausedUntil('e1')).toBe(-Infinity);
+    directory.put(endpointRecord({ id: 'e1', bornAt: 1 }));
+    expect(directory.pausedUntil('e1')).toBe(500);
+  });
+
   // Guards against a pause that still applies after a restart.
   test('ends when the endpoint restarts', () => {
     const directory = EndpointDirectory.create();
