--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -12,8 +12,8 @@
   readonly record: EndpointRecord;
   readonly place: Reservation;
   readonly candidates: number;
-  /** Who permitted the request, if the endpoint limits its requests. */
-  readonly permit?: PermitSource;
+  /** Who permitted the request and after which wait, in ms, if the endpoint limits its requests. */
+  readonly permit?: { readonly source: PermitSource; readonly waitedMs: number };
 }
 
 /** Why no endpoint was selected. */
@@ -189,7 +189,8 @@
     if (permit === undefined) return undefined;
     const record = this.limitedEndpoints(tried, now).find(({ id }) => id === permit.endpoint);
     const selected = record && this.reserve([record], Infinity, now);
-    return selected && { ...selected, permit: permit.source };
+    const waitedMs = this.permitWait.waitedMs(now);
+    return selected && { ...selected, permit: { source: permit.source, waitedMs } };
   }
 
   /** Whether the request has a permit with which it meets the first-byte target of its route. */
--- a/packages/request/forward/src/permit-wait.ts
+++ b/packages/request/forward/src/permit-wait.ts
@@ -19,6 +19,8 @@
 
   private refusedAt = -Infinity;
 
+  private waitingSince: number | undefined;
+
   private constructor(private readonly options: PermitWaitOptions) {}
 
   static create(options: PermitWaitOptions): PermitWait {
@@ -51,6 +53,7 @@
   async acquire(records: readonly EndpointRecord[], maxWaitMs: number): Promise<void> {
     const { clock, permits } = this.options;
     const now = clock.now();
+    this.waitingSince ??= now;
     if (this.isHeldFor(records, now) || now < this.refusedAt + minAskIntervalMs) return;
     const decision = await permits.acquire(this.limitedEndpoints(records), maxWaitMs);
     this.permit = decision.unwrapOr(undefined);
@@ -62,6 +65,11 @@
     this.refusedUntil = this.refusedAt + decision.error.retryAfterMs;
   }
 
+  /** Time since the request first asked for a permit, in ms. */
+  waitedMs(now: number): number {
+    return now - (this.waitingSince ?? now);
+  }
+
   /** Takes the permit if it may be used now. */
   take(now: number): RequestPermit | undefined {
     const { permit } = this;
