Look up the engines for loads once a plan

Cause: the new look at request limits went through all engines for each model, and through all waiting requests for each model without a replica, at every estimate: with 300 engines and 100 waiting models that is 30,000 steps a request. Found while reading; not measured. Change: the engines that may load are kept with the list of engines, as the index of the fleet is, and a model without a replica needs no further look. The decisions are the same.

--- a/packages/version/residency/src/request-limits.ts
+++ b/packages/version/residency/src/request-limits.ts
@@ -15,14 +15,21 @@
     ? 0
     : ((callsPerLoad + unloads) * msPerSecond) / Math.max(requestLimitPerS, minRequestLimitPerS);
 
+const loadEnginesCache = new WeakMap<readonly EngineView[], ReadonlySet<EngineView>>();
+
 /**
  * Engines that may load further models. Those that limit their requests do only if all do: the orders
- * use up what the engine takes and wait for it, and the new replica could serve little.
+ * use up what the engine takes and wait for it, and the new replica could serve little. Cached for each
+ * list of engines, which must not change afterwards, because a plan looks up many models.
  */
 export const enginesForLoads = ({ engines }: PlanInput): ReadonlySet<EngineView> => {
+  const found = loadEnginesCache.get(engines);
+  if (found !== undefined) return found;
   const present = engines.filter(({ leaving }) => !leaving);
   const unlimited = present.filter(({ requestLimitPerS }) => requestLimitPerS === undefined);
-  return new Set(unlimited.length > 0 ? unlimited : present);
+  const usable = new Set(unlimited.length > 0 ? unlimited : present);
+  loadEnginesCache.set(engines, usable);
+  return usable;
 };
 
 /**
@@ -51,6 +58,7 @@
 export const isServed = (input: PlanInput, model: string, now: number): boolean => {
   const replicas = effectiveReplicas(input, model);
   if (replicas >= 1) return true;
+  if (replicas === 0) return false;
   const isLimited = input.demand
     .current(now)
     .some(
@@ -58,5 +66,5 @@
     );
   if (isLimited) return false;
   const rate = input.demand.rate(input.service, model, now);
-  return replicas > 0 && replicas >= rate / input.settings.arrivalsPerReplica;
+  return replicas >= rate / input.settings.arrivalsPerReplica;
 };
