Log how far an endpoint had answered a failed send, and the prompt's parts

From a log one could tell which requests broke with an engine, but not which of them the engine was answering, nor which parts their prompts share: the hypotheses (no link from the end to the request; each process sees too little; blaming all parts would hit sound requests) could be told apart only by the reason's text. Failed sends now carry progress and promptParts.

--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -113,6 +113,9 @@
       inFlight: this.context.balancer.inFlight(record.id),
       outcome: result.kind,
       reason: result.kind === 'delivered' ? undefined : result.reason,
+      progress: result.kind === 'delivered' ? undefined : send.progress,
+      // Requests with a common part that end their engines are recognized by these.
+      promptParts: result.kind === 'delivered' ? undefined : fields.promptParts.join(','),
       longestPauseMs:
         result.kind === 'delivered' && result.longestPauseMs !== undefined
           ? Math.round(result.longestPauseMs)
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -20,6 +20,17 @@
     ? Framing.connection
     : Framing.chunks;
 
+/** How far an endpoint has answered a send. */
+export const AnswerProgress = {
+  /** Nothing was received. */
+  none: 'none',
+  /** The head of the answer was received, and no complete event or body. */
+  begun: 'begun',
+  /** At least one event of a stream was received. */
+  streaming: 'streaming',
+} as const;
+export type AnswerProgress = (typeof AnswerProgress)[keyof typeof AnswerProgress];
+
 /** How a send ended. */
 export type SendResult =
   /** The answer was relayed to its end, or until the client disconnected. */
@@ -47,6 +58,8 @@
 
 /** One send of a request to one endpoint. */
 export class Send {
+  private answerProgress: AnswerProgress = AnswerProgress.none;
+
   private constructor(
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
@@ -65,6 +78,11 @@
     return new Send(context, request, client, selected, position);
   }
 
+  /** How far the endpoint has answered. */
+  get progress(): AnswerProgress {
+    return this.answerProgress;
+  }
+
   /** `signal` aborts the send when the client disconnects or the deadline passes. */
   async run(signal: AbortSignal): Promise<SendResult> {
     const { clock, telemetry } = this.context;
@@ -84,6 +102,7 @@
       answer.exchange.stop(new Error(rejection.reason));
       return rejection;
     }
+    this.answerProgress = AnswerProgress.begun;
     const firstByteMs = clock.now() - startedAt;
     this.selected.place.observeFirstByte(firstByteMs);
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
@@ -187,6 +206,7 @@
         const now = clock.now();
         longestPauseMs = Math.max(longestPauseMs, now - (lastAt ?? now));
         lastAt = now;
+        this.answerProgress = AnswerProgress.streaming;
         this.begin(answer);
         this.position.lastEventId = events.lastId ?? this.position.lastEventId;
         await this.client.write(events.bytes);
