Let prompt parts crash engines of the soak, and judge what still reaches them

A part of a prompt ends each engine that begins to answer it; clients send such prompts to any process, no two alike.

--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,8 +1,15 @@
+import {
+  type DeadlyPart,
+  lostSoundViolations,
+  repeatedCrashViolations,
+  type SoundRequest,
+} from './crash-check';
 import type { Disturbances } from './disturbances';
 import { limitViolations } from './limit-check';
 import {
   type Arrival,
   type Attempt,
+  type EngineCrash,
   Kind,
   type Limit,
   type Order,
@@ -62,6 +69,10 @@
 
   private readonly limits: Limit[] = [];
 
+  private readonly crashes: EngineCrash[] = [];
+
+  private readonly deadlyParts: DeadlyPart[] = [];
+
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
 
@@ -99,6 +110,16 @@
     this.limits.push(limit);
   }
 
+  /** A request with a deadly part has crashed an engine. */
+  crashed(crash: EngineCrash): void {
+    this.crashes.push(crash);
+  }
+
+  /** Clients have stopped sending requests with a deadly part. */
+  deadlyPartEnded(part: DeadlyPart): void {
+    this.deadlyParts.push(part);
+  }
+
   acknowledged(version: number, at: number): void {
     this.versions.set(version, at);
   }
@@ -126,6 +147,7 @@
       ...this.ofPauses(),
       ...this.ofOrders(),
       ...this.ofLimits(),
+      ...this.ofDeadlyParts(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
@@ -189,7 +211,9 @@
   }
 
   /** Requests that were passed on to a sound endpoint by a sound process and got no whole answer. */
-  private ofLoss({ id, process, sentAt, endedAt, status, complete }: Attempt): Violation[] {
+  private ofLoss(attempt: Attempt): Violation[] {
+    const { id, process, sentAt, endedAt, status, complete, deadlyPart } = attempt;
+    if (deadlyPart !== undefined) return [];
     const runs = this.runs.get(id) ?? [];
     const isOver = complete || endedAt - sentAt >= this.bounds.answerMs;
     if (isOver || runs.length === 0) return [];
@@ -293,6 +317,27 @@
     );
   }
 
+  /** Requests with a deadly part that go on reaching engines, and sound ones that suffer beside them. */
+  private ofDeadlyParts(): Violation[] {
+    const { contactMs } = this.bounds;
+    const byId = new Map(this.attempts.map((attempt) => [attempt.id, attempt]));
+    const arrivals = this.calls.flatMap(({ request, endpoint, at }) => {
+      const attempt = request === undefined ? undefined : byId.get(request);
+      if (attempt?.deadlyPart === undefined || !this.inTouch(attempt.process, at, at)) return [];
+      return [{ at, endpoint, part: attempt.deadlyPart }];
+    });
+    const sound = this.attempts.flatMap((attempt): SoundRequest[] => {
+      const { promptParts, deadlyPart, process, sentAt, endedAt } = attempt;
+      if (promptParts.length === 0 || deadlyPart !== undefined) return [];
+      if (!this.inTouch(process, sentAt, endedAt)) return [];
+      return [{ sentAt, hasBegun: isSuccess(attempt) }];
+    });
+    return [
+      ...repeatedCrashViolations(this.crashes, arrivals, contactMs),
+      ...lostSoundViolations(this.deadlyParts, this.crashes, sound, contactMs),
+    ];
+  }
+
   private ofOrders(): Violation[] {
     const last = new Map<string, Order>();
     return [...this.orders]
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -1,5 +1,12 @@
 export { Checker, type CheckerBounds, haltOf, stopOf } from './checker';
 export { Child } from './child';
+export {
+  type DeadlyArrival,
+  type DeadlyPart,
+  lostSoundViolations,
+  repeatedCrashViolations,
+  type SoundRequest,
+} from './crash-check';
 export { Disturbances } from './disturbances';
 export { FaultSeries, type Fault } from './fault-series';
 export { limitViolations } from './limit-check';
@@ -8,6 +15,7 @@
 export {
   type Arrival,
   type Attempt,
+  type EngineCrash,
   Kind,
   type Limit,
   type Order,
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -32,6 +32,17 @@
   /** Ids of the stream's events in the order of arrival, and how many the whole stream has. */
   readonly events: readonly number[];
   readonly expectedEvents: number;
+  /** Parts of its prompt; empty without one. */
+  readonly promptParts: readonly string[];
+  /** Part of its prompt that crashes engines. */
+  readonly deadlyPart: string | undefined;
+}
+
+/** The crash of an engine by a request with a prompt part that crashes engines. */
+export interface EngineCrash {
+  readonly endpoint: string;
+  readonly part: string;
+  readonly at: number;
 }
 
 /** A request that an endpoint began to work on. */
