Hold back prompts that crash engines, by what all gateways know

Cause: nothing linked the end of an engine to the request that it had begun to answer. Class: a verdict that each part draws from its own attempt alone; no process sees enough of it (two of the first five crashes at most). Ruled out: counting what breaks with an engine, which blames the shared first part first; a count for each process, which comes too late with eight processes and never with 460; a second attempt as the test, which costs an engine.

Change: a new package, quarantine. A process whose send broke between the head and half a second after the first event asks whether the engine has ended and reports the prompt's parts to all processes, which blame an engine's end once. Answers that an engine survives clear their parts, and are told to the others where a report names them. Parts that are left at two ends in two prompts are held back, together if nothing tells them apart; a request under suspicion gets no second attempt; one that waits at an engine is cancelled. Held-back requests get 503 at once, with the time that is left. Entries in the store tell processes that start later and are written again if they vanish. After ten to twenty minutes, at random, one process tries first and the others hear of it.

The leaving notices share the path to all members (DomainNotices), so a relay now forwards its own.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -1,4 +1,5 @@
 import type { Message } from '@currantdrift/core';
+import { clearedPartsSchema, crashReportSchema } from '@currantdrift/quarantine';
 import { permitDecisionSchema } from '@currantdrift/rate-limit';
 import { z } from 'zod';
 import type { AgedListing } from '../process/prefix-follower';
@@ -12,6 +13,8 @@
   resigned: 'gateway.resigned',
   leaving: 'gateway.leaving',
   permit: 'gateway.permit',
+  crash: 'gateway.crash',
+  cleared: 'gateway.cleared',
   feed: 'gateway.feed',
   snapshot: 'gateway.snapshot',
 } as const;
@@ -130,6 +133,20 @@
 });
 export type LeavingMessage = z.infer<typeof leavingSchema>;
 
+/** What a member saw of the crash of an engine; forwarded like `leavingSchema`. */
+export const crashSchema = crashReportSchema.extend({
+  kind: z.literal(PeerMessageKind.crash),
+  passOn: z.boolean(),
+});
+export type CrashMessage = z.infer<typeof crashSchema>;
+
+/** Prompt parts that a member has seen to be sound; forwarded like `leavingSchema`. */
+export const clearedSchema = clearedPartsSchema.extend({
+  kind: z.literal(PeerMessageKind.cleared),
+  passOn: z.boolean(),
+});
+export type ClearedMessage = z.infer<typeof clearedSchema>;
+
 const changeSchema = z.union([
   z.object({ kind: z.literal('put'), entry: entrySchema }),
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -21,16 +21,19 @@
 import { PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
+import { EngineProbe } from '../connection/engine-probe';
 import type { EngineControl, ResponseHeadListener } from '../connection/engine-control';
 import { LimitAwareEngineControl } from '../connection/limit-aware-engine-control';
 import { PauseAwareEngineControl } from '../connection/pause-aware-engine-control';
 import { PeerMessageKind } from '../connection/peer-messages';
 import { PeerInbox } from '../connection/peer-inbox';
+import { DomainNotices } from '../version/domain-notices';
 import { membersByRolePriority } from '../version/role-priority';
 import { RoundTrips } from '../version/round-trips';
 import type { Member, Members } from '../version/members';
 import { InventoryBroadcaster } from './inventory-broadcaster';
 import { Controller } from './controller';
+import { CrashHandling } from './crash-handling';
 import { ControllerElection, type Term } from './controller-election';
 import { ClientHttpServer, type ListenFailure } from './client-http-server';
 import type { GatewaySettings } from './gateway-settings';
@@ -116,6 +119,8 @@
 
   private readonly permits: MemberPermits;
 
+  private readonly crashHandling: CrashHandling;
+
   private readonly send = (address: string, message: Message): void =>
     this.peers.notify(address, message);
 
@@ -148,6 +153,10 @@
       peers: this.peers,
       directory: this.directory,
       onConfiguration: ({ limits }) => this.clientServer.limit(limits),
+      daemonEntries: {
+        onListing: (entries) => this.crashHandling.stored.onListing(entries),
+        onChange: (change) => this.crashHandling.stored.onChange(change),
+      },
     });
     const { clock, self, members, directory, send } = this;
     this.inventoryBroadcaster = InventoryBroadcaster.create({
@@ -160,14 +169,8 @@
       onLoads: (loads) => this.balancer.observeFleetLoads(loads, clock.now()),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
-    this.leavingNotices = LeavingNotices.create({
-      clock,
-      telemetry,
-      self,
-      members,
-      directory,
-      send,
-    });
+    const notices = DomainNotices.create({ clock, self, members, send });
+    this.leavingNotices = LeavingNotices.create({ telemetry, directory, notices });
     this.limits = LimitObserver.create({ clock, telemetry, limits: directory.limits });
     this.signals = EndpointSignals.create({
       clock,
@@ -196,6 +199,15 @@
       clock,
       telemetry,
     });
+    this.crashHandling = CrashHandling.create({
+      store: platform.store,
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      notices,
+      probe: EngineProbe.create(this.control, directory, clock),
+      members: () => members.all().length,
+    });
     this.forwarder = this.createForwarder();
     this.clientServer = ClientHttpServer.create(
       (request, response) => this.forwarder.handle(request, response),
@@ -228,6 +240,7 @@
       permitService,
       inventoryBroadcaster,
       leavingNotices,
+      crashNotices: this.crashHandling.notices,
       election,
     });
     this.storeCache.registerHandlers(inbox);
@@ -295,6 +308,7 @@
       balancer: this.balancer,
       usage: this.usage,
       permits: this.permits,
+      crashes: this.crashHandling.watch,
       stopping: this.stopped.signal,
       closing: this.closing.signal,
       waker: ControllerModelWaker.create(
@@ -349,6 +363,7 @@
     this.runInBackground(this.storeCache.run(forever));
     this.runInBackground(this.createUsageReporter().run(forever));
     this.runInBackground(this.pruneEndpointStates(forever));
+    this.runInBackground(this.crashHandling.stored.run(forever));
     this.runInBackground(this.registration.run(signal));
     this.runInBackground(this.runElection(signal));
   }
--- a/packages/process/gateway/src/process/leaving-notices.ts
+++ b/packages/process/gateway/src/process/leaving-notices.ts
@@ -1,21 +1,15 @@
-import type { Clock, Telemetry } from '@currantdrift/core';
+import type { Telemetry } from '@currantdrift/core';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import { type LeavingMessage, PeerMessageKind } from '../connection/peer-messages';
-import type { Member, Members } from '../version/members';
+import type { DomainNotices } from '../version/domain-notices';
 
 export interface LeavingNoticesOptions {
-  readonly clock: Clock;
   readonly telemetry: Telemetry;
-  readonly self: Member;
-  readonly members: Members;
   readonly directory: EndpointDirectory;
-  readonly send: (address: string, message: LeavingMessage) => void;
+  readonly notices: DomainNotices;
 }
 
-/**
- * Tells all members that an endpoint is leaving once the endpoint has announced it to one of them. That
- * member notifies the relays, and each relay forwards the notice in its failure domain.
- */
+/** Tells all members that an endpoint is leaving once the endpoint has announced it to one of them. */
 export class LeavingNotices {
   private constructor(private readonly options: LeavingNoticesOptions) {}
 
@@ -23,33 +17,17 @@
     return new LeavingNotices(options);
   }
 
-  /** Notifies the relays that an endpoint has announced to this process that it is leaving. */
+  /** Notifies the members that an endpoint has announced to this process that it is leaving. */
   publish({ id, bornAt }: EndpointRecord): void {
-    const { members } = this.options;
-    this.sendTo(members.relays, {
-      kind: PeerMessageKind.leaving,
-      endpoint: id,
-      bornAt,
-      passOn: true,
-    });
+    this.options.notices.publish({ kind: PeerMessageKind.leaving, endpoint: id, bornAt });
   }
 
   /** Applies a notice from another member and forwards it if required. */
   receive(message: LeavingMessage, from: string): void {
-    const { clock, directory, members, self, telemetry } = this.options;
+    const { directory, notices, telemetry } = this.options;
     const { endpoint, bornAt } = message;
     if (!directory.markLeaving(endpoint, bornAt)) return;
     telemetry.log('endpoint.leaving', { endpoint, source: from });
-    if (!message.passOn) return;
-    const all = members.recipients(self.host, clock.now());
-    const domainMembers = all.filter(({ domain }) => domain === self.domain);
-    this.sendTo(domainMembers, { ...message, passOn: false });
-  }
-
-  private sendTo(targets: readonly Member[], message: LeavingMessage): void {
-    const { self, send } = this.options;
-    targets
-      .filter(({ host }) => host !== self.host)
-      .forEach(({ address }) => send(address, message));
+    notices.passOn(message);
   }
 }
--- a/packages/process/gateway/src/process/store-cache.ts
+++ b/packages/process/gateway/src/process/store-cache.ts
@@ -19,7 +19,7 @@
 } from '../version/endpoint-directory-updater';
 import { freshnessLimits } from '../version/freshness';
 import { type Member, Members, daemonPrefix } from '../version/members';
-import { PrefixFollower, type AgedListing } from './prefix-follower';
+import { type AgedListing, type EntryListener, PrefixFollower } from './prefix-follower';
 import { StoreFeed } from './store-feed';
 
 /** Pause between waits for changes, in ms; changes in between arrive together. */
@@ -51,6 +51,8 @@
   /** Updated with the endpoints. */
   readonly directory: EndpointDirectory;
   readonly onConfiguration: (configuration: Configuration) => void;
+  /** Receives all entries that the daemons write, besides the members. */
+  readonly daemonEntries: EntryListener;
 }
 
 /**
@@ -141,7 +143,7 @@
     return [
       { prefix: configurationPrefix, listener: this.holder, startsFromFeed: true },
       // The member entries determine the watchers, so they are read from the store itself.
-      { prefix: daemonPrefix, listener: this.members, startsFromFeed: false },
+      { prefix: daemonPrefix, listener: this.daemonListener(), startsFromFeed: false },
       {
         prefix: endpointPrefix,
         listener: endpoints,
@@ -155,6 +157,14 @@
     });
   }
 
+  private daemonListener(): EntryListener {
+    const listeners = [this.members, this.options.daemonEntries];
+    return {
+      onListing: (entries) => listeners.forEach((listener) => listener.onListing(entries)),
+      onChange: (change) => listeners.forEach((listener) => listener.onChange(change)),
+    };
+  }
+
   private async requestEntries(address: string, prefix: string): Promise<AgedListing | undefined> {
     const message = { kind: PeerMessageKind.snapshot, prefix };
     const response = await this.options.peers.request(address, message, snapshotTimeoutMs);
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -139,6 +139,7 @@
   }
 
   private put(entry: Entry): void {
+    if (entry.key !== controllerKey && !entry.key.startsWith(memberPrefix)) return;
     const member = decodeMember(entry);
     if (member === undefined) {
       this.telemetry.count('currantdrift_malformed_entries_total', { kind: 'member' });
@@ -149,7 +150,7 @@
       this.holder = { ...member, fence: entry.revision, revision: entry.revision };
       this.telemetry.log('controller', { host: member.host, fence: entry.revision });
       this.notify();
-    } else if (entry.key.startsWith(memberPrefix)) {
+    } else {
       const hasNewAddress = this.members.get(entry.key)?.address !== member.address;
       this.members.set(entry.key, member);
       this.removed.delete(entry.key);
--- a/packages/process/gateway/test/leaving-notices.test.ts
+++ b/packages/process/gateway/test/leaving-notices.test.ts
@@ -1,7 +1,9 @@
 import { NoopTelemetry } from '@currantdrift/core';
 import { endpointRecord, VirtualClock } from '@currantdrift/fakes';
 import { EndpointDirectory } from '@currantdrift/fleet';
+import type { LeavingMessage } from '../src/connection/peer-messages';
 import { LeavingNotices } from '../src/process/leaving-notices';
+import { DomainNotices } from '../src/version/domain-notices';
 import { encodeMember, type Member, memberPrefix, Members } from '../src/version/members';
 
 const clock = VirtualClock.create();
@@ -30,17 +32,16 @@
     );
     const directory = EndpointDirectory.create();
     directory.put(endpointRecord({ id: 'e1', bornAt: 5 }));
-    const notices = LeavingNotices.create({
+    const domainNotices = DomainNotices.create({
       clock,
-      telemetry,
       self,
       members,
-      directory,
       send: (address, message) => {
         messages += 1;
-        processes.get(address)?.notices.receive(message, self.address);
+        processes.get(address)?.notices.receive(message as LeavingMessage, self.address);
       },
     });
+    const notices = LeavingNotices.create({ telemetry, directory, notices: domainNotices });
     processes.set(self.host, { notices, directory });
   });
   const informedCount = () =>
@@ -59,6 +60,15 @@
   expect(sent()).toBeLessThanOrEqual(60 * 3);
 });
 
+// Guards against a domain that is not told because the member that sends the notice is its only relay.
+test('a relay forwards its own notices in its failure domain', () => {
+  const { processes, informedCount } = createFleet(3);
+  const record = endpointRecord({ id: 'e1', bornAt: 5 });
+  processes.get('h0')?.directory.markLeaving('e1', 5);
+  processes.get('h0')?.notices.publish(record);
+  expect(informedCount()).toBe(3);
+});
+
 // Guards against dropping an endpoint because an earlier instance with the same id has left.
 test('a notice about another instance is ignored', () => {
   const { processes, informedCount } = createFleet(6);
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -16,6 +16,8 @@
   readonly permit?: { readonly source: PermitSource; readonly waitedMs: number };
 }
 
+const quarantineReason = 'the prompt contains parts that crash engines';
+
 /** Why no endpoint was selected. */
 export interface NoEndpoint {
   readonly kind: 'refused' | 'expired' | 'gone';
@@ -94,11 +96,23 @@
     const { settings } = this.context;
     if (this.gone.aborted)
       return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
+    const quarantined = this.checkQuarantine(now);
+    if (quarantined !== undefined) return quarantined;
     if (now + settings.minTimeLeftMs < this.request.firstByteDeadline) return undefined;
     const retryAfterMs = settings.defaultRetryAfterMs;
     return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
   }
 
+  /** Refuses the request if its prompt is known to crash engines. */
+  private checkQuarantine(now: number): NoEndpoint | undefined {
+    const { crashes, telemetry } = this.context;
+    const { service, fields } = this.request;
+    const quarantine = crashes.find(service, fields.promptParts, now);
+    if (quarantine === undefined) return undefined;
+    telemetry.count('currantdrift_quarantined_requests_total');
+    return { kind: 'refused', reason: quarantineReason, retryAfterMs: quarantine.leftMs };
+  }
+
   /** Reserves a place at an endpoint that does not limit its requests. */
   private tryReserve(tried: ReadonlySet<string>, now: number): SelectedEndpoint | undefined {
     const { directory } = this.context;
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -3,6 +3,7 @@
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { HttpClient } from '@currantdrift/http';
 import type { Configuration } from '@currantdrift/routes';
+import type { CrashWatch } from '@currantdrift/quarantine';
 import type { RequestPermits } from '@currantdrift/rate-limit';
 import type { PredictiveBalancer } from '@currantdrift/routing';
 import type { EndpointProtocol } from './endpoint-protocol';
@@ -24,6 +25,8 @@
   /** Permits for requests to endpoints that limit their requests. */
   readonly permits: RequestPermits;
   readonly waker: ModelWaker;
+  /** Finds and holds back prompts that crash engines. */
+  readonly crashes: CrashWatch;
   /**
    * Aborted when the process begins to shut down: requests that still wait for an endpoint are
    * refused, so that their clients retry at another process.
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -1,3 +1,5 @@
+import type { EndpointRecord } from '@currantdrift/fleet';
+import type { WatchedSend } from '@currantdrift/quarantine';
 import type { ClientExchange } from './client-exchange';
 import type { ClientRequest } from './client-request';
 import { EndpointSelector, type NoEndpoint, type SelectedEndpoint } from './endpoint-selector';
@@ -29,6 +31,9 @@
 
   private sends = 0;
 
+  /** Whether the request may have crashed the engine of its last send. */
+  private mayHaveCrashed = false;
+
   private constructor(
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
@@ -91,9 +96,19 @@
       fields.model === undefined
         ? undefined
         : usage.trackRequest(record.id, fields.model, fields.adapter);
-    const send = Send.create(this.context, this.request, this.client, found, this.position);
-    const result = await send.run(signal);
+    const cancelled = new AbortController();
+    const watched = this.watch(record, cancelled);
+    const send = Send.create(
+      this.context,
+      this.request,
+      this.client,
+      found,
+      this.position,
+      watched,
+    );
+    const result = await send.run(AbortSignal.any([signal, cancelled.signal]));
     end?.();
+    this.mayHaveCrashed = await this.endWatch(watched, result, signal);
     this.recordResult(result, found);
     telemetry.count('currantdrift_sends_total', { outcome: result.kind });
     telemetry.log('send', {
@@ -125,6 +140,28 @@
     return result;
   }
 
+  private watch({ id, bornAt }: EndpointRecord, cancelled: AbortController): WatchedSend {
+    const { fields, service } = this.request;
+    const { promptParts } = fields;
+    return this.context.crashes.begin({ service, endpoint: id, bornAt, promptParts }, (reason) =>
+      cancelled.abort(reason),
+    );
+  }
+
+  /** Returns whether the request may have crashed the engine, which has ended. */
+  private async endWatch(
+    watched: WatchedSend,
+    result: SendResult,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const now = this.context.clock.now();
+    if (result.kind === 'delivered' && !this.client.gone.aborted) watched.complete(now);
+    const isBreak = result.kind === SendFailure.unknown || result.kind === SendFailure.broken;
+    if (isBreak && !signal.aborted) return watched.examineBreak(now);
+    watched.end();
+    return false;
+  }
+
   private recordResult(result: SendResult, { record, place }: SelectedEndpoint): void {
     const now = this.context.clock.now();
     this.tried.add(record.id);
@@ -147,6 +184,7 @@
   /** Whether the request is sent again; withdraws a retry from the budget if it needs one. */
   private takeRetry(result: FailedSend): boolean {
     const { settings, budget, clock } = this.context;
+    if (this.mayHaveCrashed) return false;
     const counts = { runs: this.runs, refusals: this.refusals };
     if (!isRetryAllowed(this.request.route, result.kind, counts, settings.maxRefusals))
       return false;
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -1,4 +1,5 @@
 import type { Head, OpenAnswer } from '@currantdrift/http';
+import type { WatchedSend } from '@currantdrift/quarantine';
 import { RequestKind } from '@currantdrift/routes';
 import { type ClientExchange, Framing } from './client-exchange';
 import type { ClientRequest } from './client-request';
@@ -66,6 +67,7 @@
     private readonly client: ClientExchange,
     private readonly selected: SelectedEndpoint,
     private readonly position: StreamPosition,
+    private readonly watched: WatchedSend,
   ) {}
 
   static create(
@@ -74,8 +76,9 @@
     client: ClientExchange,
     selected: SelectedEndpoint,
     position: StreamPosition,
+    watched: WatchedSend,
   ): Send {
-    return new Send(context, request, client, selected, position);
+    return new Send(context, request, client, selected, position, watched);
   }
 
   /** How far the endpoint has answered. */
@@ -103,6 +106,7 @@
       return rejection;
     }
     this.answerProgress = AnswerProgress.begun;
+    this.watched.recordBegin(clock.now());
     const firstByteMs = clock.now() - startedAt;
     this.selected.place.observeFirstByte(firstByteMs);
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
@@ -207,6 +211,7 @@
         longestPauseMs = Math.max(longestPauseMs, now - (lastAt ?? now));
         lastAt = now;
         this.answerProgress = AnswerProgress.streaming;
+        this.watched.recordEvent(now);
         this.begin(answer);
         this.position.lastEventId = events.lastId ?? this.position.lastEventId;
         await this.client.write(events.bytes);
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -11,6 +11,7 @@
 } from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
 import { type Configuration, RequestKind, type Route } from '@currantdrift/routes';
+import { CrashLedger, type CrashReport, CrashWatch, EngineState } from '@currantdrift/quarantine';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
@@ -39,7 +40,7 @@
           adapter: undefined,
           promptTokens: 10,
           maxNewTokens: 10,
-          promptParts: [],
+          promptParts: first(headers.prompt)?.split(' ') ?? [],
         };
   },
   requestHeaders: (headers: Headers, envelope: ForwardingFields) => ({
@@ -47,6 +48,7 @@
     id: first(headers.id) ?? '',
     only: envelope.endpoint,
     deadline: String(envelope.deadlineMs),
+    ...(headers.prompt === undefined ? {} : { prompt: first(headers.prompt) ?? '' }),
     ...(envelope.resumeAfter === undefined ? {} : { after: envelope.resumeAfter }),
   }),
   responseHeaders: (headers: Headers) => ({ seal: first(headers.seal) ?? '' }),
@@ -178,6 +180,13 @@
   /** Ids of the endpoints that announced their shutdown. */
   readonly leaving: string[] = [];
 
+  /** Endpoints that have ended, what was reported of them, and how often one was asked. */
+  readonly ended = new Set<string>();
+
+  readonly crashReports: CrashReport[] = [];
+
+  probes = 0;
+
   budget = RetryBudget.create({ minRetries: 10 });
 
   /** The controller's answer for a model that no endpoint holds. */
@@ -287,8 +296,23 @@
       },
       members: () => 1,
     });
+    const random = SeededRandom.create(1);
+    const crashes = CrashWatch.create({
+      clock,
+      random,
+      telemetry,
+      ledger: CrashLedger.create(random),
+      probe: async ({ endpoint }) => {
+        this.probes += 1;
+        return this.ended.has(endpoint) ? EngineState.ended : EngineState.alive;
+      },
+      publishCrash: (report) => this.crashReports.push(report),
+      publishCleared: () => {},
+      members: () => 1,
+    });
     return Forwarder.create({
       permits,
+      crashes,
       clock,
       telemetry,
       signals: EndpointSignals.create({
--- /dev/null
+++ b/packages/request/quarantine/src/crash-report.ts
@@ -0,0 +1,52 @@
+import { z } from 'zod';
+
+const maxTextLength = 200;
+const text = z.string().max(maxTextLength);
+
+/** Largest number of requests in one report. */
+export const maxSuspects = 16;
+
+/** Largest number of parts of one prompt. */
+export const maxParts = 64;
+
+const suspectSchema = z.object({
+  /** Identifies the prompt; repeats of a request have the same prompt. */
+  prompt: text,
+  /** Parts of the prompt that other prompts may share and that no recent answer has cleared. */
+  parts: z.array(text).min(1).max(maxParts),
+  /** Whether the engine had begun to answer the request. */
+  hasBegun: z.boolean(),
+});
+
+/** A request that may have crashed the engine that it was at. */
+export type Suspect = z.infer<typeof suspectSchema>;
+
+export const crashReportSchema = z.object({
+  service: text,
+  endpoint: text,
+  /** Start of the engine, in ms since the epoch. */
+  bornAt: z.number(),
+  suspects: z.array(suspectSchema).max(maxSuspects),
+});
+
+/** What one process saw of the crash of an engine. */
+export type CrashReport = z.infer<typeof crashReportSchema>;
+
+export const clearedPartsSchema = z.object({
+  service: text,
+  parts: z.array(text).min(1).max(maxParts),
+});
+
+/** Prompt parts on which an engine has answered without a crash. */
+export type ClearedParts = z.infer<typeof clearedPartsSchema>;
+
+export const quarantineSchema = z.object({
+  service: text,
+  /** Requests are held back if their prompts contain all of these parts. */
+  parts: z.array(text).min(1).max(maxParts),
+  /** Engines that crashed, as `id@start`. */
+  crashes: z.array(text),
+});
+
+/** Prompt parts that crash engines of a service if they occur together. */
+export type Quarantine = z.infer<typeof quarantineSchema>;
--- /dev/null
+++ b/packages/request/quarantine/src/index.ts
@@ -0,0 +1,13 @@
+export { CrashLedger } from './crash-ledger';
+export {
+  type ClearedParts,
+  clearedPartsSchema,
+  type CrashReport,
+  crashReportSchema,
+  type Quarantine,
+  quarantineSchema,
+  type Suspect,
+} from './crash-report';
+export { CrashWatch, type CrashWatchOptions, EngineState } from './crash-watch';
+export { defaultQuarantineSettings, type QuarantineSettings } from './settings';
+export type { WatchedRequest, WatchedSend } from './watched-send';
