Hold back prompts that crash engines in currantdriftd

Change: messages of a conversation are its parts; a request's guard refuses what is held back with prompt_held_back (503, not run, with the time that is left), and lets no suspect have a second attempt. Daemons of a domain tell each other by facts, which joining daemons get from any member. Scenarios can let messages crash engines.

Daemons of other domains learn by crashes of their own.

--- a/packages/process/node/src/process/node-options.ts
+++ b/packages/process/node/src/process/node-options.ts
@@ -26,6 +26,8 @@
   readonly admission?: Pick<AdmissionSettings, 'earlyRefusal'>;
   /** False: calls to endpoints that limit their requests need no permit. */
   readonly requestLimits?: boolean;
+  /** False: prompts that crash engines are not held back. */
+  readonly crashQuarantine?: boolean;
 }
 
 /**
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -14,6 +14,7 @@
 import { EndpointLimits, LimitObserver } from '@currantdrift/fleet';
 import { PeerConnections } from '@currantdrift/peer';
 import { Controller, defaultPlacementSettings, GapHistogram } from '@currantdrift/placement';
+import { CrashLedger, CrashWatch, EngineState } from '@currantdrift/quarantine';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
 import { Balancer, type Lease, PrefixIndex } from '@currantdrift/routing';
 import { CallerEntry } from '../request/caller-entry';
@@ -21,9 +22,11 @@
 import { acquireLease } from '../request/replica-chooser';
 import { ControllerTask } from './controller-task';
 import { CountedStore } from './counted-store';
+import { CrashFacts } from './crash-facts';
 import { DomainPermits } from './domain-permits';
 import { DrainMarks } from './drain-marks';
 import { EndpointCache } from './endpoint-cache';
+import { EndpointProbe } from './endpoint-probe';
 import { HostTask } from './host-task';
 import { itemCosts } from './item-costs';
 import { KnownDomains } from './known-domains';
@@ -246,6 +249,30 @@
   return { endpoints, controllers, wakes, costOf, limitOf: limits.limitOf };
 };
 
+/** Creates the components that hold back prompts which crash engines. */
+const wireCrashes = (
+  options: NodeOptions,
+  { membership, view }: DomainParts,
+  endpoints: EndpointCache,
+): CrashWatch => {
+  const { clock, random, telemetry } = options;
+  const enabled = options.protections?.crashQuarantine !== false;
+  const probe = EndpointProbe.create(endpoints, view, clock);
+  const facts = CrashFacts.create(membership, clock);
+  const watch = CrashWatch.create({
+    clock,
+    random,
+    telemetry,
+    ledger: CrashLedger.create(random),
+    probe: (request) => (enabled ? probe.check(request) : Promise.resolve(EngineState.unknown)),
+    publishCrash: (report) => facts.publishCrash(report),
+    publishCleared: (cleared) => facts.publishCleared(cleared),
+    members: () => membership.alive().length,
+  });
+  facts.subscribe(watch);
+  return watch;
+};
+
 /** Creates and connects the components of a daemon without starting any of them. */
 export const wire = (options: NodeOptions) => {
   const { clock, random, telemetry, queue, name } = options;
@@ -296,6 +323,7 @@
       telemetry,
       budget: RetryBudget.create(),
       prefixes,
+      crashes: wireCrashes(options, domain, placement.endpoints),
       attempts: options.attempts ?? {},
       ledger,
     },
--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -1,10 +1,10 @@
 import { createHash } from 'node:crypto';
 import type { BundleHolder, PreparedBundle } from '@currantdrift/bundle';
 import type { Caller, Message, Service, ServiceCall, Span } from '@currantdrift/core';
-import { FailureKind } from '@currantdrift/core';
+import { FailureKind, modelOf } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { type ChatOrigin, runChat } from './chat-run';
+import { type ChatItem, type ChatOrigin, runChat } from './chat-run';
 import {
   EntryMessage,
   type ForwardedAnswer,
@@ -133,10 +133,11 @@
   private findItem(
     bundle: PreparedBundle | undefined,
     { caller, item }: ChatRequest,
-  ): Result<string, Refusal> {
+  ): Result<ChatItem, Refusal> {
     if (bundle === undefined) return err(noBundle());
-    const itemKey = bundle.canAccess(caller, item) ? bundle.itemKey(item) : undefined;
-    return itemKey === undefined ? err(unknownItem(item)) : ok(itemKey);
+    const key = bundle.canAccess(caller, item) ? bundle.itemKey(item) : undefined;
+    const pool = bundle.model(modelOf(item))?.pool ?? '';
+    return key === undefined ? err(unknownItem(item)) : ok({ key, pool });
   }
 
   private findCall({ caller, service, call, method }: ServiceRequest): Result<FoundCall, Refusal> {
--- a/packages/process/node/src/request/chat-run.ts
+++ b/packages/process/node/src/request/chat-run.ts
@@ -7,8 +7,11 @@
   type Reason,
   type RetryBudget,
 } from '@currantdrift/attempt';
+import type { CrashWatch } from '@currantdrift/quarantine';
 import type { PrefixIndex } from '@currantdrift/routing';
 import { err, ok } from 'neverthrow';
+import { PromptGuard } from './prompt-guard';
+import { promptParts } from './prompt-parts';
 import { promptPrefixes } from './prompt-prefixes';
 import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
 import { type RoutingContext, ReplicaChooser } from './replica-chooser';
@@ -18,6 +21,8 @@
 export interface ChatContext extends RoutingContext {
   readonly budget: RetryBudget;
   readonly prefixes: PrefixIndex;
+  /** Finds and holds back prompts that crash engines. */
+  readonly crashes: CrashWatch;
   readonly attempts: Partial<AttemptSettings>;
 }
 
@@ -46,11 +51,19 @@
   readonly resume: readonly string[];
 }
 
-/** Runs a chat request and yields its answer. `itemKey` names the item in its current version. */
+/** The model or adapter of a request. */
+export interface ChatItem {
+  /** Key with the version in force. */
+  readonly key: string;
+  /** Pool of the engines that may load it. */
+  readonly pool: string;
+}
+
+/** Runs a chat request and yields its answer. */
 export const runChat = async function* runChat(
   context: ChatContext,
   request: ChatRequest,
-  itemKey: string,
+  { key: itemKey, pool }: ChatItem,
   origin: ChatOrigin,
   span: Span,
   signal: AbortSignal,
@@ -58,11 +71,19 @@
   const { clock, telemetry } = context;
   const start = clock.now();
   const prefixes = promptPrefixes(request.messages);
+  const guard = PromptGuard.create({
+    clock,
+    crashes: context.crashes,
+    view: context.view,
+    pool,
+    promptParts: promptParts(request.messages),
+  });
   const chooser = ReplicaChooser.create(
     context,
     request,
     itemKey,
     prefixes,
+    guard,
     span,
     !origin.forwarded,
   );
--- a/packages/process/node/src/request/refusal.ts
+++ b/packages/process/node/src/request/refusal.ts
@@ -15,6 +15,7 @@
   interrupted: 'interrupted',
   outcomeUnknown: 'outcome_unknown',
   stopping: 'stopping',
+  promptHeldBack: 'prompt_held_back',
 } as const;
 
 export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode];
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -26,6 +26,7 @@
 import type { DomainDirectory } from '../process/domain-directory';
 import type { EndpointCache } from '../process/endpoint-cache';
 import { DomainEndpoint, domainEndpointId } from './domain-endpoint';
+import type { PromptGuard } from './prompt-guard';
 import { RefusalCode } from './refusal';
 import type { ChatRequest } from './request';
 
@@ -151,6 +152,7 @@
     private readonly request: ChatRequest,
     private readonly itemKey: string,
     private readonly prefixes: readonly string[],
+    private readonly guard: PromptGuard,
     private readonly span: Span,
     /** False for a request that was forwarded to this domain, which must serve or refuse it. */
     private readonly mayForward: boolean,
@@ -161,10 +163,11 @@
     request: ChatRequest,
     itemKey: string,
     prefixes: readonly string[],
+    guard: PromptGuard,
     span: Span,
     mayForward: boolean,
   ): ReplicaChooser {
-    return new ReplicaChooser(context, request, itemKey, prefixes, span, mayForward);
+    return new ReplicaChooser(context, request, itemKey, prefixes, guard, span, mayForward);
   }
 
   /** Returns the next target, from the first domain in order that accepts the request. */
@@ -173,6 +176,8 @@
     signal: AbortSignal,
     choice: AttemptContext,
   ): Promise<Result<Target, Reason>> {
+    const heldBack = this.guard.check(this.context.clock.now());
+    if (heldBack !== undefined) return err(heldBack);
     let last = reason(
       RefusalCode.noCapacity,
       `no domain can serve ${this.request.item} now`,
@@ -243,7 +248,16 @@
       signal,
     );
     span.end(target.isOk() ? 'granted' : target.error.step);
-    return target;
+    return target.andThen((granted) => this.guardTarget(granted));
+  }
+
+  /** Watches the send to the target, unless the prompt has been held back meanwhile. */
+  private guardTarget({ endpoint, lease }: Target): Result<Target, Reason> {
+    const now = this.context.clock.now();
+    const heldBack = this.guard.check(now);
+    if (heldBack === undefined) return ok({ endpoint: this.guard.watch(endpoint), lease });
+    lease.release('neutral', now);
+    return err(heldBack);
   }
 
   private async wakeIfCold(signal: AbortSignal): Promise<Result<void, Reason>> {
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -18,6 +18,9 @@
 
 type Parts = AsyncIterable<Result<StreamPart, Failure>>;
 
+/** Time after which a crashed engine is back, in ms. */
+const restartMs = 3_000;
+
 /** The true text of token `offset` of the answer to a prompt. */
 export const trueToken = (prompt: string, offset: number): string => `${prompt}.${offset} `;
 
@@ -34,6 +37,12 @@
   /** The process dies in the middle of the next load. */
   diesInNextLoad = false;
 
+  /** Contents of messages that crash the engine when it begins to answer them. */
+  deadlyContents: ReadonlySet<string> = new Set();
+
+  /** Called when such a message has crashed the engine. */
+  onCrash: (content: string) => void = () => {};
+
   /** Called for each request that the engine accepts. */
   onRun: (run: EndpointRun) => void = () => {};
 
@@ -118,7 +127,9 @@
   ): AsyncGenerator<Result<StreamPart, Failure>> {
     await this.takeSlot(signal);
     try {
-      yield* this.ownTexts(parts, messages, signal);
+      const deadly = messages.find(({ content }) => this.deadlyContents.has(content));
+      if (deadly === undefined) yield* this.ownTexts(parts, messages, signal);
+      else yield* this.crash(deadly.content, signal);
     } finally {
       this.freeSlot();
     }
@@ -150,6 +161,25 @@
     else next();
   }
 
+  /** Ends the process as it begins to answer; another start follows after a while. */
+  private async *crash(
+    content: string,
+    signal: AbortSignal,
+  ): AsyncGenerator<Result<StreamPart, Failure>> {
+    const { bootId, faults } = this.engine;
+    await this.clock.sleep(this.engine.options.tokenMs, signal);
+    if (signal.aborted) return;
+    if (bootId === this.engine.bootId) {
+      this.engine.restart();
+      faults.cut = true;
+      this.clock.sleep(restartMs).then(() => {
+        faults.cut = false;
+      });
+      this.onCrash(content);
+    }
+    yield err(this.lost('generate'));
+  }
+
   private async *ownTexts(
     parts: Parts,
     messages: GenerationRequest['messages'],
--- a/packages/tooling/scenario/src/callers.ts
+++ b/packages/tooling/scenario/src/callers.ts
@@ -9,6 +9,8 @@
   readonly caller: string;
   readonly deadlineMs: number;
   readonly tokens: number;
+  /** Contents of the messages before the last one. */
+  readonly parts: readonly string[];
 }
 
 export interface BookingCall {
@@ -30,10 +32,13 @@
     return new Callers(clock, history);
   }
 
-  async chat(daemon: Daemon, { model, caller, deadlineMs, tokens }: ChatCall): Promise<void> {
+  async chat(daemon: Daemon, chat: ChatCall): Promise<void> {
+    const { model, caller, deadlineMs, tokens, parts } = chat;
     const truth = (id: string) =>
-      Array.from({ length: tokens }, (_, offset) => trueToken(id, offset)).join('');
-    const record = this.begin(daemon, model, deadlineMs, truth);
+      Array.from({ length: tokens }, (_, offset) =>
+        trueToken([...parts, id].join(' '), offset),
+      ).join('');
+    const record = this.begin(daemon, model, deadlineMs, truth, parts);
     const { node, process } = daemon;
     await this.untilDeath(daemon, record, async () => {
       await process.gate(async () => {});
@@ -46,7 +51,7 @@
         requestId: record.id,
         caller: known,
         item: model,
-        messages: [{ role: 'user', content: record.id }] as const,
+        messages: [...parts, record.id].map((content) => ({ role: 'user' as const, content })),
         maxTokens: tokens,
         priority: 5,
         deadline: record.deadline,
@@ -101,6 +106,7 @@
     item: string,
     deadlineMs: number,
     truth: (id: string) => string,
+    parts: readonly string[] = [],
   ): RequestRecord {
     const now = this.clock.now();
     const id = `r${this.history.requests.length + 1}`;
@@ -111,6 +117,7 @@
       startedAt: now,
       deadline: now + deadlineMs,
       truth: truth(id),
+      parts,
       received: '',
       outcome: undefined,
       message: '',
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -1,5 +1,5 @@
 import { parseItemKey } from '@currantdrift/core';
-import { type Arrival, limitViolations } from '@currantdrift/soak';
+import { type Arrival, limitViolations, repeatedCrashViolations } from '@currantdrift/soak';
 import type { History, RequestRecord, VersionSample } from './history';
 import type { expectationTemplates } from './language';
 import { numberOf, type Statement, wordOf } from './scenario';
@@ -40,6 +40,9 @@
 /** Time after an endpoint first states a limit from which it must be kept, in ms. */
 const limitSettleMs = 3_000;
 
+/** Time after the fifth crash by a prompt within which all daemons hold it back, in ms. */
+const crashSettleMs = 3_000;
+
 /** Cost of rounding and of the steps between the caller and the daemon, in ms. */
 const refusalBoundMs = 50;
 
@@ -225,6 +228,23 @@
   );
 };
 
+/** Requests with a message that crashes engines, which must soon reach none. */
+const crashingPromptsHeldBack: Check = ({ history }) => {
+  const requestById = new Map(history.requests.map((request) => [request.id, request]));
+  const deadly = new Set(history.crashes.map(({ part }) => part));
+  const arrivals = history.runs.flatMap(({ at, endpoint, requestId }) =>
+    (requestById.get(requestId)?.parts ?? [])
+      .filter((part) => deadly.has(part))
+      .map((part) => ({ at, endpoint, part })),
+  );
+  return rule(
+    repeatedCrashViolations(history.crashes, arrivals, crashSettleMs).map(({ at, text }) => ({
+      at,
+      message: text,
+    })),
+  );
+};
+
 const versionsRise: Check = ({ history }) =>
   rule(
     history.versions.flatMap((sample, index) => {
@@ -294,6 +314,7 @@
   'requests end by deadline': endByDeadline,
   'leaving endpoints get no new work': noWorkAtLeaving,
   'calls within limits of endpoints': callsWithinLimits,
+  'prompts that crash engines are held back': crashingPromptsHeldBack,
   'bundle versions rise': versionsRise,
   'bundle versions agree': versionsAgree,
   'bundle <count> at <place>': bundleAt,
--- a/packages/tooling/scenario/src/history.ts
+++ b/packages/tooling/scenario/src/history.ts
@@ -1,5 +1,5 @@
 import type { EndpointRun } from '@currantdrift/fakes';
-import type { Arrival, Limit } from '@currantdrift/soak';
+import type { Arrival, EngineCrash, Limit } from '@currantdrift/soak';
 
 /** How a request ended as its caller saw it; `closed`: the connection ended without an answer. */
 export type RequestOutcome = 'answered' | 'not_run' | 'unknown' | 'closed';
@@ -14,6 +14,8 @@
   readonly deadline: number;
   /** True text of the whole answer. */
   readonly truth: string;
+  /** Contents of its messages before the last one. */
+  readonly parts: readonly string[];
   received: string;
   outcome: RequestOutcome | undefined;
   message: string;
@@ -79,6 +81,9 @@
   /** Limits on their calls that endpoints stated; the last one of each may go on. */
   readonly limits: Limit[] = [];
 
+  /** Crashes of engines by prompts. */
+  readonly crashes: EngineCrash[] = [];
+
   /** Time at which each endpoint began to leave. */
   readonly leaving = new Map<string, number>();
 
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -45,6 +45,8 @@
 
   readonly engines = new Map<string, ObservedEngine>();
 
+  private readonly deadlyContents = new Set<string>();
+
   readonly services = new Map<string, FakeService>();
 
   /** Duration of loads, shared by all engines. */
@@ -188,6 +190,12 @@
     if (ratePerS !== undefined) history.beginLimit(name, ratePerS, clock.now());
   }
 
+  /** From now on messages with this content crash engines, or do not. */
+  setDeadly(content: string, isDeadly: boolean): void {
+    if (isDeadly) this.deadlyContents.add(content);
+    else this.deadlyContents.delete(content);
+  }
+
   /** Makes loads from the weight store slower by a factor. */
   slowWeights(factor: number): void {
     this.loadMs.remote *= factor;
@@ -237,6 +245,12 @@
       engine.onChange = () => this.sample(engine);
       const observed = ObservedEngine.create(engine, this.clock);
       this.observeRuns(observed);
+      observed.deadlyContents = this.deadlyContents;
+      observed.onCrash = (part) => {
+        const at = this.clock.now();
+        this.history.crashes.push({ endpoint: observed.id, part, at });
+        this.history.note(at, `${observed.id} crashes by a prompt with ${part}`);
+      };
       this.engines.set(name, observed);
       this.put({
         name,
--- a/packages/tooling/scenario/src/protections.ts
+++ b/packages/tooling/scenario/src/protections.ts
@@ -30,6 +30,8 @@
   'graceful-stop': {},
   /** Calls to endpoints that limit their requests need no permit. */
   'request-limits': { protections: { requestLimits: false } },
+  /** Prompts that crash engines are sent on. */
+  'crash-quarantine': { protections: { crashQuarantine: false } },
   /** Daemons do not see that a host or an endpoint is leaving. */
   'leaving-marks': {},
 } as const satisfies Readonly<Record<string, Change>>;
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -43,6 +43,8 @@
     caller: String(step.values.caller ?? world.deployment.callers[0]),
     deadlineMs: Number(step.values.time ?? defaultDeadlineMs),
     tokens: Number(step.values.tokens ?? defaultTokens),
+    // Earlier messages of the conversation, separated by plus signs.
+    parts: step.values.parts === undefined ? [] : String(step.values.parts).split('+'),
   };
   const daemonOf = (index: number) => daemons[index % daemons.length];
   await Promise.all(
@@ -133,6 +135,10 @@
     platform.limit(wordOf(step, 'endpoint'), numberOf(step, 'count')),
   'endpoint <endpoint> takes all calls': ({ platform }, step) =>
     platform.limit(wordOf(step, 'endpoint'), undefined),
+  'prompts with <part:word> crash engines': ({ platform }, step) =>
+    platform.setDeadly(wordOf(step, 'part'), true),
+  'prompts with <part:word> are harmless': ({ platform }, step) =>
+    platform.setDeadly(wordOf(step, 'part'), false),
   'late answers from <endpoint> <time>': (world, step) =>
     setAnswers(world, step, { lateMs: numberOf(step, 'time') }),
   'lost answers from <endpoint>': (world, step) => setAnswers(world, step, { lost: true }),
