Take a stream that ends with its connection before the first event for broken off

An engine that crashed after the head of an answer without length or chunks gave its caller a complete, empty success, and the crash went unseen. The end of the connection marks the end of such an answer, and nothing told it from a crash. Such a stream without an event counts as broken now; it is retried where that is allowed. With chunks an empty stream has an end of its own and is passed on as before. The test gets '200 0 true' without the change.

--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -221,6 +221,11 @@
 
   private finish(answer: OpenAnswer, splitter: EventSplitter, longestPauseMs: number): SendResult {
     if (splitter.remainder.length > 0) return this.broken('the stream ended within an event');
+    // The end of a connection does not tell a complete answer from a crash before the first event.
+    const isEmpty = this.answerProgress !== AnswerProgress.streaming;
+    if (isEmpty && framingOf(answer) === Framing.connection) {
+      return this.broken('the stream ended before its first event');
+    }
     this.begin(answer);
     this.context.telemetry.observe('currantdrift_stream_pause_seconds', longestPauseMs / 1000);
     this.client.end();
--- a/packages/request/forward/test/crashing-prompts.test.ts
+++ b/packages/request/forward/test/crashing-prompts.test.ts
@@ -1,4 +1,4 @@
-import { type Behaviour, event, chunk, ForwardHarness, streamHead } from './harness';
+import { type Behaviour, event, chunk, ForwardHarness, head, streamHead } from './harness';
 
 const model = { model: 'm1' };
 
@@ -86,3 +86,19 @@
   expect(statuses).toEqual([200, 200, 200, 200, 200, 200]);
   expect(harness.crashReports).toEqual([]);
 });
+
+// Guards against an engine that crashes before its first event as a complete empty answer: without a
+// length or chunks, the end of its connection looks like the end of the answer.
+test('a stream that ends with its connection before the first event has been broken off', async () => {
+  const headOnly = head(200, 'Content-Type: text/event-stream\r\nConnection: close\r\n\r\n');
+  harness = await ForwardHarness.create(
+    (socket) => socket.end(headOnly),
+    (socket) => socket.end(headOnly + event(1)),
+  );
+  const seen = [];
+  for (let index = 0; index < 6; index += 1) {
+    const { status, body, complete } = await harness.call('/resumable/x');
+    seen.push(`${status} ${body.length} ${complete}`);
+  }
+  expect(new Set(seen)).toEqual(new Set([`200 ${event(1).length} true`]));
+});
