--- a/packages/tooling/fakes/src/lease-table.ts
+++ b/packages/tooling/fakes/src/lease-table.ts
@@ -5,6 +5,12 @@
   readonly endsAt: number;
 }
 
+/** The leases of a store at one time. */
+export interface LeaseCopy {
+  readonly leases: readonly (readonly [string, HeldLease])[];
+  readonly granted: number;
+}
+
 /** Leases of a store in memory, and when each ends. */
 export class LeaseTable {
   private readonly leases = new Map<string, HeldLease>();
@@ -53,6 +59,19 @@
     );
   }
 
+  /** The leases now; those that are granted later are not in it. */
+  copy(): LeaseCopy {
+    return { leases: [...this.leases], granted: this.granted };
+  }
+
+  /** Goes back to a copy: later leases are gone, and their ids are given out again. */
+  restore({ leases, granted }: LeaseCopy): void {
+    this.leases.clear();
+    const now = this.clock.now();
+    leases.forEach(([id, { ttlMs }]) => this.leases.set(id, { ttlMs, endsAt: now + ttlMs }));
+    this.granted = granted;
+  }
+
   private hold(id: string, ttlMs: number): Lease {
     this.leases.set(id, { ttlMs, endsAt: this.clock.now() + ttlMs });
     return { id, ttlMs };
--- a/packages/tooling/fakes/src/memory-prefix-store.ts
+++ b/packages/tooling/fakes/src/memory-prefix-store.ts
@@ -1,5 +1,15 @@
 import type { Change, Clock, Entry, Lease } from '@currantdrift/core';
-import { LeaseTable } from './lease-table';
+import { type LeaseCopy, LeaseTable } from './lease-table';
+
+/** The contents of a store at one time. */
+export interface StoreCopy {
+  readonly entries: readonly (readonly [
+    string,
+    { readonly entry: Entry; readonly lease: string | undefined },
+  ])[];
+  readonly leases: LeaseCopy;
+  readonly revision: number;
+}
 
 /** Entries, leases and history that the handles of a prefix store share. */
 export class MemoryPrefixStore {
@@ -25,6 +35,19 @@
     return this.count;
   }
 
+  copy(): StoreCopy {
+    return { entries: [...this.entries], leases: this.leases.copy(), revision: this.count };
+  }
+
+  /** Goes back to a copy, whose history is not known; revisions are given out again. */
+  restore({ entries, leases, revision }: StoreCopy): void {
+    this.entries.clear();
+    entries.forEach(([key, stored]) => this.entries.set(key, stored));
+    this.leases.restore(leases);
+    this.count = revision;
+    this.compact();
+  }
+
   /** Forgets all changes so far. */
   compact(): void {
     this.history = [];
