Order what the store says by its era and its revision

Cause: the revision alone ordered what is known, and it goes back when the store comes back from a copy. Class: an order taken from a counter that its owner may reset. Ruled out: the configuration's holder and the operator's rewriting (the version was right as soon as a listing was taken).

Engines that were leaving stay so; entries of engines that had left aren't trusted for ten seconds unless they are written again; entries that are missing have the two seconds that they have after an outage. A version that is written again with other contents applies. Missing quarantines are written again as before.

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './bounded-map';
 export * from './bundle';
 export * from './clock';
 export * from './endpoint';
@@ -12,6 +13,7 @@
 export * from './seeded-random';
 export * from './monotonic-clock';
 export * from './store';
+export * from './store-revision';
 export * from './telemetry';
 export * from './view';
 export {
--- a/packages/process/core/src/prefix-store.ts
+++ b/packages/process/core/src/prefix-store.ts
@@ -17,12 +17,16 @@
 /** Result of waiting for changes. */
 export type ChangesResult =
   | { readonly kind: 'changes'; readonly changes: readonly Change[]; readonly revision: number }
-  /** The store has compacted changes after the given revision; the caller must list again. */
-  | { readonly kind: 'compacted' };
+  /**
+   * The store has compacted changes after the given revision, or does not have that revision; the caller
+   * must list again. Listings below `minRevision` are of an era before the store came back from a copy.
+   */
+  | { readonly kind: 'compacted'; readonly minRevision: number };
 
 /**
  * A key-value service with one revision counter for all keys, and with watches on key prefixes.
- * It fails in the same ways as `Store`.
+ * It fails in the same ways as `Store`. If the store comes back from a copy, its revisions go on above all
+ * earlier ones (`revisionInEra`), and leases granted before have ended.
  */
 export interface PrefixStore extends Pick<
   Store,
--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -3,6 +3,7 @@
   type Clock,
   describeFailure,
   type Entry,
+  eraOf,
   type Listing,
   type PrefixStore,
   type Random,
@@ -76,6 +77,11 @@
   readonly limits: FreshnessLimits;
   /** Called after a store outage, with the time at which it responded again to any member. */
   readonly onStoreRecovery?: (now: number) => void;
+  /**
+   * Called when the store has come back from a copy, before the entries change; `revision` is the first
+   * one known of the new era.
+   */
+  readonly onStoreRestored?: (revision: number, now: number) => void;
 }
 
 /** Shortest wait for changes, for which the store responds at once, in ms. */
@@ -179,9 +185,12 @@
 
   /** Applies a batch from the member on `host`. */
   receive({ after, revision, changes, ageMs }: AgedBatch, host: string): void {
-    if (!this.isListed) return;
+    // A member that has not heard of a restore of the store vouches for entries of the era before.
+    if (!this.isListed || eraOf(revision) < eraOf(this.revision)) return;
     if (after > this.revision) {
       this.requiredRevision = Math.max(this.requiredRevision, after);
+      // No changes lead from one era to the next, so the entries are listed.
+      if (eraOf(after) > eraOf(this.revision)) this.isListed = false;
       return;
     }
     this.recordFeed(this.options.clock.now() - ageMs, host);
@@ -219,7 +228,8 @@
     const { store, prefix, feed, startsFromFeed, clock } = this.options;
     const known = startsFromFeed ? await feed.snapshot(prefix) : undefined;
     // A lagging watcher must not revert this follower to older entries.
-    if (known !== undefined && known.revision >= this.revision) {
+    const minRevision = Math.max(this.revision, this.requiredRevision);
+    if (known !== undefined && known.revision >= minRevision) {
       this.recordFeed(known.requestedAt - known.ageMs, known.host);
       this.applyListing(known);
       return true;
@@ -239,6 +249,7 @@
   private applyListing({ entries, revision }: Listing): void {
     const before = this.revision;
     const changes = this.diff(entries, revision);
+    this.noteEra(revision);
     this.revision = revision;
     this.isListed = true;
     this.entries.clear();
@@ -276,7 +287,13 @@
     if (result.value.kind === 'compacted') {
       feed.storeResponded(sentAt);
       this.resetFailures();
-      this.options.telemetry.log('store.compacted', { prefix, revision: this.revision });
+      const { minRevision } = result.value;
+      this.requiredRevision = Math.max(this.requiredRevision, minRevision);
+      this.options.telemetry.log('store.compacted', {
+        prefix,
+        revision: this.revision,
+        minRevision,
+      });
       this.isListed = false;
       return this.list();
     }
@@ -300,6 +317,7 @@
   /** Applies and returns the changes newer than `revision`: batches and responses may overlap. */
   private applyChanges(changes: readonly Change[], revision: number): readonly Change[] {
     const known = this.revision;
+    this.noteEra(revision);
     const newer = changes.filter((change) => revisionOf(change) > known);
     this.revision = Math.max(known, revision);
     newer.forEach((change) => {
@@ -310,6 +328,15 @@
     return newer;
   }
 
+  /** Tells that the store has come back from a copy if `revision` is the first of a new era. */
+  private noteEra(revision: number): void {
+    const era = eraOf(revision);
+    if (this.revision === 0 || era <= eraOf(this.revision)) return;
+    const { telemetry, prefix, clock, onStoreRestored } = this.options;
+    telemetry.log('store.restored', { prefix, era, before: this.revision, revision });
+    onStoreRestored?.(revision, clock.now());
+  }
+
   /** Records a response of the store that contains all changes up to `at`. */
   private recordStoreResponse(at: number): void {
     this.options.feed.storeResponded(at);
--- a/packages/process/gateway/src/process/store-cache.ts
+++ b/packages/process/gateway/src/process/store-cache.ts
@@ -149,6 +149,7 @@
         listener: endpoints,
         startsFromFeed: true,
         onStoreRecovery: (now: number) => endpoints.storeRecovered(now),
+        onStoreRestored: (revision: number, now: number) => endpoints.storeRestored(revision, now),
       },
     ].map((each) => {
       const follower = PrefixFollower.create({ ...common, ...each });
--- a/packages/process/gateway/src/version/configuration-holder.ts
+++ b/packages/process/gateway/src/version/configuration-holder.ts
@@ -6,10 +6,15 @@
 /** Decodes the operator's configuration; the error names the invalid field and the reason. */
 export type ConfigurationDecoder = (value: Uint8Array) => Result<Configuration, string>;
 
-/** Holds the newest configuration; ignores entries that are malformed or whose version is not newer. */
+/**
+ * Holds the newest configuration; ignores entries that are malformed or whose version is older. After the
+ * store has come back from a copy, the operator may write the same version again with other contents.
+ */
 export class ConfigurationHolder implements EntryListener {
   private current: Configuration | undefined;
 
+  private currentEntry: Entry | undefined;
+
   private constructor(
     private readonly key: string,
     private readonly decode: ConfigurationDecoder,
@@ -51,8 +56,10 @@
     }
     const before = this.current?.version;
     const { version, routes } = decoded.value;
-    if (before !== undefined && version <= before) return;
+    const isOlder = before !== undefined && version < before;
+    if (isOlder || (version === before && !this.isRewritten(entry))) return;
     this.current = decoded.value;
+    this.currentEntry = entry;
     this.telemetry.log('configuration', {
       version,
       before,
@@ -62,4 +69,14 @@
     });
     this.onConfiguration(decoded.value);
   }
+
+  /** Whether an entry of the current version was written later with other contents. */
+  private isRewritten({ revision, value }: Entry): boolean {
+    const { currentEntry } = this;
+    return (
+      currentEntry !== undefined &&
+      revision > currentEntry.revision &&
+      Buffer.compare(value, currentEntry.value) !== 0
+    );
+  }
 }
--- a/packages/process/gateway/src/version/endpoint-directory-updater.ts
+++ b/packages/process/gateway/src/version/endpoint-directory-updater.ts
@@ -1,4 +1,11 @@
-import { type Change, type Clock, type Entry, HostState, type Telemetry } from '@currantdrift/core';
+import {
+  BoundedMap,
+  type Change,
+  type Clock,
+  type Entry,
+  HostState,
+  type Telemetry,
+} from '@currantdrift/core';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { Result } from 'neverthrow';
 import type { EntryListener } from '../process/prefix-follower';
@@ -12,6 +19,15 @@
  */
 const recoveryGraceMs = 2_000;
 
+/**
+ * Time after the store has come back from a copy in which the entries of endpoints that had left are not
+ * trusted, in ms: entries of endpoints that have ended lapse by then.
+ */
+const distrustMs = 10_000;
+
+/** Maximum number of endpoint starts that are remembered as removed. */
+const maxRemoved = 10_000;
+
 /** Updates the endpoint directory from the endpoints' entries in the store. */
 export class EndpointDirectoryUpdater implements EntryListener {
   /** Endpoints whose removal is delayed until the grace period after a store outage ends, by id. */
@@ -19,6 +35,15 @@
 
   private storeRecoveredAt = -Infinity;
 
+  /** Start time by id of the endpoints whose entries were removed. */
+  private readonly removed = BoundedMap.create<number>(maxRemoved);
+
+  /** Entries of such endpoints that a restored store has brought back, by id. */
+  private readonly distrusted = new Map<string, Entry>();
+
+  /** First revision known of the store's era, and time until which entries up to it are not trusted. */
+  private restored = { revision: 0, distrustedUntil: -Infinity };
+
   private constructor(
     private readonly prefix: string,
     private readonly decode: EndpointDecoder,
@@ -43,6 +68,19 @@
     this.storeRecoveredAt = now;
   }
 
+  /**
+   * The store has come back from a copy: entries written since the copy was made may be missing for a
+   * moment, and endpoints that have left since may be in it.
+   */
+  storeRestored(revision: number, now: number): void {
+    this.storeRecovered(now);
+    this.restored = { revision, distrustedUntil: now + distrustMs };
+    this.clock
+      .sleep(distrustMs)
+      .then(() => this.trustAll())
+      .catch(() => {});
+  }
+
   onListing(entries: readonly Entry[]): void {
     const listed = new Set(entries.map(({ key }) => this.idOf(key)));
     this.directory
@@ -73,8 +111,17 @@
       });
       return;
     }
-    this.cancelRemoval(id);
     const record = decoded.value;
+    if (this.isDistrusted(entry, id, record.bornAt)) {
+      this.distrusted.set(id, entry);
+      this.telemetry.log('endpoint.distrusted', { endpoint: id, revision: entry.revision });
+      return;
+    }
+    this.distrusted.delete(id);
+    this.removed.delete(id);
+    this.cancelRemoval(id);
+    // An endpoint that leaves does not come back, whatever an older entry says.
+    if (record.state === HostState.leaving) this.directory.markLeaving(id, record.bornAt);
     const before = this.directory.get(id);
     this.directory.put(record);
     const isNew = before === undefined || before.bornAt !== record.bornAt;
@@ -90,7 +137,25 @@
     }
   }
 
+  /** Whether an entry may stem from before the endpoint left. */
+  private isDistrusted({ revision }: Entry, id: string, bornAt: number): boolean {
+    return (
+      this.removed.get(id) === bornAt &&
+      revision <= this.restored.revision &&
+      this.clock.now() < this.restored.distrustedUntil
+    );
+  }
+
+  /** Trusts the entries that have not lapsed. */
+  private trustAll(): void {
+    if (this.clock.now() < this.restored.distrustedUntil) return;
+    const entries = [...this.distrusted.values()];
+    this.distrusted.clear();
+    entries.forEach((entry) => this.put(entry));
+  }
+
   private entryRemoved(id: string): void {
+    this.distrusted.delete(id);
     const record = this.directory.get(id);
     if (record === undefined || this.pendingRemovals.has(id)) return;
     const graceMs = this.storeRecoveredAt + recoveryGraceMs - this.clock.now();
@@ -117,6 +182,8 @@
   }
 
   private remove(id: string): void {
+    const record = this.directory.get(id);
+    if (record !== undefined) this.removed.set(id, record.bornAt);
     this.directory.remove(id);
     this.telemetry.log('endpoint.removed', { endpoint: id });
   }
--- a/packages/request/quarantine/src/crash-ledger.ts
+++ b/packages/request/quarantine/src/crash-ledger.ts
@@ -1,6 +1,5 @@
-import type { Random } from '@currantdrift/core';
+import { BoundedMap, type Random } from '@currantdrift/core';
 import { blame, type CrashEvidence } from './blame';
-import { BoundedMap } from './bounded-map';
 import type { ClearedParts, CrashReport, Quarantine, Suspect } from './crash-report';
 import { defaultQuarantineSettings, type QuarantineSettings } from './settings';
 
--- a/packages/request/quarantine/src/crash-watch.ts
+++ b/packages/request/quarantine/src/crash-watch.ts
@@ -1,5 +1,4 @@
-import { type Clock, hash32, type Random, type Telemetry } from '@currantdrift/core';
-import { BoundedMap } from './bounded-map';
+import { BoundedMap, type Clock, hash32, type Random, type Telemetry } from '@currantdrift/core';
 import type { CrashLedger } from './crash-ledger';
 import {
   type ClearedParts,
--- a/packages/tooling/fakes/src/prefix-store-handle.ts
+++ b/packages/tooling/fakes/src/prefix-store-handle.ts
@@ -63,7 +63,7 @@
       if (this.cut || this.deaf || this.unreadable.has(prefix)) return this.lost('changes');
       if (this.hasSilentWaits) return this.lost('changes', endsAt - this.clock.now());
       const changes = this.store.since(prefix, revision);
-      if (changes === undefined) return ok({ kind: 'compacted' });
+      if (changes === undefined) return ok({ kind: 'compacted', minRevision: 0 });
       const isOver = this.clock.now() >= endsAt || signal?.aborted === true;
       if (changes.length > 0 || isOver) {
         return ok({ kind: 'changes', changes, revision: this.store.revision });
