Resume a controller's term when the store came back with its own key

After a restore in which nobody else had been the controller, no engine got an order for six seconds: the lease counts as ended in the new era, the key in the copy stood until its lease lapsed (1.5 s), and the successor, the same process, waited for orders of a predecessor (4.5 s). If the listing holds the key with the very value that this term wrote, replacing it on that revision shows that nobody has had it since; the term goes on at once, with a higher fencing token. A controller that was succeeded after the copy was made finds another value, or its successor, and waits as before. The fake store takes part in eras.

--- a/packages/process/gateway/src/process/controller-election.ts
+++ b/packages/process/gateway/src/process/controller-election.ts
@@ -64,15 +64,15 @@
   readonly onEnd: (fence: number) => void;
 }
 
-/** A term that expired while the store did not respond. */
+/** A term whose lease may have ended, though no other process has been the controller since. */
 interface ExpiredTerm {
   readonly lease: string;
   readonly fence: number;
+  /** Value of the key, which no other term has. */
+  readonly value: Uint8Array;
 }
 
-interface HeldTerm {
-  readonly lease: string;
-  readonly fence: number;
+interface HeldTerm extends ExpiredTerm {
   /** Time until which the term is known to be valid, on the steady clock, in ms. */
   validUntil: number;
   /** Time until which a term that may be invalid waits for confirmation by the store. */
@@ -140,12 +140,15 @@
    * term a new fencing token.
    */
   private async resume(expiredTerm: ExpiredTerm, signal: AbortSignal): Promise<void> {
-    const { store, clock, members } = this.options;
-    const hasSuccessor =
-      members.controller !== undefined && members.controller.fence > expiredTerm.fence;
-    const renewed = hasSuccessor ? undefined : await store.renewLease(expiredTerm.lease);
-    if (renewed === undefined || (renewed.isErr() && renewed.error.kind === 'refused')) {
+    const { store, clock } = this.options;
+    const renewed = this.hasSuccessor(expiredTerm)
+      ? undefined
+      : await store.renewLease(expiredTerm.lease);
+    const isEnded =
+      renewed === undefined || (renewed.isErr() && renewed.error.kind === FailureKind.refused);
+    if (isEnded) {
       this.expiredTerm = undefined;
+      if (renewed !== undefined) await this.resumeAfterRestore(expiredTerm);
       return;
     }
     if (renewed.isOk() && (await this.acquire(expiredTerm.fence))) {
@@ -156,6 +159,21 @@
     await clock.sleep(pollMs, signal);
   }
 
+  private hasSuccessor({ fence }: ExpiredTerm): boolean {
+    const { members, self } = this.options;
+    const { controller } = members;
+    return controller !== undefined && controller.fence > fence && controller.host !== self.host;
+  }
+
+  /**
+   * Resumes a term whose lease has ended because the store came back from a copy. If the copy holds the
+   * key as this term wrote it, replacing it shows that no other process has had it since.
+   */
+  private async resumeAfterRestore({ fence, value }: ExpiredTerm): Promise<void> {
+    const revision = await this.findWrittenRevision(value);
+    if (revision !== undefined && revision > fence) await this.acquire(revision);
+  }
+
   private async contend(signal: AbortSignal): Promise<void> {
     const { clock, members, rank } = this.options;
     const now = clock.now();
@@ -205,6 +223,7 @@
     this.heldTerm = {
       lease: id,
       fence: revision,
+      value,
       validUntil: sentAt + lease.value.ttlMs,
       confirmUntil: -Infinity,
     };
@@ -259,11 +278,10 @@
       now >= heldTerm.confirmUntil
     ) {
       this.endTerm('the lease expired without a successful renewal');
-      this.expiredTerm = { lease: heldTerm.lease, fence: heldTerm.fence };
+      this.expiredTerm = heldTerm;
       return;
     }
-    const { controller } = this.options.members;
-    if (controller !== undefined && controller.fence > heldTerm.fence) {
+    if (this.hasSuccessor(heldTerm)) {
       this.endTerm('another process is the controller');
       return;
     }
@@ -287,7 +305,9 @@
       reason: describeFailure(renewed.error),
       leftMs: Math.round(heldTerm.validUntil - clock.now()),
     });
-    if (renewed.error.kind === 'refused') this.endTerm('the store refused to renew the lease');
+    if (renewed.error.kind !== FailureKind.refused) return;
+    this.endTerm('the store refused to renew the lease');
+    this.expiredTerm = heldTerm;
   }
 
   /** After a suspension, treats the term as invalid until the store has confirmed it again. */
--- a/packages/process/gateway/test/controller-election.test.ts
+++ b/packages/process/gateway/test/controller-election.test.ts
@@ -216,3 +216,42 @@
   const seen = await advanceChecked(all, 12_000);
   expect(seen.length).toBeGreaterThan(0);
 });
+
+// Guards against seconds without orders after a restore in which nobody else was the controller, and
+// against fencing tokens that fall.
+test('a controller whose key is in the copy of a restored store resumes its term at once', async () => {
+  const all = startProcesses(['a', 'b']);
+  await advanceChecked(all, 8_000);
+  const [a, b] = all.processes;
+  const copy = all.store.copy();
+  for (let index = 0; index < 50; index += 1) all.store.write('other', Buffer.from(`${index}`));
+  await advanceChecked(all, 2_000);
+  all.store.restore(copy);
+  expect(await advanceChecked(all, 1_000)).toEqual(['a']);
+  expect(a.begunTerms.length).toBe(2);
+  expect(a.begunTerms[1].fence).toBeGreaterThan(a.begunTerms[0].fence);
+  expect(a.begunTerms[1].earliestOrderAt('e1')).toBeLessThanOrEqual(all.clock.now());
+  expect(await advanceChecked(all, 5_000)).toEqual(['a']);
+  expect([a, b].map(({ begunTerms }) => begunTerms.length)).toEqual([2, 0]);
+});
+
+// Guards against an earlier controller that takes its key in the copy for its present term.
+test('a controller that was succeeded after the copy was made does not resume its term', async () => {
+  const all = startProcesses(['a', 'b']);
+  await advanceChecked(all, 8_000);
+  const [a, b] = all.processes;
+  const copy = all.store.copy();
+  a.store.cut = true;
+  await advanceChecked(all, 6_000);
+  expect(b.begunTerms.length).toBe(1);
+  all.store.restore(copy);
+  const restoredAt = all.clock.now();
+  a.store.cut = false;
+  await advanceChecked(all, 10_000);
+  const later = [...a.begunTerms.slice(1), ...b.begunTerms.slice(1)];
+  expect(later.length).toBeGreaterThan(0);
+  later.forEach(({ fence, earliestOrderAt: earliest }) => {
+    expect(fence).toBeGreaterThan(b.begunTerms[0].fence);
+    expect(earliest('e2') - restoredAt).toBeGreaterThanOrEqual(holderPauseMs);
+  });
+});
--- a/packages/tooling/fakes/src/memory-prefix-store.ts
+++ b/packages/tooling/fakes/src/memory-prefix-store.ts
@@ -23,6 +23,8 @@
 
   private count = 0;
 
+  private restores = 0;
+
   private constructor(clock: Clock) {
     this.leases = LeaseTable.create(clock);
   }
@@ -31,6 +33,11 @@
     return new MemoryPrefixStore(clock);
   }
 
+  /** Number of times that it has come back from a copy. */
+  get era(): number {
+    return this.restores;
+  }
+
   get revision(): number {
     return this.count;
   }
@@ -45,6 +52,7 @@
     entries.forEach(([key, stored]) => this.entries.set(key, stored));
     this.leases.restore(leases);
     this.count = revision;
+    this.restores += 1;
     this.compact();
   }
 
--- a/packages/tooling/fakes/src/prefix-store-handle.ts
+++ b/packages/tooling/fakes/src/prefix-store-handle.ts
@@ -1,11 +1,16 @@
 import {
   type ChangesResult,
+  type Change,
   type Clock,
+  type Entry,
+  eraOf,
   type Failure,
   FailureKind,
   type Lease,
   type Listing,
   type PrefixStore,
+  revisionInEra,
+  startOfEra,
   type SwapResult,
 } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
@@ -46,7 +51,8 @@
 
   listing(prefix: string): Promise<Result<Listing, Failure>> {
     return this.call('listing', () => {
-      const current = { entries: this.store.below(prefix), revision: this.store.revision };
+      const entries = this.store.below(prefix).map((entry) => this.inEra(entry));
+      const current = { entries, revision: this.revision };
       return this.oldListings.shift() ?? current;
     });
   }
@@ -62,11 +68,12 @@
     for (;;) {
       if (this.cut || this.deaf || this.unreadable.has(prefix)) return this.lost('changes');
       if (this.hasSilentWaits) return this.lost('changes', endsAt - this.clock.now());
-      const changes = this.store.since(prefix, revision);
-      if (changes === undefined) return ok({ kind: 'compacted', minRevision: 0 });
+      const { era } = this.store;
+      const changes = eraOf(revision) < era ? undefined : this.since(prefix, revision);
+      if (changes === undefined) return ok({ kind: 'compacted', minRevision: startOfEra(era) });
       const isOver = this.clock.now() >= endsAt || signal?.aborted === true;
       if (changes.length > 0 || isOver) {
-        return ok({ kind: 'changes', changes, revision: this.store.revision });
+        return ok({ kind: 'changes', changes, revision: this.revision });
       }
       await this.clock.sleep(pollMs, signal);
     }
@@ -79,25 +86,63 @@
     leaseId?: string,
   ): Promise<Result<SwapResult, Failure>> {
     return this.call('compareAndSwap', (): SwapResult => {
-      const current = this.store.read(key);
+      const read = this.store.read(key);
+      const current = read && this.inEra(read);
       if ((current?.revision ?? 0) !== revision) return { kind: 'conflict', current };
-      return { kind: 'swapped', revision: this.store.write(key, value, leaseId) };
+      this.store.write(key, value, leaseId && this.idOf(leaseId));
+      return { kind: 'swapped', revision: this.revision };
     });
   }
 
   grantLease(ttlMs: number): Promise<Result<Lease, Failure>> {
-    return this.call('grantLease', () => this.store.grant(ttlMs));
+    return this.call('grantLease', () => {
+      const lease = this.store.grant(ttlMs);
+      return { ...lease, id: `${lease.id}@${this.store.era}` };
+    });
   }
 
   async renewLease(leaseId: string): Promise<Result<Lease, Failure>> {
-    const renewed = await this.call('renewLease', () => this.store.renew(leaseId));
+    const renewed = await this.call('renewLease', () => {
+      const id = this.idOf(leaseId);
+      return id === undefined ? undefined : this.store.renew(id);
+    });
     return renewed.andThen((lease) =>
-      lease === undefined ? err(this.failure('renewLease', FailureKind.refused)) : ok(lease),
+      lease === undefined
+        ? err(this.failure('renewLease', FailureKind.refused))
+        : ok({ ...lease, id: leaseId }),
     );
   }
 
   revokeLease(leaseId: string): Promise<Result<void, Failure>> {
-    return this.call('revokeLease', () => this.store.revoke(leaseId));
+    return this.call('revokeLease', () => {
+      const id = this.idOf(leaseId);
+      if (id !== undefined) this.store.revoke(id);
+    });
+  }
+
+  private get revision(): number {
+    return revisionInEra(this.store.era, this.store.revision);
+  }
+
+  private inEra(entry: Entry): Entry {
+    return { ...entry, revision: revisionInEra(this.store.era, entry.revision) };
+  }
+
+  private since(prefix: string, revision: number): Change[] | undefined {
+    const { era } = this.store;
+    return this.store
+      .since(prefix, revision - startOfEra(era))
+      ?.map((change) =>
+        change.kind === 'put'
+          ? { kind: 'put', entry: this.inEra(change.entry) }
+          : { ...change, revision: revisionInEra(era, change.revision) },
+      );
+  }
+
+  /** The store's id of a lease; undefined if it was granted in another era. */
+  private idOf(lease: string): string | undefined {
+    const [id, era] = lease.split('@');
+    return Number(era) === this.store.era ? id : undefined;
   }
 
   private async call<T>(step: string, run: () => T): Promise<Result<T, Failure>> {
