Blame the request whose answer had begun without an event first

Cause: half a second after its first event a stream still counted as much as one without an event; streams of the soak last 0.3 s, so all of them were suspects of two crashes. Streams with an event count now only where no answer had begun without one.

--- a/packages/request/quarantine/src/blame.ts
+++ b/packages/request/quarantine/src/blame.ts
@@ -16,10 +16,14 @@
   hasUnanswered: boolean;
 }
 
-/** If an engine had begun to answer some requests at its crash, one of these caused the crash. */
+/**
+ * The suspects that count. An engine crashes as it begins to answer, so a request whose answer had begun
+ * without an event is the likeliest cause, and one that had not begun the least likely.
+ */
 const likelySuspects = ({ suspects }: CrashEvidence): readonly Suspect[] => {
   const begun = suspects.filter(({ hasBegun }) => hasBegun);
-  return begun.length > 0 ? begun : suspects;
+  const withoutEvent = begun.filter(({ hasEvent }) => !hasEvent);
+  return [withoutEvent, begun, suspects].find(({ length }) => length > 0) ?? [];
 };
 
 const accuse = (accused: Map<string, Accusation>, crash: string, suspect: Suspect): void => {
--- a/packages/request/quarantine/src/crash-ledger.ts
+++ b/packages/request/quarantine/src/crash-ledger.ts
@@ -63,7 +63,10 @@
     const known = this.crashes.get(`${endpoint}@${bornAt}`)?.suspects;
     return (
       known !== undefined &&
-      suspects.every(({ prompt, hasBegun }) => known.get(prompt)?.hasBegun === hasBegun)
+      suspects.every(({ prompt, hasBegun, hasEvent }) => {
+        const one = known.get(prompt);
+        return one?.hasBegun === hasBegun && one.hasEvent === hasEvent;
+      })
     );
   }
 
--- a/packages/request/quarantine/src/crash-report.ts
+++ b/packages/request/quarantine/src/crash-report.ts
@@ -16,6 +16,8 @@
   parts: z.array(text).min(1).max(maxParts),
   /** Whether the engine had begun to answer the request. */
   hasBegun: z.boolean(),
+  /** Whether an event of the answer had come, not long before. */
+  hasEvent: z.boolean(),
 });
 
 /** A request that may have crashed the engine that it was at. */
--- a/packages/request/quarantine/src/crash-watch.ts
+++ b/packages/request/quarantine/src/crash-watch.ts
@@ -55,8 +55,8 @@
 const sharedParts = ({ promptParts }: WatchedRequest): readonly string[] =>
   promptParts.slice(0, -1).slice(0, maxParts);
 
-const describeSuspect = ({ prompt, parts, hasBegun }: Suspect): string =>
-  `${prompt}${hasBegun ? ' begun' : ''}: ${parts.join(' ')}`;
+const describeSuspect = ({ prompt, parts, hasBegun, hasEvent }: Suspect): string =>
+  `${prompt}${hasBegun ? ' begun' : ''}${hasEvent ? ' with event' : ''}: ${parts.join(' ')}`;
 
 const partKey = (service: string, part: string): string => `${service}\u0000${part}`;
 
@@ -89,7 +89,7 @@
     return new CrashWatch(options);
   }
 
-  /** Watches a send; `cancel` is called if it waits at an engine when its prompt is found to be deadly. */
+  /** Watches a send; `cancel` is called if it waits at an engine when its prompt is found to crash engines. */
   begin(request: WatchedRequest, cancel: (reason: Error) => void): WatchedSend {
     const send = WatchedSend.create(this, request, cancel);
     if (sharedParts(request).length > 0) this.sends.add(send);
@@ -150,13 +150,13 @@
   }
 
   /** Examines a break; returns whether the engine has ended and this request may be the reason. */
-  async examine(request: WatchedRequest, hasBegun: boolean, now: number): Promise<boolean> {
+  async examine({ request, hasBegun, hasEvent }: WatchedSend, now: number): Promise<boolean> {
     const { ledger } = this.options;
     const parts = ledger.uncleared(request.service, sharedParts(request), now);
     if (parts.length === 0) return false;
     const examination = this.examination(request);
     const prompt = promptId(request);
-    examination.suspects.set(prompt, { prompt, parts, hasBegun });
+    examination.suspects.set(prompt, { prompt, parts, hasBegun, hasEvent });
     if (!hasBegun) return false;
     return (await examination.state) === EngineState.ended;
   }
@@ -185,7 +185,7 @@
       return state;
     }
     const likelyFirst = [...suspects.values()].sort(
-      (a, b) => Number(b.hasBegun) - Number(a.hasBegun),
+      (a, b) => Number(b.hasBegun) - Number(a.hasBegun) || Number(a.hasEvent) - Number(b.hasEvent),
     );
     const report = { service, endpoint, bornAt, suspects: likelyFirst.slice(0, maxSuspects) };
     this.reported.set(startKey(request), true);
--- a/packages/request/quarantine/src/watched-send.ts
+++ b/packages/request/quarantine/src/watched-send.ts
@@ -21,7 +21,7 @@
   /** The engine has sent the whole answer at once; a crash after it would show a little later. */
   clearLater(request: WatchedRequest): void;
   /** The connection broke; returns whether the engine has ended and the request may be the reason. */
-  examine(request: WatchedRequest, hasBegun: boolean, now: number): Promise<boolean>;
+  examine(send: WatchedSend, now: number): Promise<boolean>;
 }
 
 /** A request at an engine. */
@@ -52,6 +52,11 @@
     return this.begunAt !== undefined;
   }
 
+  /** Whether an event of the answer has come. */
+  get hasEvent(): boolean {
+    return this.firstEventAt !== undefined;
+  }
+
   /** The engine has sent the head of its answer. */
   recordBegin(now: number): void {
     this.begunAt ??= now;
@@ -84,7 +89,7 @@
     this.watch.remove(this);
     const { firstEventAt = now } = this;
     const isTooOld = now - firstEventAt >= clearAfterMs;
-    return isTooOld ? false : this.watch.examine(this.request, this.hasBegun, now);
+    return isTooOld ? false : this.watch.examine(this, now);
   }
 
   private clear(now: number): void {
--- a/packages/request/quarantine/test/crash-ledger.test.ts
+++ b/packages/request/quarantine/test/crash-ledger.test.ts
@@ -8,6 +8,7 @@
   prompt,
   parts: parts.split(' '),
   hasBegun,
+  hasEvent: false,
 });
 
 const create = () => CrashLedger.create(SeededRandom.create(1));
@@ -47,7 +48,7 @@
   expect(held(ledger, 10)).toEqual([]);
 });
 
-// Guards against shared first parts that are refused with the deadly one.
+// Guards against shared first parts that are refused with the crashing one.
 test('parts that occur together are held back together until an answer clears one', () => {
   const ledger = create();
   crash(ledger, 'e1', 0, suspect('p1', 'a b d'));
@@ -75,7 +76,7 @@
   expect(held(ledger, minute + 500)).toEqual(['d']);
 });
 
-test('two deadly parts at once are both found', () => {
+test('two crashing parts at once are both found', () => {
   const ledger = create();
   crash(ledger, 'e1', 0, suspect('p1', 'a d'));
   crash(ledger, 'e2', 10, suspect('p2', 'a x'));
@@ -98,6 +99,19 @@
   expect(held(ledger, 40)).toEqual(['w']);
 });
 
+// Guards against sound streams that have just begun at several crashes and are refused for long.
+test('requests with an event count only if no answer had begun without one', () => {
+  const ledger = create();
+  const stream = (prompt: string) => ({ ...suspect(prompt, 'b'), hasEvent: true });
+  crash(ledger, 'e1', 0, suspect('p1', 'a d'), stream('s1'));
+  crash(ledger, 'e2', 10, suspect('p2', 'c d'), stream('s2'));
+  crash(ledger, 'e3', 20, suspect('p3', 'e d'), stream('s3'));
+  expect(held(ledger, 20)).toEqual(['d']);
+  crash(ledger, 'e4', 30, stream('s4'));
+  crash(ledger, 'e5', 40, stream('s5'));
+  expect(held(ledger, 40)).toEqual(['d', 'b']);
+});
+
 // Guards against the end of all engines at once, by power or a release, as a reason to refuse prompts.
 test('engines that end together blame no popular prompt', () => {
   const ledger = create();
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -38,7 +38,7 @@
   diesInNextLoad = false;
 
   /** Contents of messages that crash the engine when it begins to answer them. */
-  deadlyContents: ReadonlySet<string> = new Set();
+  crashingContents: ReadonlySet<string> = new Set();
 
   /** Called when such a message has crashed the engine. */
   onCrash: (content: string) => void = () => {};
@@ -127,9 +127,9 @@
   ): AsyncGenerator<Result<StreamPart, Failure>> {
     await this.takeSlot(signal);
     try {
-      const deadly = messages.find(({ content }) => this.deadlyContents.has(content));
-      if (deadly === undefined) yield* this.ownTexts(parts, messages, signal);
-      else yield* this.crash(deadly.content, signal);
+      const crashing = messages.find(({ content }) => this.crashingContents.has(content));
+      if (crashing === undefined) yield* this.ownTexts(parts, messages, signal);
+      else yield* this.crash(crashing.content, signal);
     } finally {
       this.freeSlot();
     }
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -231,10 +231,10 @@
 /** Requests with a message that crashes engines, which must soon reach none. */
 const crashingPromptsHeldBack: Check = ({ history }) => {
   const requestById = new Map(history.requests.map((request) => [request.id, request]));
-  const deadly = new Set(history.crashes.map(({ part }) => part));
+  const crashing = new Set(history.crashes.map(({ part }) => part));
   const arrivals = history.runs.flatMap(({ at, endpoint, requestId }) =>
     (requestById.get(requestId)?.parts ?? [])
-      .filter((part) => deadly.has(part))
+      .filter((part) => crashing.has(part))
       .map((part) => ({ at, endpoint, part })),
   );
   return rule(
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -45,7 +45,7 @@
 
   readonly engines = new Map<string, ObservedEngine>();
 
-  private readonly deadlyContents = new Set<string>();
+  private readonly crashingContents = new Set<string>();
 
   readonly services = new Map<string, FakeService>();
 
@@ -191,9 +191,9 @@
   }
 
   /** From now on messages with this content crash engines, or do not. */
-  setDeadly(content: string, isDeadly: boolean): void {
-    if (isDeadly) this.deadlyContents.add(content);
-    else this.deadlyContents.delete(content);
+  setCrashing(content: string, isCrashing: boolean): void {
+    if (isCrashing) this.crashingContents.add(content);
+    else this.crashingContents.delete(content);
   }
 
   /** Makes loads from the weight store slower by a factor. */
@@ -245,7 +245,7 @@
       engine.onChange = () => this.sample(engine);
       const observed = ObservedEngine.create(engine, this.clock);
       this.observeRuns(observed);
-      observed.deadlyContents = this.deadlyContents;
+      observed.crashingContents = this.crashingContents;
       observed.onCrash = (part) => {
         const at = this.clock.now();
         this.history.crashes.push({ endpoint: observed.id, part, at });
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -136,9 +136,9 @@
   'endpoint <endpoint> takes all calls': ({ platform }, step) =>
     platform.limit(wordOf(step, 'endpoint'), undefined),
   'prompts with <part:word> crash engines': ({ platform }, step) =>
-    platform.setDeadly(wordOf(step, 'part'), true),
+    platform.setCrashing(wordOf(step, 'part'), true),
   'prompts with <part:word> are harmless': ({ platform }, step) =>
-    platform.setDeadly(wordOf(step, 'part'), false),
+    platform.setCrashing(wordOf(step, 'part'), false),
   'late answers from <endpoint> <time>': (world, step) =>
     setAnswers(world, step, { lateMs: numberOf(step, 'time') }),
   'lost answers from <endpoint>': (world, step) => setAnswers(world, step, { lost: true }),
--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,5 +1,5 @@
 import {
-  type DeadlyPart,
+  type CrashingPart,
   lostSoundViolations,
   repeatedCrashViolations,
   type SoundRequest,
@@ -71,7 +71,7 @@
 
   private readonly crashes: EngineCrash[] = [];
 
-  private readonly deadlyParts: DeadlyPart[] = [];
+  private readonly crashingParts: CrashingPart[] = [];
 
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
@@ -110,14 +110,14 @@
     this.limits.push(limit);
   }
 
-  /** A request with a deadly part has crashed an engine. */
+  /** A request with a crashing part has crashed an engine. */
   crashed(crash: EngineCrash): void {
     this.crashes.push(crash);
   }
 
-  /** Clients have stopped sending requests with a deadly part. */
-  deadlyPartEnded(part: DeadlyPart): void {
-    this.deadlyParts.push(part);
+  /** Clients have stopped sending requests with a crashing part. */
+  crashingPartEnded(part: CrashingPart): void {
+    this.crashingParts.push(part);
   }
 
   acknowledged(version: number, at: number): void {
@@ -147,7 +147,7 @@
       ...this.ofPauses(),
       ...this.ofOrders(),
       ...this.ofLimits(),
-      ...this.ofDeadlyParts(),
+      ...this.ofCrashingParts(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
@@ -212,8 +212,8 @@
 
   /** Requests that were passed on to a sound endpoint by a sound process and got no whole answer. */
   private ofLoss(attempt: Attempt): Violation[] {
-    const { id, process, sentAt, endedAt, status, complete, deadlyPart } = attempt;
-    if (deadlyPart !== undefined) return [];
+    const { id, process, sentAt, endedAt, status, complete, crashingPart } = attempt;
+    if (crashingPart !== undefined) return [];
     const runs = this.runs.get(id) ?? [];
     const isOver = complete || endedAt - sentAt >= this.bounds.answerMs;
     if (isOver || runs.length === 0) return [];
@@ -317,24 +317,24 @@
     );
   }
 
-  /** Requests with a deadly part that go on reaching engines, and sound ones that suffer beside them. */
-  private ofDeadlyParts(): Violation[] {
+  /** Requests with a crashing part that go on reaching engines, and sound ones that suffer beside them. */
+  private ofCrashingParts(): Violation[] {
     const { contactMs } = this.bounds;
     const byId = new Map(this.attempts.map((attempt) => [attempt.id, attempt]));
     const arrivals = this.calls.flatMap(({ request, endpoint, at }) => {
       const attempt = request === undefined ? undefined : byId.get(request);
-      if (attempt?.deadlyPart === undefined || !this.inTouch(attempt.process, at, at)) return [];
-      return [{ at, endpoint, part: attempt.deadlyPart }];
+      if (attempt?.crashingPart === undefined || !this.inTouch(attempt.process, at, at)) return [];
+      return [{ at, endpoint, part: attempt.crashingPart }];
     });
     const sound = this.attempts.flatMap((attempt): SoundRequest[] => {
-      const { promptParts, deadlyPart, process, sentAt, endedAt } = attempt;
-      if (promptParts.length === 0 || deadlyPart !== undefined) return [];
+      const { promptParts, crashingPart, process, sentAt, endedAt } = attempt;
+      if (promptParts.length === 0 || crashingPart !== undefined) return [];
       if (!this.inTouch(process, sentAt, endedAt)) return [];
       return [{ sentAt, hasBegun: isSuccess(attempt) }];
     });
     return [
       ...repeatedCrashViolations(this.crashes, arrivals, contactMs),
-      ...lostSoundViolations(this.deadlyParts, this.crashes, sound, contactMs),
+      ...lostSoundViolations(this.crashingParts, this.crashes, sound, contactMs),
     ];
   }
 
--- a/packages/tooling/soak/src/crash-check.ts
+++ b/packages/tooling/soak/src/crash-check.ts
@@ -13,21 +13,21 @@
 /** Share of the sound requests that must begin. */
 const minBegunShare = 0.5;
 
-/** A request with a deadly part that reached an engine. */
-export interface DeadlyArrival {
+/** A request with a crashing part that reached an engine. */
+export interface CrashingArrival {
   readonly at: number;
   readonly part: string;
   readonly endpoint: string;
 }
 
-/** A sound request beside deadly ones. */
+/** A sound request beside crashing ones. */
 export interface SoundRequest {
   readonly sentAt: number;
   readonly hasBegun: boolean;
 }
 
 /** Requests with a prompt part that crashes engines. */
-export interface DeadlyPart {
+export interface CrashingPart {
   readonly part: string;
   /** Time until which clients send such requests, in ms. */
   readonly to: number;
@@ -42,7 +42,7 @@
 /** Requests with a part that reach engines though it has crashed enough of them. */
 export const repeatedCrashViolations = (
   crashes: readonly EngineCrash[],
-  arrivals: readonly DeadlyArrival[],
+  arrivals: readonly CrashingArrival[],
   contactMs: number,
 ): Violation[] =>
   [...groupByPart(crashes)].flatMap(([part, ofPart]) => {
@@ -51,12 +51,12 @@
     const late = arrivals.filter((arrival) => arrival.part === part && arrival.at > boundAt);
     if (late.length <= maxLateArrivals) return [];
     const text = `${late.length} requests with part ${part} reached engines after ${ofPart.length} crashes`;
-    return [{ at: late[maxLateArrivals].at, rule: 'deadly prompt part', text }];
+    return [{ at: late[maxLateArrivals].at, rule: 'crashing prompt part', text }];
   });
 
-/** Sound requests that are refused or fail beside those with a deadly part. */
+/** Sound requests that are refused or fail beside those with a crashing part. */
 export const lostSoundViolations = (
-  parts: readonly DeadlyPart[],
+  parts: readonly CrashingPart[],
   crashes: readonly EngineCrash[],
   requests: readonly SoundRequest[],
   contactMs: number,
@@ -70,5 +70,5 @@
     const begun = beside.filter(({ hasBegun }) => hasBegun).length;
     if (beside.length < minSoundRequests || begun >= minBegunShare * beside.length) return [];
     const text = `${begun} of ${beside.length} sound requests beside part ${part} began`;
-    return [{ at: to, rule: 'sound beside deadly', text }];
+    return [{ at: to, rule: 'sound beside crashing', text }];
   });
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -1,8 +1,8 @@
 export { Checker, type CheckerBounds, haltOf, stopOf } from './checker';
 export { Child } from './child';
 export {
-  type DeadlyArrival,
-  type DeadlyPart,
+  type CrashingArrival,
+  type CrashingPart,
   lostSoundViolations,
   repeatedCrashViolations,
   type SoundRequest,
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -35,7 +35,7 @@
   /** Parts of its prompt; empty without one. */
   readonly promptParts: readonly string[];
   /** Part of its prompt that crashes engines. */
-  readonly deadlyPart: string | undefined;
+  readonly crashingPart: string | undefined;
 }
 
 /** The crash of an engine by a request with a prompt part that crashes engines. */
