Free a place at a crashed engine before asking whether it has ended

The place of a send that broke was held until the question to its engine was answered, up to 1.2 s, though the request was over: the balancer counted a request in flight that there was not. Found by reading. Besides, parts of over 200 characters are left out here as at the other processes, which refuse reports with them.

--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -108,7 +108,6 @@
     );
     const result = await send.run(AbortSignal.any([signal, cancelled.signal]));
     end?.();
-    this.mayHaveCrashed = await this.endWatch(watched, result, signal);
     this.recordResult(result, found);
     telemetry.count('currantdrift_sends_total', { outcome: result.kind });
     telemetry.log('send', {
@@ -137,6 +136,8 @@
           : undefined,
       elapsedMs: Math.round(clock.now() - startedAt),
     });
+    // The place at the engine is free by now, since it may take a while to tell whether the engine has ended.
+    this.mayHaveCrashed = await this.endWatch(watched, result, signal);
     return result;
   }
 
--- a/packages/request/quarantine/src/crash-report.ts
+++ b/packages/request/quarantine/src/crash-report.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 
-const maxTextLength = 200;
+/** Largest length of a prompt part or a name, in characters. */
+export const maxTextLength = 200;
+
 const text = z.string().max(maxTextLength);
 
 /** Largest number of requests in one report. */
--- a/packages/request/quarantine/src/crash-watch.ts
+++ b/packages/request/quarantine/src/crash-watch.ts
@@ -5,6 +5,7 @@
   type CrashReport,
   maxParts,
   maxSuspects,
+  maxTextLength,
   type Quarantine,
   type Suspect,
 } from './crash-report';
@@ -53,7 +54,10 @@
 const maxRemembered = 4_096;
 
 const sharedParts = ({ promptParts }: WatchedRequest): readonly string[] =>
-  promptParts.slice(0, -1).slice(0, maxParts);
+  promptParts
+    .slice(0, -1)
+    .filter(({ length }) => length <= maxTextLength)
+    .slice(0, maxParts);
 
 const describeSuspect = ({ prompt, parts, hasBegun, hasEvent }: Suspect): string =>
   `${prompt}${hasBegun ? ' begun' : ''}${hasEvent ? ' with event' : ''}: ${parts.join(' ')}`;
