--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -16,7 +16,6 @@
   ModelUsage,
 } from '@currantdrift/forward';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
-import { defaultResidencySettings } from '@currantdrift/residency';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
@@ -32,13 +31,15 @@
 import { RoundTrips } from '../version/round-trips';
 import type { Member, Members } from '../version/members';
 import { InventoryBroadcaster } from './inventory-broadcaster';
-import { Controller } from './controller';
+import type { Controller } from './controller';
 import { CrashHandling } from './crash-handling';
-import { ControllerElection, type Term } from './controller-election';
+import { ControllerElection } from './controller-election';
 import { ClientHttpServer, type ListenFailure } from './client-http-server';
 import type { GatewaySettings } from './gateway-settings';
+import { awaitClients } from './graceful-stop';
 import { LeavingNotices } from './leaving-notices';
 import { ControllerModelWaker } from './controller-model-waker';
+import { ControllerTerms } from './controller-terms';
 import { registerPeerHandlers } from './peer-handlers';
 import { PermitService } from './permit-service';
 import { Registration } from './registration';
@@ -64,16 +65,8 @@
 /** Interval at which routing state of removed endpoints is dropped, in ms. */
 const pruneIntervalMs = 1_000;
 
-/**
- * Time after the readiness check begins to fail for which new requests are still accepted, in ms. By
- * then the load balancer has noticed, and a stream that begins later might outlast the grace period.
- */
-const acceptAfterStopMs = 3_000;
-
-/** Margin before the end of the grace period at which the process exits, in ms. */
-const exitMarginMs = 400;
-
-const stopPollMs = 100;
+/** Interval between checks whether the process is ready, in ms. */
+const readyPollMs = 100;
 
 /** A gateway process: serves clients and takes part in the control of the engines. */
 export class Gateway {
@@ -124,7 +117,7 @@
   private readonly send = (address: string, message: Message): void =>
     this.peers.notify(address, message);
 
-  private controller: Controller | undefined;
+  private readonly terms: ControllerTerms;
 
   private stopping = false;
 
@@ -213,6 +206,7 @@
       (request, response) => this.forwarder.handle(request, response),
       (error) => telemetry.log('request.error', { reason: String(error) }),
     );
+    this.terms = this.createTerms();
     this.election = this.createElection();
     this.registration = Registration.create({
       store: platform.store,
@@ -226,6 +220,10 @@
     return new Gateway(options);
   }
 
+  private get controller(): Controller | undefined {
+    return this.terms.controller;
+  }
+
   private get members(): Members {
     return this.storeCache.members;
   }
@@ -270,15 +268,15 @@
     this.stopped.abort();
     telemetry.log('stop', { openRequests: this.forwarder.openRequests });
     this.runInBackground(this.registration.leave());
-    const endsAt = startedAt + settings.graceMs - exitMarginMs;
-    while (this.clock.now() < endsAt) {
-      if (this.clock.now() - startedAt >= acceptAfterStopMs) {
+    await awaitClients({
+      clock: this.clock,
+      graceMs: settings.graceMs,
+      stopAccepting: () => {
         this.closing.abort();
         this.clientServer.stopAccepting();
-        if ((await this.clientServer.connections()) === 0) break;
-      }
-      await this.clock.sleep(stopPollMs);
-    }
+      },
+      connections: () => this.clientServer.connections(),
+    });
     telemetry.log('stopped', {
       openRequests: this.forwarder.openRequests,
       elapsedMs: Math.round(this.clock.now() - startedAt),
@@ -339,6 +337,25 @@
     });
   }
 
+  private createTerms(): ControllerTerms {
+    const { clock, control, directory, inventoryBroadcaster, permitService, self } = this;
+    return ControllerTerms.create({
+      clock,
+      telemetry: this.options.telemetry,
+      host: self.host,
+      control,
+      directory,
+      inventoryBroadcaster,
+      permitService,
+      configuration: () => this.storeCache.configuration,
+      mayOrder: () => this.election.mayOrder(clock.now()),
+      onLimits: (limits, from) => this.limits.applyReports(limits, from),
+      onResignation: (resignation) =>
+        this.broadcast({ kind: PeerMessageKind.resigned, ...resignation }),
+      runInBackground: (task) => this.runInBackground(task),
+    });
+  }
+
   private createElection(): ControllerElection {
     const { settings, platform, telemetry } = this.options;
     return ControllerElection.create({
@@ -351,8 +368,8 @@
       holderPauseMs: settings.holderPauseMs,
       firstStart: settings.firstStart,
       rank: () => this.rank(),
-      onBegin: (term) => this.beginTerm(term),
-      onEnd: (fence) => this.endTerm(fence),
+      onBegin: (term) => this.terms.begin(term),
+      onEnd: (fence) => this.terms.end(fence),
     });
   }
 
@@ -393,7 +410,7 @@
 
   /** Takes part in the controller election once the process is ready. */
   private async runElection(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.isReady()) await this.clock.sleep(stopPollMs, signal);
+    while (!signal.aborted && !this.isReady()) await this.clock.sleep(readyPollMs, signal);
     await this.election.run(signal);
   }
 
@@ -403,37 +420,6 @@
     });
   }
 
-  private beginTerm(term: Term): void {
-    const { telemetry, settings } = this.options;
-    this.inventoryBroadcaster.beginTerm(term.fence);
-    this.permitService.beginTerm(term);
-    const controller = Controller.create(
-      {
-        clock: this.clock,
-        telemetry,
-        control: this.control,
-        directory: this.directory,
-        configuration: () => this.storeCache.configuration,
-        settings: defaultResidencySettings,
-        holder: settings.host,
-        mayOrder: () => this.election.mayOrder(this.clock.now()),
-        onLimits: (limits, from) => this.limits.applyReports(limits, from),
-        announce: (fence, announcement) => this.inventoryBroadcaster.announce(fence, announcement),
-      },
-      term,
-    );
-    this.controller = controller;
-    this.runInBackground(controller.run());
-  }
-
-  private endTerm(fence: number): void {
-    const { controller } = this;
-    this.controller = undefined;
-    this.permitService.endTerm();
-    if (controller === undefined) return;
-    this.broadcast({ kind: PeerMessageKind.resigned, fence, orderAges: controller.stop() });
-  }
-
   private broadcast(message: Message): void {
     this.members.others(this.self.host).forEach(({ address }) => this.send(address, message));
   }
