Show that currantdriftd runs a booking twice after a restore of its store

A booking whose claim was written after the copy runs again when its key is repeated at another daemon ('runs per key <= 1': 2).

--- a/packages/tooling/fakes/src/memory-store.ts
+++ b/packages/tooling/fakes/src/memory-store.ts
@@ -1,11 +1,18 @@
 import type { Clock, Entry, Lease, SwapResult } from '@currantdrift/core';
-import { LeaseTable } from './lease-table';
+import { type LeaseCopy, LeaseTable } from './lease-table';
 
 interface Stored {
   readonly entry: Entry;
   readonly leaseId: string | undefined;
 }
 
+/** The contents of a `MemoryStore` at one time. */
+export interface MemoryStoreCopy {
+  readonly entries: readonly (readonly [string, Stored])[];
+  readonly leases: LeaseCopy;
+  readonly revision: number;
+}
+
 /**
  * The platform's store in memory. Values, revisions and leases are shared by its
  * `StoreHandle`s; each handle has faults of its own, so that one client can be cut off.
@@ -35,6 +42,19 @@
     this.calls.set(call, (this.calls.get(call) ?? 0) + 1);
   }
 
+  copy(): MemoryStoreCopy {
+    return { entries: [...this.entries], leases: this.leases.copy(), revision: this.revision };
+  }
+
+  /** Goes back to a copy; revisions and leases are given out again. */
+  restore({ entries, leases, revision }: MemoryStoreCopy): void {
+    this.entries.clear();
+    entries.forEach(([key, stored]) => this.entries.set(key, stored));
+    this.leases.restore(leases);
+    this.revision = revision;
+    this.wakeWatchers();
+  }
+
   read(key: string): Entry | undefined {
     this.expireLeases();
     return this.entries.get(key)?.entry;
--- a/packages/tooling/scenario/src/language.ts
+++ b/packages/tooling/scenario/src/language.ts
@@ -40,6 +40,8 @@
   'engine <engine> loses answers of <count> orders',
   'store down',
   'store up',
+  'store copied',
+  'store restored from copy',
   'store latency <time>',
   'store watches silent',
   'store watches answer',
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -11,6 +11,7 @@
   FakeService,
   MemoryNetwork,
   MemoryStore,
+  type MemoryStoreCopy,
   ObservedEngine,
   StoreHandle,
 } from '@currantdrift/fakes';
@@ -54,6 +55,8 @@
 
   private readonly handles: { readonly daemon: string; readonly handle: StoreHandle }[] = [];
 
+  private storeCopy: MemoryStoreCopy | undefined;
+
   private storeDown = false;
 
   private storeLatencyMs = storeLatencyMs;
@@ -149,6 +152,16 @@
     this.updateStoreHandles();
   }
 
+  /** Copies the store, so that it can come back as it is now. */
+  copyStore(): void {
+    this.storeCopy = this.store.copy();
+  }
+
+  /** The store comes back from its last copy: what was written since is gone. */
+  restoreStore(): void {
+    if (this.storeCopy !== undefined) this.store.restore(this.storeCopy);
+  }
+
   /** The host list as a daemon reaches it. */
   hostListFor(daemon: string): HostList {
     return {
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -123,6 +123,8 @@
   },
   'store down': ({ platform }) => platform.setStore({ down: true }),
   'store up': ({ platform }) => platform.setStore({ down: false }),
+  'store copied': ({ platform }) => platform.copyStore(),
+  'store restored from copy': ({ platform }) => platform.restoreStore(),
   'store latency <time>': ({ platform }, step) =>
     platform.setStore({ latencyMs: numberOf(step, 'time') }),
   'store watches silent': ({ platform }) => platform.setStore({ silentWatches: true }),
