Log what identifies a request whose send failed

A failed send names the parts of its prompt; a request without a prompt, or one that comes again under another id, could be told only by joining the send with the path of its request line, and its body not at all. The digest covers method, authority, path with query, caller and body, the same for a repeat whose other headers or framing differ.

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './bounded-map';
 export * from './bundle';
 export * from './clock';
+export * from './digest';
 export * from './endpoint';
 export * from './failure';
 export * from './hash';
--- a/packages/request/forward/src/client-request.ts
+++ b/packages/request/forward/src/client-request.ts
@@ -1,3 +1,4 @@
+import { digest } from '@currantdrift/core';
 import type { Headers } from '@currantdrift/http';
 import type { Route } from '@currantdrift/routes';
 import type { RequestFields } from './endpoint-protocol';
@@ -10,6 +11,8 @@
   readonly path: string;
   readonly headers: Headers;
   readonly body: Buffer;
+  /** Identifies what the client asks for; a repeat under another id has the same digest. */
+  readonly digest: string;
   readonly route: Route;
   readonly service: string;
   /** Arrival, and deadline of the complete answer, in ms of the steady clock. */
@@ -22,3 +25,9 @@
 /** Deadline of the complete answer: the client's deadline or the route's timeout, whichever is first. */
 export const deadlineOf = (route: Route, fields: RequestFields, arrivedAt: number): number =>
   arrivedAt + Math.min(route.timeoutMs, fields.deadlineMs ?? route.timeoutMs);
+
+/** Digest of a request's method, path, caller and body. Other headers may differ between repeats. */
+export const digestOf = (
+  { method, path, headers, body }: Pick<ClientRequest, 'method' | 'path' | 'headers' | 'body'>,
+  { caller = '' }: RequestFields,
+): string => digest(method, String(headers.host ?? ''), path, caller, body);
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -7,6 +7,8 @@
   readonly id: string;
   /** Time that the client waits for the answer, in ms; undefined if not stated. */
   readonly deadlineMs: number | undefined;
+  /** Credentials of the client; undefined if it states none. */
+  readonly caller: string | undefined;
   readonly model: string | undefined;
   readonly adapter: string | undefined;
   /** Tokens of the prompt, and the maximum number to generate; 0 if unknown. */
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -128,7 +128,8 @@
       outcome: result.kind,
       reason: result.kind === 'delivered' ? undefined : result.reason,
       progress: result.kind === 'delivered' ? undefined : send.progress,
-      // Requests with a common part that end their engines are recognized by these.
+      // Requests that end their engines are recognized by these, alone or by a common part.
+      digest: result.kind === 'delivered' ? undefined : this.request.digest,
       promptParts: result.kind === 'delivered' ? undefined : fields.promptParts.join(','),
       longestPauseMs:
         result.kind === 'delivered' && result.longestPauseMs !== undefined
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -2,7 +2,7 @@
 import type { Configuration } from '@currantdrift/routes';
 import { RouteTable, selectService } from '@currantdrift/routes';
 import { type BodyRead, ClientExchange } from './client-exchange';
-import { type ClientRequest, deadlineOf } from './client-request';
+import { type ClientRequest, deadlineOf, digestOf } from './client-request';
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
@@ -65,12 +65,11 @@
     const deadline = deadlineOf(route, fields, arrivedAt);
     const read = await this.readBody(client, configuration.limits.maxBodyBytes, deadline);
     if (read.kind !== 'complete') return this.endWithoutBody(client, read.kind);
+    const content = { method, path: url, headers, body: read.body };
     const clientRequest: ClientRequest = {
+      ...content,
       fields,
-      method,
-      path: url,
-      headers,
-      body: read.body,
+      digest: digestOf(content, fields),
       route,
       service,
       arrivedAt,
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -36,7 +36,8 @@
       : {
           id,
           deadlineMs: Number(first(headers.deadline) ?? 2_000),
-          model: first(headers.model),
+          caller: first(headers.authorization),
+        model: first(headers.model),
           adapter: undefined,
           promptTokens: 10,
           maxNewTokens: 10,
