--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -37,7 +37,7 @@
           id,
           deadlineMs: Number(first(headers.deadline) ?? 2_000),
           caller: first(headers.authorization),
-        model: first(headers.model),
+          model: first(headers.model),
           adapter: undefined,
           promptTokens: 10,
           maxNewTokens: 10,
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -231,11 +231,11 @@
 /** Requests with a message that crashes engines, which must soon reach none. */
 const crashingPromptsHeldBack: Check = ({ history }) => {
   const requestById = new Map(history.requests.map((request) => [request.id, request]));
-  const crashing = new Set(history.crashes.map(({ part }) => part));
+  const crashing = new Set(history.crashes.map(({ cause }) => cause));
   const arrivals = history.runs.flatMap(({ at, endpoint, requestId }) =>
     (requestById.get(requestId)?.parts ?? [])
       .filter((part) => crashing.has(part))
-      .map((part) => ({ at, endpoint, part })),
+      .map((cause) => ({ at, endpoint, cause })),
   );
   return rule(
     repeatedCrashViolations(history.crashes, arrivals, crashSettleMs).map(({ at, text }) => ({
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -15,6 +15,7 @@
   ObservedEngine,
   StoreHandle,
 } from '@currantdrift/fakes';
+import { CauseKind } from '@currantdrift/soak';
 import { err, ok, type Result } from 'neverthrow';
 import type { Deployment } from './deployment';
 import type { History } from './history';
@@ -261,7 +262,8 @@
       observed.crashingContents = this.crashingContents;
       observed.onCrash = (part) => {
         const at = this.clock.now();
-        this.history.crashes.push({ endpoint: observed.id, part, at });
+        const { id: endpoint } = observed;
+        this.history.crashes.push({ endpoint, kind: CauseKind.part, cause: part, at });
         this.history.note(at, `${observed.id} crashes by a prompt with ${part}`);
       };
       this.engines.set(name, observed);
--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,5 +1,5 @@
 import {
-  type CrashingPart,
+  type CrashingRequests,
   lostSoundViolations,
   repeatedCrashViolations,
   type SoundRequest,
@@ -9,6 +9,7 @@
 import {
   type Arrival,
   type Attempt,
+  CauseKind,
   type EngineCrash,
   Kind,
   type Limit,
@@ -71,7 +72,7 @@
 
   private readonly crashes: EngineCrash[] = [];
 
-  private readonly crashingParts: CrashingPart[] = [];
+  private readonly crashingRequests: CrashingRequests[] = [];
 
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
@@ -110,14 +111,14 @@
     this.limits.push(limit);
   }
 
-  /** A request with a crashing part has crashed an engine. */
+  /** A request has crashed an engine. */
   crashed(crash: EngineCrash): void {
     this.crashes.push(crash);
   }
 
-  /** Clients have stopped sending requests with a crashing part. */
-  crashingPartEnded(part: CrashingPart): void {
-    this.crashingParts.push(part);
+  /** Clients have stopped sending requests that crash engines by one cause. */
+  crashingRequestsEnded(requests: CrashingRequests): void {
+    this.crashingRequests.push(requests);
   }
 
   acknowledged(version: number, at: number): void {
@@ -147,7 +148,7 @@
       ...this.ofPauses(),
       ...this.ofOrders(),
       ...this.ofLimits(),
-      ...this.ofCrashingParts(),
+      ...this.ofCrashingRequests(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
@@ -212,8 +213,8 @@
 
   /** Requests that were passed on to a sound endpoint by a sound process and got no whole answer. */
   private ofLoss(attempt: Attempt): Violation[] {
-    const { id, process, sentAt, endedAt, status, complete, crashingPart } = attempt;
-    if (crashingPart !== undefined) return [];
+    const { id, process, sentAt, endedAt, status, complete, crashCause } = attempt;
+    if (crashCause !== undefined) return [];
     const runs = this.runs.get(id) ?? [];
     const isOver = complete || endedAt - sentAt >= this.bounds.answerMs;
     if (isOver || runs.length === 0) return [];
@@ -317,24 +318,38 @@
     );
   }
 
-  /** Requests with a crashing part that go on reaching engines, and sound ones that suffer beside them. */
-  private ofCrashingParts(): Violation[] {
+  /** Requests that go on crashing engines, and sound ones that suffer beside them. */
+  private ofCrashingRequests(): Violation[] {
     const { contactMs } = this.bounds;
+    const { crashes, crashingRequests } = this;
     const byId = new Map(this.attempts.map((attempt) => [attempt.id, attempt]));
     const arrivals = this.calls.flatMap(({ request, endpoint, at }) => {
       const attempt = request === undefined ? undefined : byId.get(request);
-      if (attempt?.crashingPart === undefined || !this.inTouch(attempt.process, at, at)) return [];
-      return [{ at, endpoint, part: attempt.crashingPart }];
+      if (attempt?.crashCause === undefined || !this.inTouch(attempt.process, at, at)) return [];
+      return [{ at, endpoint, cause: attempt.crashCause }];
     });
-    const sound = this.attempts.flatMap((attempt): SoundRequest[] => {
-      const { promptParts, crashingPart, process, sentAt, endedAt } = attempt;
-      if (promptParts.length === 0 || crashingPart !== undefined) return [];
-      if (!this.inTouch(process, sentAt, endedAt)) return [];
-      return [{ sentAt, hasBegun: isSuccess(attempt) }];
+    const sound = this.attempts.filter(
+      ({ crashCause, process, sentAt, endedAt }) =>
+        crashCause === undefined && this.inTouch(process, sentAt, endedAt),
+    );
+    const toRequest = (attempt: Attempt): SoundRequest => ({
+      sentAt: attempt.sentAt,
+      hasBegun: isSuccess(attempt),
     });
+    const lostBeside = (kind: CauseKind, requests: readonly Attempt[]) =>
+      lostSoundViolations(
+        crashingRequests.filter((one) => one.kind === kind),
+        crashes,
+        requests.map(toRequest),
+        contactMs,
+      );
     return [
-      ...repeatedCrashViolations(this.crashes, arrivals, contactMs),
-      ...lostSoundViolations(this.crashingParts, this.crashes, sound, contactMs),
+      ...repeatedCrashViolations(crashes, arrivals, contactMs),
+      ...lostBeside(
+        CauseKind.part,
+        sound.filter(({ promptParts }) => promptParts.length > 0),
+      ),
+      ...lostBeside(CauseKind.request, sound),
     ];
   }
 
--- a/packages/tooling/soak/src/crash-check.ts
+++ b/packages/tooling/soak/src/crash-check.ts
@@ -1,10 +1,15 @@
-import type { EngineCrash } from './observations';
+import { CauseKind, type EngineCrash } from './observations';
 import type { Violation } from './violation';
 
-/** Crashes by one prompt part after which processes must hold back requests with it. */
-const freeCrashes = 5;
+/** Crashes by one cause after which processes must hold back its requests. */
+const freeCrashes: Readonly<Record<CauseKind, number>> = { part: 5, request: 3 };
 
-/** Requests with the part that may reach engines after that. */
+const ruleNames: Readonly<Record<CauseKind, string>> = {
+  part: 'crashing prompt part',
+  request: 'crashing request',
+};
+
+/** Requests of the cause that may reach engines after that. */
 const maxLateArrivals = 3;
 
 /** Sound requests from which their share is judged. */
@@ -13,10 +18,10 @@
 /** Share of the sound requests that must begin. */
 const minBegunShare = 0.5;
 
-/** A request with a crashing part that reached an engine. */
+/** A request that crashes engines and reached one. */
 export interface CrashingArrival {
   readonly at: number;
-  readonly part: string;
+  readonly cause: string;
   readonly endpoint: string;
 }
 
@@ -26,49 +31,57 @@
   readonly hasBegun: boolean;
 }
 
-/** Requests with a prompt part that crashes engines. */
-export interface CrashingPart {
-  readonly part: string;
+/** Requests that crash engines by one cause. */
+export interface CrashingRequests {
+  readonly kind: CauseKind;
+  readonly cause: string;
   /** Time until which clients send such requests, in ms. */
   readonly to: number;
 }
 
-const groupByPart = (crashes: readonly EngineCrash[]): Map<string, EngineCrash[]> => {
+const groupByCause = (crashes: readonly EngineCrash[]): Map<string, EngineCrash[]> => {
   const groups = new Map<string, EngineCrash[]>();
-  crashes.forEach((crash) => groups.set(crash.part, [...(groups.get(crash.part) ?? []), crash]));
+  crashes.forEach((crash) => groups.set(crash.cause, [...(groups.get(crash.cause) ?? []), crash]));
   return groups;
 };
 
-/** Requests with a part that reach engines though it has crashed enough of them. */
+const describe = (kind: CauseKind, cause: string): string =>
+  kind === CauseKind.part ? `with part ${cause}` : `like ${cause}`;
+
+/** Requests that reach engines though their cause has crashed enough of them. */
 export const repeatedCrashViolations = (
   crashes: readonly EngineCrash[],
   arrivals: readonly CrashingArrival[],
   contactMs: number,
 ): Violation[] =>
-  [...groupByPart(crashes)].flatMap(([part, ofPart]) => {
-    if (ofPart.length < freeCrashes) return [];
-    const boundAt = ofPart[freeCrashes - 1].at + contactMs;
-    const late = arrivals.filter((arrival) => arrival.part === part && arrival.at > boundAt);
+  [...groupByCause(crashes)].flatMap(([cause, ofCause]) => {
+    const [{ kind }] = ofCause;
+    const deciding = ofCause[freeCrashes[kind] - 1];
+    if (deciding === undefined) return [];
+    const boundAt = deciding.at + contactMs;
+    const late = arrivals.filter((arrival) => arrival.cause === cause && arrival.at > boundAt);
     if (late.length <= maxLateArrivals) return [];
-    const text = `${late.length} requests with part ${part} reached engines after ${ofPart.length} crashes`;
-    return [{ at: late[maxLateArrivals].at, rule: 'crashing prompt part', text }];
+    const what = describe(kind, cause);
+    const text = `${late.length} requests ${what} reached engines after ${ofCause.length} crashes`;
+    return [{ at: late[maxLateArrivals].at, rule: ruleNames[kind], text }];
   });
 
-/** Sound requests that are refused or fail beside those with a crashing part. */
+/** Sound requests that are refused or fail beside those that crash engines. */
 export const lostSoundViolations = (
-  parts: readonly CrashingPart[],
+  causes: readonly CrashingRequests[],
   crashes: readonly EngineCrash[],
   requests: readonly SoundRequest[],
   contactMs: number,
 ): Violation[] =>
-  parts.flatMap(({ part, to }) => {
-    const ofPart = crashes.filter((crash) => crash.part === part);
-    const last = ofPart[Math.min(freeCrashes, ofPart.length) - 1];
+  causes.flatMap(({ kind, cause, to }) => {
+    const ofCause = crashes.filter((crash) => crash.cause === cause);
+    const last = ofCause[Math.min(freeCrashes[kind], ofCause.length) - 1];
     if (last === undefined) return [];
     const from = last.at + 2 * contactMs;
     const beside = requests.filter(({ sentAt }) => sentAt >= from && sentAt < to);
     const begun = beside.filter(({ hasBegun }) => hasBegun).length;
     if (beside.length < minSoundRequests || begun >= minBegunShare * beside.length) return [];
-    const text = `${begun} of ${beside.length} sound requests beside part ${part} began`;
+    const what = kind === CauseKind.part ? `part ${cause}` : `request ${cause}`;
+    const text = `${begun} of ${beside.length} sound requests beside ${what} began`;
     return [{ at: to, rule: 'sound beside crashing', text }];
   });
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -2,7 +2,7 @@
 export { Child } from './child';
 export {
   type CrashingArrival,
-  type CrashingPart,
+  type CrashingRequests,
   lostSoundViolations,
   repeatedCrashViolations,
   type SoundRequest,
@@ -15,6 +15,7 @@
 export {
   type Arrival,
   type Attempt,
+  CauseKind,
   type EngineCrash,
   Kind,
   type Limit,
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -34,14 +34,25 @@
   readonly expectedEvents: number;
   /** Parts of its prompt; empty without one. */
   readonly promptParts: readonly string[];
-  /** Part of its prompt that crashes engines. */
-  readonly crashingPart: string | undefined;
+  /** What of it crashes engines; undefined for a sound request. */
+  readonly crashCause: string | undefined;
 }
 
-/** The crash of an engine by a request with a prompt part that crashes engines. */
+/** What crashes the engines that begin to run it. */
+export const CauseKind = {
+  /** A part of prompts, in requests that differ otherwise. */
+  part: 'part',
+  /** One request that comes again under other ids. */
+  request: 'request',
+} as const;
+export type CauseKind = (typeof CauseKind)[keyof typeof CauseKind];
+
+/** The crash of an engine by a request. */
 export interface EngineCrash {
   readonly endpoint: string;
-  readonly part: string;
+  readonly kind: CauseKind;
+  /** Names the prompt part or the request. */
+  readonly cause: string;
   readonly at: number;
 }
 
--- a/packages/tooling/soak/test/crash-check.test.ts
+++ b/packages/tooling/soak/test/crash-check.test.ts
@@ -1,18 +1,19 @@
-import { lostSoundViolations, repeatedCrashViolations } from '../src';
+import { CauseKind, lostSoundViolations, repeatedCrashViolations } from '../src';
 
 const contactMs = 3_000;
 
-const crashes = (count: number) =>
+const crashes = (count: number, kind: CauseKind = CauseKind.part) =>
   Array.from({ length: count }, (_, index) => ({
     endpoint: `e${index}`,
-    part: 'd1',
+    kind,
+    cause: 'd1',
     at: index * 100,
   }));
 
 const arrivals = (count: number, from: number) =>
   Array.from({ length: count }, (_, index) => ({
     endpoint: 'e9',
-    part: 'd1',
+    cause: 'd1',
     at: from + index * 100,
   }));
 
@@ -29,11 +30,20 @@
   expect(repeatedCrashViolations(crashes(4), arrivals(9, 9_000), contactMs)).toEqual([]);
 });
 
+test('a request that comes again may reach engines until shortly after its third crash', () => {
+  const { request } = CauseKind;
+  expect(repeatedCrashViolations(crashes(2, request), arrivals(9, 9_000), contactMs)).toEqual([]);
+  expect(repeatedCrashViolations(crashes(3, request), arrivals(3, 3_900), contactMs)).toEqual([]);
+  expect(
+    repeatedCrashViolations(crashes(3, request), arrivals(4, 3_900), contactMs),
+  ).toMatchSnapshot();
+});
+
 // Guards against a check that is content when everything is refused.
 test('sound requests must begin while requests with the part come', () => {
   const requests = (begun: number) =>
     Array.from({ length: 20 }, (_, index) => ({ sentAt: 8_000 + index, hasBegun: index < begun }));
-  const parts = [{ part: 'd1', to: 10_000 }];
+  const parts = [{ kind: CauseKind.part, cause: 'd1', to: 10_000 }];
   expect(lostSoundViolations(parts, crashes(5), requests(10), contactMs)).toEqual([]);
   expect(lostSoundViolations(parts, crashes(5), requests(9), contactMs)).toMatchSnapshot();
 });
