Hold back a request that crashes engines, whatever its prompt

Cause: the decision needs two crashes in two different prompts, which tells a common part from a repeated request, and a repeated request is just that. Its own identity was no subject: the last part, path and body were not reported; once sound requests had cleared its shared parts it was no suspect at all and got second attempts; requests without a prompt were not watched. In the record the same hash is in every report and no quarantine names it; one did name a part of sound prompts that ran at three of the crashes. Ruled out: lost or late reports (all processes have them within 20 ms), engines that end for another reason (each crash has this request with a head and no event). Change: the digest of a request is one more subject of the ledger, cleared by answers like a part. Two crashes decide if it was the only likely cause of both, three if others were as likely or nothing had begun; a request that was only where another one was more often is served. From its second crash on it gets no second attempt, plain calls included. A permit that comes after the decision is not used. In currantdriftd the guard covers calls of plain services, too; a call that was sent is not cancelled, its caller is owed the outcome. Digests travel in the field of the parts, so processes of before read the reports and never match them. Two tests change: requests of crashing-prompts.test.ts have bodies of their own, as different prompts do; the prompt without shared parts that is never held back is one that is held back as a request now (the rule of the issue), after two crashes as any other.

--- a/packages/process/daemon/src/request/problem.ts
+++ b/packages/process/daemon/src/request/problem.ts
@@ -26,6 +26,7 @@
   [RefusalCode.outcomeUnknown]: 502,
   [RefusalCode.stopping]: 503,
   [RefusalCode.promptHeldBack]: 503,
+  [RefusalCode.requestHeldBack]: 503,
 };
 
 /** Converts a refusal to an error response. */
--- a/packages/process/gateway/test/engine-probe.test.ts
+++ b/packages/process/gateway/test/engine-probe.test.ts
@@ -10,7 +10,7 @@
 
 const report = ok({ bornAt: 1 } as EngineReport);
 
-const request = { service: 's', endpoint: 'e1', bornAt: 1, promptParts: [] };
+const request = { service: 's', endpoint: 'e1', bornAt: 1, promptParts: [], digest: 'r1' };
 
 /** What a probe says of an engine that gives these reports, one after the other. */
 const check = async (
--- a/packages/process/gateway/test/stored-quarantines.test.ts
+++ b/packages/process/gateway/test/stored-quarantines.test.ts
@@ -33,7 +33,8 @@
   });
   stored.run(new AbortController().signal).catch(() => {});
   const read = () => stored.onListing(store.below(daemonPrefix));
-  const holdsBack = () => watch.find('s', ['a', 'd', 'p'], clock.now()) !== undefined;
+  const request = { service: 's', promptParts: ['a', 'd', 'p'], digest: 'r1' };
+  const holdsBack = () => watch.find(request, clock.now()) !== undefined;
   return { handle, ledger, read, stored, holdsBack };
 };
 
--- a/packages/process/node/src/process/endpoint-probe.ts
+++ b/packages/process/node/src/process/endpoint-probe.ts
@@ -1,6 +1,6 @@
 import { type Clock, type DomainView, FailureKind, HostState } from '@currantdrift/core';
 import { EngineState, type WatchedRequest } from '@currantdrift/quarantine';
-import { startOf } from '../request/prompt-guard';
+import { startOf } from '../request/request-guard';
 import type { EndpointCache } from './endpoint-cache';
 
 /** Timeout of a question to an engine whose connection broke, in ms. */
--- a/packages/process/node/src/request/chat-run.ts
+++ b/packages/process/node/src/request/chat-run.ts
@@ -10,10 +10,11 @@
 import type { CrashWatch } from '@currantdrift/quarantine';
 import type { PrefixIndex } from '@currantdrift/routing';
 import { err, ok } from 'neverthrow';
-import { PromptGuard } from './prompt-guard';
 import { promptParts } from './prompt-parts';
 import { promptPrefixes } from './prompt-prefixes';
 import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
+import { chatDigest } from './request-digest';
+import { RequestGuard } from './request-guard';
 import { type RoutingContext, ReplicaChooser } from './replica-chooser';
 import type { ChatRequest, ChatStream } from './request';
 
@@ -21,7 +22,7 @@
 export interface ChatContext extends RoutingContext {
   readonly budget: RetryBudget;
   readonly prefixes: PrefixIndex;
-  /** Finds and holds back prompts that crash engines. */
+  /** Finds and holds back requests that crash endpoints. */
   readonly crashes: CrashWatch;
   readonly attempts: Partial<AttemptSettings>;
 }
@@ -71,12 +72,13 @@
   const { clock, telemetry } = context;
   const start = clock.now();
   const prefixes = promptPrefixes(request.messages);
-  const guard = PromptGuard.create({
+  const guard = RequestGuard.create({
     clock,
     crashes: context.crashes,
     view: context.view,
     pool,
     promptParts: promptParts(request.messages),
+    digest: chatDigest(request),
   });
   const chooser = ReplicaChooser.create(
     context,
--- a/packages/process/node/src/request/refusal.ts
+++ b/packages/process/node/src/request/refusal.ts
@@ -16,6 +16,7 @@
   outcomeUnknown: 'outcome_unknown',
   stopping: 'stopping',
   promptHeldBack: 'prompt_held_back',
+  requestHeldBack: 'request_held_back',
 } as const;
 
 export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode];
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -26,8 +26,8 @@
 import type { DomainDirectory } from '../process/domain-directory';
 import type { EndpointCache } from '../process/endpoint-cache';
 import { DomainEndpoint, domainEndpointId } from './domain-endpoint';
-import type { PromptGuard } from './prompt-guard';
 import { RefusalCode } from './refusal';
+import type { RequestGuard } from './request-guard';
 import type { ChatRequest } from './request';
 
 /** An admission request with the data that the balancer uses to choose an endpoint. */
@@ -142,6 +142,18 @@
   return err(reason(RefusalCode.noEndpoint, 'the endpoint has left the domain'));
 };
 
+/** Watches the send to the target, unless the request has been held back meanwhile. */
+export const guardTarget = (
+  { endpoint, lease }: Target,
+  guard: RequestGuard,
+  now: number,
+): Result<Target, Reason> => {
+  const heldBack = guard.check(now);
+  if (heldBack === undefined) return ok({ endpoint: guard.watch(endpoint), lease });
+  lease.release('neutral', now);
+  return err(heldBack);
+};
+
 /** Chooses the endpoint for each attempt of a chat request. */
 export class ReplicaChooser {
   /** Whether the request had to wait for a cold start. */
@@ -152,7 +164,7 @@
     private readonly request: ChatRequest,
     private readonly itemKey: string,
     private readonly prefixes: readonly string[],
-    private readonly guard: PromptGuard,
+    private readonly guard: RequestGuard,
     private readonly span: Span,
     /** False for a request that was forwarded to this domain, which must serve or refuse it. */
     private readonly mayForward: boolean,
@@ -163,7 +175,7 @@
     request: ChatRequest,
     itemKey: string,
     prefixes: readonly string[],
-    guard: PromptGuard,
+    guard: RequestGuard,
     span: Span,
     mayForward: boolean,
   ): ReplicaChooser {
@@ -248,16 +260,8 @@
       signal,
     );
     span.end(target.isOk() ? 'granted' : target.error.step);
-    return target.andThen((granted) => this.guardTarget(granted));
-  }
-
-  /** Watches the send to the target, unless the prompt has been held back meanwhile. */
-  private guardTarget({ endpoint, lease }: Target): Result<Target, Reason> {
-    const now = this.context.clock.now();
-    const heldBack = this.guard.check(now);
-    if (heldBack === undefined) return ok({ endpoint: this.guard.watch(endpoint), lease });
-    lease.release('neutral', now);
-    return err(heldBack);
+    const { guard, context } = this;
+    return target.andThen((granted) => guardTarget(granted, guard, context.clock.now()));
   }
 
   private async wakeIfCold(signal: AbortSignal): Promise<Result<void, Reason>> {
--- a/packages/process/node/src/request/service-run.ts
+++ b/packages/process/node/src/request/service-run.ts
@@ -7,13 +7,15 @@
   type ServiceCall,
   type Span,
 } from '@currantdrift/core';
-import { callService, type Outcome } from '@currantdrift/attempt';
+import { callService, type Outcome, type Reason, type Target } from '@currantdrift/attempt';
 import { type BookingResult, type ClaimLedger, runBooking } from '@currantdrift/booking';
 import { err, ok, type Result } from 'neverthrow';
 import { type ChatContext, refusalOf } from './chat-run';
 import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
-import { awaitTarget } from './replica-chooser';
+import { awaitTarget, guardTarget } from './replica-chooser';
 import type { ServiceAnswer, ServiceRequest } from './request';
+import { callDigest } from './request-digest';
+import { RequestGuard } from './request-guard';
 
 export interface ServiceContext extends ChatContext {
   readonly ledger: ClaimLedger;
@@ -37,6 +39,49 @@
 /** Whether this domain has an endpoint in a pool of plain services. */
 export const hasPool = (view: DomainView, pool: string): boolean => view.pool(pool).length > 0;
 
+const guardOf = (
+  { clock, crashes, view }: ServiceContext,
+  request: ServiceRequest,
+  pool: string,
+): RequestGuard =>
+  RequestGuard.create({
+    clock,
+    crashes,
+    view,
+    pool,
+    promptParts: [],
+    digest: callDigest(request),
+  });
+
+/** Waits for an endpoint of the pool, unless the call is held back. */
+const chooseTarget = async (
+  context: ServiceContext,
+  { caller, priority, deadline }: ServiceRequest,
+  pool: string,
+  guard: RequestGuard,
+  tried: readonly string[],
+  stop: AbortSignal,
+): Promise<Result<Target, Reason>> => {
+  const { clock } = context;
+  const heldBack = guard.check(clock.now());
+  if (heldBack !== undefined) return err(heldBack);
+  const target = await awaitTarget(
+    context,
+    `pool:${pool}`,
+    {
+      caller: caller.name,
+      weight: caller.weight,
+      priority,
+      deadline,
+      tried,
+      prefixes: [],
+      isRetry: tried.length > 0,
+    },
+    stop,
+  );
+  return target.andThen((granted) => guardTarget(granted, guard, clock.now()));
+};
+
 /** Calls an endpoint of this domain. `context.attempts` bounds how often the call is sent. */
 const callInDomain = async (
   context: ServiceContext,
@@ -46,26 +91,13 @@
   span: Span,
   signal: AbortSignal,
 ): Promise<Outcome<ServiceCallResponse>> => {
-  const { caller, priority, deadline } = request;
+  const { deadline } = request;
   const hop = context.telemetry.span('endpoint', span.traceparent, { pool });
+  const guard = guardOf(context, request, pool);
   const outcome = await callService(
     { call: toServiceCallRequest(request, hop.traceparent), repeatable, deadline },
     {
-      choose: (tried, stop) =>
-        awaitTarget(
-          context,
-          `pool:${pool}`,
-          {
-            caller: caller.name,
-            weight: caller.weight,
-            priority,
-            deadline,
-            tried,
-            prefixes: [],
-            isRetry: tried.length > 0,
-          },
-          stop,
-        ),
+      choose: (tried, stop) => chooseTarget(context, request, pool, guard, tried, stop),
       clock: context.clock,
       budget: context.budget,
       settings: context.attempts,
--- a/packages/process/node/src/request/watched-endpoint.ts
+++ b/packages/process/node/src/request/watched-endpoint.ts
@@ -24,7 +24,7 @@
   readonly onSuspicion: () => void;
 }
 
-/** An endpoint for one chat request that watches whether the request crashes it. */
+/** An endpoint for one request that watches whether the request crashes it. */
 export class WatchedEndpoint implements Endpoint {
   readonly id: string;
 
@@ -61,11 +61,17 @@
     return opened;
   }
 
-  call(
+  async call(
     call: ServiceCallRequest,
     signal: AbortSignal,
   ): Promise<Result<ServiceCallResponse, Failure>> {
-    return this.target.call(call, signal);
+    const { clock, begin } = this.options;
+    // A call that was sent is never given up for a quarantine: its caller is owed the outcome.
+    const send = begin(() => {});
+    const answer = await this.target.call(call, signal);
+    if (answer.isOk()) send.complete(clock.now());
+    else await this.examine(answer.error, send, signal);
+    return answer;
   }
 
   order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,5 +1,6 @@
 import { hash32 } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
+import { isRequestSubject } from '@currantdrift/quarantine';
 import type { PermitSource } from '@currantdrift/rate-limit';
 import type { Reservation } from '@currantdrift/routing';
 import type { ClientRequest } from './client-request';
@@ -16,7 +17,8 @@
   readonly permit?: { readonly source: PermitSource; readonly waitedMs: number };
 }
 
-const quarantineReason = 'the prompt contains parts that crash engines';
+const promptReason = 'the prompt contains parts that crash engines';
+const requestReason = 'the request crashes engines';
 
 /** Why no endpoint was selected. */
 export interface NoEndpoint {
@@ -103,14 +105,16 @@
     return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
   }
 
-  /** Refuses the request if its prompt is known to crash engines. */
+  /** Refuses the request if it, or its prompt, is known to crash engines. */
   private checkQuarantine(now: number): NoEndpoint | undefined {
     const { crashes, telemetry } = this.context;
-    const { service, fields } = this.request;
-    const quarantine = crashes.find(service, fields.promptParts, now);
+    const { service, digest } = this.request;
+    const { promptParts } = this.request.fields;
+    const quarantine = crashes.find({ service, promptParts, digest }, now);
     if (quarantine === undefined) return undefined;
     telemetry.count('currantdrift_quarantined_requests_total');
-    return { kind: 'refused', reason: quarantineReason, retryAfterMs: quarantine.leftMs };
+    const reason = quarantine.parts.some(isRequestSubject) ? requestReason : promptReason;
+    return { kind: 'refused', reason, retryAfterMs: quarantine.leftMs };
   }
 
   /** Reserves a place at an endpoint that does not limit its requests. */
@@ -189,6 +193,8 @@
     await this.permitWait.acquire(limited, maxWaitMs);
     if (this.gone.aborted) return undefined;
     const at = clock.now();
+    const quarantined = this.checkQuarantine(at);
+    if (quarantined !== undefined) return quarantined;
     const selected = this.usePermit(tried, at);
     if (selected !== undefined || !isPlain) return selected;
     const { retryAt, usableAt } = this.permitWait;
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -143,10 +143,11 @@
   }
 
   private watch({ id, bornAt }: EndpointRecord, cancelled: AbortController): WatchedSend {
-    const { fields, service } = this.request;
+    const { fields, service, digest } = this.request;
     const { promptParts } = fields;
-    return this.context.crashes.begin({ service, endpoint: id, bornAt, promptParts }, (reason) =>
-      cancelled.abort(reason),
+    return this.context.crashes.begin(
+      { service, endpoint: id, bornAt, promptParts, digest },
+      (reason) => cancelled.abort(reason),
     );
   }
 
@@ -157,7 +158,8 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const now = this.context.clock.now();
-    if (result.kind === 'delivered' && !this.client.gone.aborted) watched.complete(now);
+    const isAnswered = result.kind === 'delivered' || result.kind === SendFailure.failed;
+    if (isAnswered && !this.client.gone.aborted) watched.complete(now);
     const isBreak = result.kind === SendFailure.unknown || result.kind === SendFailure.broken;
     if (isBreak && !signal.aborted) return watched.examineBreak(now);
     watched.end();
--- a/packages/request/forward/test/crashing-prompts.test.ts
+++ b/packages/request/forward/test/crashing-prompts.test.ts
@@ -30,6 +30,7 @@
 const send = async (prompt: string) => {
   const { status, body, retryAfter } = await harness.call('/resumable/x', {
     headers: { ...model, prompt },
+    body: prompt,
   });
   return { status, body: status === 200 ? body : '', toldToReturn: retryAfter !== undefined };
 };
@@ -48,7 +49,14 @@
   expect((await send('a d p1')).status).toBe(502);
   expect(harness.ended.size).toBe(1);
   expect(harness.crashReports).toMatchSnapshot([
-    { suspects: [{ prompt: expect.any(String) as string }] },
+    {
+      suspects: [
+        {
+          prompt: expect.any(String) as string,
+          parts: ['a', 'd', expect.stringMatching(/^request:/u) as string],
+        },
+      ],
+    },
   ]);
 });
 
--- a/packages/request/quarantine/src/blame.ts
+++ b/packages/request/quarantine/src/blame.ts
@@ -1,19 +1,24 @@
 import type { Quarantine, Suspect } from './crash-report';
 import type { QuarantineSettings } from './settings';
+import { isRequestSubject } from './subjects';
 
-/** The requests that may have caused one crash, with the parts that are not cleared. */
+/** The requests that may have caused one crash, with the subjects that are not cleared. */
 export interface CrashEvidence {
   /** Engine and start, as `id@start`. */
   readonly crash: string;
   readonly suspects: readonly Suspect[];
 }
 
+/** What speaks against one subject: a part of prompts, or a request. */
 interface Accusation {
+  readonly subject: string;
   readonly crashes: Set<string>;
   readonly prompts: Set<string>;
-  /** Parts that all accused prompts with the part have in common. */
+  /** Prompt parts that all accused requests with the subject have in common. */
   common: readonly string[];
   hasUnanswered: boolean;
+  /** Whether other requests were as likely at some of the crashes. */
+  hasRivals: boolean;
 }
 
 /**
@@ -26,28 +31,63 @@
   return [withoutEvent, begun, suspects].find(({ length }) => length > 0) ?? [];
 };
 
-const accuse = (accused: Map<string, Accusation>, crash: string, suspect: Suspect): void => {
-  suspect.parts.forEach((part) => {
-    const known = accused.get(part);
-    if (known === undefined) {
-      accused.set(part, {
-        crashes: new Set([crash]),
-        prompts: new Set([suspect.prompt]),
-        common: suspect.parts,
-        hasUnanswered: !suspect.hasBegun,
-      });
-      return;
-    }
+const accuse = (
+  accused: Map<string, Accusation>,
+  crash: string,
+  suspect: Suspect,
+  hasRivals: boolean,
+): void => {
+  const parts = suspect.parts.filter((subject) => !isRequestSubject(subject));
+  suspect.parts.forEach((subject) => {
+    const known = accused.get(subject) ?? {
+      subject,
+      crashes: new Set(),
+      prompts: new Set(),
+      common: parts,
+      hasUnanswered: false,
+      hasRivals: false,
+    };
     known.crashes.add(crash);
     known.prompts.add(suspect.prompt);
-    known.common = known.common.filter((one) => suspect.parts.includes(one));
+    known.common = known.common.filter((one) => parts.includes(one));
     known.hasUnanswered ||= !suspect.hasBegun;
+    known.hasRivals ||= hasRivals;
+    accused.set(subject, known);
   });
 };
 
+const isStrictSubset = (one: ReadonlySet<string>, other: ReadonlySet<string>): boolean =>
+  one.size < other.size && [...one].every((member) => other.has(member));
+
+/** Prompt parts that occur at several crashes in different requests. */
+const blamedParts = (
+  accusations: readonly Accusation[],
+  { minCrashes, minUnansweredCrashes, minPrompts }: QuarantineSettings,
+): readonly Accusation[] =>
+  accusations.filter(({ subject, crashes, prompts, hasUnanswered }) => {
+    const needed = hasUnanswered ? minUnansweredCrashes : minCrashes;
+    return !isRequestSubject(subject) && crashes.size >= needed && prompts.size >= minPrompts;
+  });
+
 /**
- * Finds prompt parts that occur at several crashes in different prompts. Parts that always occur together
- * are blamed together: requests with only some of them are served and show which one is to blame.
+ * Requests that were at several crashes. One that was only where another request was at more crashes is
+ * not to blame: it was sent to the other's next engine.
+ */
+const blamedRequests = (
+  accusations: readonly Accusation[],
+  { minCrashes, minUnansweredCrashes }: QuarantineSettings,
+): readonly Accusation[] => {
+  const requests = accusations.filter(({ subject }) => isRequestSubject(subject));
+  return requests.filter(({ crashes, hasUnanswered, hasRivals }) => {
+    const needed = hasUnanswered || hasRivals ? minUnansweredCrashes : minCrashes;
+    const isExplained = requests.some((other) => isStrictSubset(crashes, other.crashes));
+    return crashes.size >= needed && !isExplained;
+  });
+};
+
+/**
+ * Finds the subjects that crash engines. Prompt parts that always occur together are blamed together:
+ * requests with only some of them are served and show which one is to blame.
  */
 export const blame = (
   service: string,
@@ -55,18 +95,21 @@
   settings: QuarantineSettings,
 ): Quarantine[] => {
   const accused = new Map<string, Accusation>();
-  evidence.forEach((one) =>
-    likelySuspects(one).forEach((suspect) => accuse(accused, one.crash, suspect)),
-  );
-  const { minCrashes, minUnansweredCrashes, minPrompts } = settings;
-  return [...accused.values()]
-    .filter(({ crashes, prompts, hasUnanswered }) => {
-      const needed = hasUnanswered ? minUnansweredCrashes : minCrashes;
-      return crashes.size >= needed && prompts.size >= minPrompts;
-    })
-    .map(({ common, crashes }) => ({
+  evidence.forEach((one) => {
+    const suspects = likelySuspects(one);
+    suspects.forEach((suspect) => accuse(accused, one.crash, suspect, suspects.length > 1));
+  });
+  const accusations = [...accused.values()];
+  return [
+    ...blamedParts(accusations, settings).map(({ common, crashes }) => ({
       service,
       parts: [...common].sort(),
       crashes: [...crashes],
-    }));
+    })),
+    ...blamedRequests(accusations, settings).map(({ subject, crashes }) => ({
+      service,
+      parts: [subject],
+      crashes: [...crashes],
+    })),
+  ];
 };
--- a/packages/request/quarantine/src/crash-ledger.ts
+++ b/packages/request/quarantine/src/crash-ledger.ts
@@ -2,6 +2,7 @@
 import { blame, type CrashEvidence } from './blame';
 import type { ClearedParts, CrashReport, Quarantine, Suspect } from './crash-report';
 import { defaultQuarantineSettings, type QuarantineSettings } from './settings';
+import { isRequestSubject } from './subjects';
 
 interface Crash {
   readonly service: string;
@@ -25,8 +26,9 @@
 
 /**
  * Decides from the crashes that all processes report, and from the answers that engines survived, which
- * prompts are held back. A process holds prompts back for a random time, so that one of them tries a
- * prompt again before the others and they hear how that ends.
+ * requests are held back: by parts of their prompts, or one request with its repeats. A process holds them
+ * back for a random time, so that one of them tries such a request again before the others and they hear
+ * how that ends.
  */
 export class CrashLedger {
   private readonly crashes: BoundedMap<Crash>;
@@ -95,7 +97,7 @@
     return isSuspected ? this.begin(quarantine, now) : [];
   }
 
-  /** The quarantine that holds back requests with these prompt parts; undefined if there is none. */
+  /** The quarantine that holds back requests with these subjects; undefined if there is none. */
   find(
     service: string,
     parts: readonly string[],
@@ -162,11 +164,12 @@
     );
   }
 
-  /** One crash is enough for prompts that were held back before. */
+  /** One crash is enough for requests that were held back before. */
   private renew(crash: string, { service, suspects }: Crash, now: number): Quarantine[] {
     return this.quarantines.all().flatMap(([, known]) => {
       const isBlamed = [...suspects.values()].some(
-        ({ parts, hasBegun }) => hasBegun && containsAll(parts, known.parts),
+        ({ parts, hasBegun }) =>
+          (hasBegun || known.parts.some(isRequestSubject)) && containsAll(parts, known.parts),
       );
       if (known.service !== service || known.until > now || !isBlamed) return [];
       return this.begin({ ...known, crashes: [...known.crashes, crash] }, now);
--- a/packages/request/quarantine/src/crash-report.ts
+++ b/packages/request/quarantine/src/crash-report.ts
@@ -8,13 +8,13 @@
 /** Largest number of requests in one report. */
 export const maxSuspects = 16;
 
-/** Largest number of parts of one prompt. */
+/** Largest number of subjects of one request. */
 export const maxParts = 64;
 
 const suspectSchema = z.object({
-  /** Identifies the prompt; repeats of a request have the same prompt. */
+  /** Identifies the request; its repeats are the same. */
   prompt: text,
-  /** Parts of the prompt that other prompts may share and that no recent answer has cleared. */
+  /** Parts of the prompt that other prompts may share, and the request itself, unless answers cleared them. */
   parts: z.array(text).min(1).max(maxParts),
   /** Whether the engine had begun to answer the request. */
   hasBegun: z.boolean(),
@@ -41,16 +41,16 @@
   parts: z.array(text).min(1).max(maxParts),
 });
 
-/** Prompt parts on which an engine has answered without a crash. */
+/** Prompt parts and requests on which an engine has answered without a crash. */
 export type ClearedParts = z.infer<typeof clearedPartsSchema>;
 
 export const quarantineSchema = z.object({
   service: text,
-  /** Requests are held back if their prompts contain all of these parts. */
+  /** Requests are held back if all of these are among their prompt parts, or name the request. */
   parts: z.array(text).min(1).max(maxParts),
   /** Engines that crashed, as `id@start`. */
   crashes: z.array(text),
 });
 
-/** Prompt parts that crash engines of a service if they occur together. */
+/** A request that crashes engines of a service, or prompt parts that do if they occur together. */
 export type Quarantine = z.infer<typeof quarantineSchema>;
--- a/packages/request/quarantine/src/crash-watch.ts
+++ b/packages/request/quarantine/src/crash-watch.ts
@@ -1,15 +1,15 @@
-import { BoundedMap, type Clock, hash32, type Random, type Telemetry } from '@currantdrift/core';
+import { BoundedMap, type Clock, type Random, type Telemetry } from '@currantdrift/core';
 import type { CrashLedger } from './crash-ledger';
 import {
   type ClearedParts,
   type CrashReport,
   maxParts,
   maxSuspects,
-  maxTextLength,
   type Quarantine,
   type Suspect,
 } from './crash-report';
 import { defaultQuarantineSettings } from './settings';
+import { isRequestSubject, requestSubject, subjectsOf } from './subjects';
 import { type AnswerObserver, type WatchedRequest, WatchedSend } from './watched-send';
 
 const { clearAfterMs } = defaultQuarantineSettings;
@@ -39,6 +39,7 @@
 
 /** A break of connections to one start of an engine, while its cause is examined. */
 interface Examination {
+  /** Suspects by digest. */
   readonly suspects: Map<string, Suspect>;
   readonly state: Promise<EngineState>;
 }
@@ -53,12 +54,6 @@
 /** Number of parts and crashes for which is remembered what was sent or received. */
 const maxRemembered = 4_096;
 
-const sharedParts = ({ promptParts }: WatchedRequest): readonly string[] =>
-  promptParts
-    .slice(0, -1)
-    .filter(({ length }) => length <= maxTextLength)
-    .slice(0, maxParts);
-
 const describeSuspect = ({ prompt, parts, hasBegun, hasEvent }: Suspect): string =>
   `${prompt}${hasBegun ? ' begun' : ''}${hasEvent ? ' with event' : ''}: ${parts.join(' ')}`;
 
@@ -68,13 +63,9 @@
 const startKey = ({ endpoint, bornAt }: Pick<WatchedRequest, 'endpoint' | 'bornAt'>): string =>
   `${endpoint}@${bornAt}`;
 
-/** Identifies a prompt to other processes. */
-const promptId = ({ promptParts }: WatchedRequest): string =>
-  hash32(promptParts.join('\u0000')).toString(36);
-
 /**
  * Watches the requests of this process at engines: finds those that may have crashed an engine, reports
- * them to all processes, and holds back prompts that are known to crash engines.
+ * them to all processes, and holds back those that are known to crash engines.
  */
 export class CrashWatch implements AnswerObserver {
   private readonly sends = new Set<WatchedSend>();
@@ -93,17 +84,16 @@
     return new CrashWatch(options);
   }
 
-  /** Watches a send; `cancel` is called if it waits at an engine when its prompt is found to crash engines. */
+  /** Watches a send; `cancel` is called if it waits at an engine when it is found to crash engines. */
   begin(request: WatchedRequest, cancel: (reason: Error) => void): WatchedSend {
     const send = WatchedSend.create(this, request, cancel);
-    if (sharedParts(request).length > 0) this.sends.add(send);
+    this.sends.add(send);
     return send;
   }
 
-  /** The quarantine that holds back a request with this prompt; undefined if there is none. */
-  find(service: string, promptParts: readonly string[], now: number) {
-    const shared = promptParts.slice(0, -1);
-    return shared.length === 0 ? undefined : this.options.ledger.find(service, shared, now);
+  /** The quarantine that holds back a request; undefined if there is none. */
+  find(request: Pick<WatchedRequest, 'service' | 'promptParts' | 'digest'>, now: number) {
+    return this.options.ledger.find(request.service, subjectsOf(request), now);
   }
 
   /** Applies what another process saw of a crash; returns false if all of it is known. */
@@ -129,14 +119,14 @@
     this.sends.delete(send);
   }
 
-  /** Clears the parts of a prompt on which an engine answers, unless the engine has crashed. */
+  /** Clears a request that an engine answers, and the parts of its prompt, unless the engine has crashed. */
   clear(request: WatchedRequest, now: number): void {
     const { ledger, publishCleared, onEnd } = this.options;
     const { service, endpoint, bornAt } = request;
-    const parts = [...sharedParts(request)];
+    const parts = [...subjectsOf(request)];
     const isUncertain =
       ledger.hasCrashed(endpoint, bornAt) || this.examinations.has(startKey(request));
-    if (parts.length === 0 || isUncertain) return;
+    if (isUncertain) return;
     const suspected = ledger.suspected(service, parts, now);
     const ended = ledger.recordCleared({ service, parts }, now);
     this.logEnded(ended);
@@ -144,7 +134,7 @@
     if (suspected.length > 0) publishCleared({ service, parts: suspected });
   }
 
-  /** Clears the parts of a short answer once a crash after it would be known. */
+  /** Clears a request with a short answer once a crash after it would be known. */
   clearLater(request: WatchedRequest): void {
     const { clock } = this.options;
     clock
@@ -153,18 +143,34 @@
       .catch(() => {});
   }
 
-  /** Examines a break; returns whether the engine has ended and this request may be the reason. */
+  /**
+   * Examines a break; returns whether the engine has ended and this request is a likely reason: it was at
+   * another crash, or the engine had just begun to answer it. With an event, a prompt whose parts engines
+   * have answered lately is no likely reason.
+   */
   async examine({ request, hasBegun, hasEvent }: WatchedSend, now: number): Promise<boolean> {
     const { ledger } = this.options;
-    const parts = ledger.uncleared(request.service, sharedParts(request), now);
+    const { service, digest: prompt } = request;
+    const parts = ledger.uncleared(service, subjectsOf(request), now);
     if (parts.length === 0) return false;
+    const wasSuspected =
+      this.isExamined(request) ||
+      ledger.suspected(service, [requestSubject(request)], now).length > 0;
     const examination = this.examination(request);
-    const prompt = promptId(request);
     examination.suspects.set(prompt, { prompt, parts, hasBegun, hasEvent });
-    if (!hasBegun) return false;
+    const hasUnclearedParts = parts.some((part) => !isRequestSubject(part));
+    const isLikely = wasSuspected || (hasBegun && (!hasEvent || hasUnclearedParts));
+    if (!isLikely) return false;
     return (await examination.state) === EngineState.ended;
   }
 
+  /** Whether a break of another engine is being examined for which the request may be the reason. */
+  private isExamined(request: WatchedRequest): boolean {
+    return [...this.examinations].some(
+      ([key, { suspects }]) => key !== startKey(request) && suspects.has(request.digest),
+    );
+  }
+
   private examination(request: WatchedRequest): Examination {
     const key = startKey(request);
     const known = this.examinations.get(key);
@@ -234,11 +240,8 @@
   private cancelWaiting(): void {
     const now = this.options.clock.now();
     [...this.sends]
-      .filter(
-        ({ hasBegun, request }) =>
-          !hasBegun && this.find(request.service, request.promptParts, now) !== undefined,
-      )
-      .forEach((send) => send.cancel(new Error('the prompt contains parts that crash engines')));
+      .filter(({ hasBegun, request }) => !hasBegun && this.find(request, now) !== undefined)
+      .forEach((send) => send.cancel(new Error('the request is held back: it crashes engines')));
   }
 
   /**
--- a/packages/request/quarantine/src/index.ts
+++ b/packages/request/quarantine/src/index.ts
@@ -9,5 +9,6 @@
   type Suspect,
 } from './crash-report';
 export { CrashWatch, type CrashWatchOptions, EngineState } from './crash-watch';
+export { isRequestSubject } from './subjects';
 export { defaultQuarantineSettings, type QuarantineSettings } from './settings';
 export type { WatchedRequest, WatchedSend } from './watched-send';
--- a/packages/request/quarantine/src/watched-send.ts
+++ b/packages/request/quarantine/src/watched-send.ts
@@ -10,6 +10,8 @@
   readonly bornAt: number;
   /** Parts of the prompt in order; the last one belongs to the request itself. */
   readonly promptParts: readonly string[];
+  /** Identifies what the client asks for; repeats under other ids have the same digest. */
+  readonly digest: string;
 }
 
 /** Learns how the answers to watched sends begin and end. */
--- a/packages/request/quarantine/test/crash-ledger.test.ts
+++ b/packages/request/quarantine/test/crash-ledger.test.ts
@@ -40,6 +40,61 @@
   expect(held(ledger, 10)).toEqual([]);
 });
 
+const request = (name: string, hasBegun = true): Suspect =>
+  suspect(name, `request:${name}`, hasBegun);
+
+test('a request at two crashes is held back by itself', () => {
+  const ledger = create();
+  crash(ledger, 'e1', 0, suspect('p1', 'a d request:p1'));
+  expect(held(ledger, 0)).toEqual([]);
+  crash(ledger, 'e2', 100, suspect('p1', 'a d request:p1'));
+  expect(held(ledger, 100)).toEqual(['request:p1']);
+  expect(isHeld(ledger, 'a d request:p2', 100)).toBe(false);
+});
+
+// Guards against a sound request that is refused because its repeats met the next engine to crash.
+test('a request at two crashes that others can explain is served', () => {
+  const ledger = create();
+  crash(ledger, 'e1', 0, request('x'), request('s'));
+  crash(ledger, 'e2', 10, request('y'), request('s'));
+  crash(ledger, 'e3', 20, request('x'));
+  crash(ledger, 'e4', 30, request('y'));
+  expect(held(ledger, 30)).toEqual([]);
+  crash(ledger, 'e5', 40, request('x'));
+  crash(ledger, 'e6', 50, request('y'));
+  expect(held(ledger, 50)).toEqual(['request:x', 'request:y']);
+});
+
+test('a request that was only where another one was more often is served', () => {
+  const ledger = create();
+  ['e1', 'e2'].forEach((endpoint, at) => crash(ledger, endpoint, at, request('x', false)));
+  ['e3', 'e4', 'e5'].forEach((endpoint, at) =>
+    crash(ledger, endpoint, 10 + at, request('x', false), request('s', false)),
+  );
+  expect(held(ledger, 20)).toEqual(['request:x']);
+});
+
+// Guards against a crashing part that hides a crashing request with it, and the other way round.
+test('a crashing part and a crashing request that contains it are both found', () => {
+  const ledger = create();
+  crash(ledger, 'e1', 0, suspect('p1', 'a d request:p1'));
+  crash(ledger, 'e2', 10, suspect('p1', 'a d request:p1'));
+  ledger.recordCleared({ service, parts: ['a'] }, 15);
+  crash(ledger, 'e3', 20, suspect('p2', 'a d request:p2'));
+  expect(held(ledger, 20)).toEqual(['request:p1', 'd']);
+});
+
+// Guards against a request that is held back for ever though engines run it by now.
+test('an answer ends the quarantine of its request', () => {
+  const ledger = create();
+  crash(ledger, 'e1', 0, request('x'));
+  crash(ledger, 'e2', 10, request('x'));
+  ledger.recordCleared({ service, parts: ['request:x'] }, 20 * minute);
+  expect(held(ledger, 20 * minute)).toEqual([]);
+  crash(ledger, 'e3', 30 * minute, request('x'));
+  expect(held(ledger, 30 * minute)).toEqual([]);
+});
+
 // Guards against counting a crash once for each process that reports it.
 test('reports of several processes on one crash count once', () => {
   const ledger = create();
--- a/packages/request/quarantine/test/crash-watch.test.ts
+++ b/packages/request/quarantine/test/crash-watch.test.ts
@@ -14,6 +14,7 @@
   endpoint,
   bornAt: 1,
   promptParts: prompt.split(' '),
+  digest: prompt,
 });
 
 /** Processes that tell each other what they see; `ended` holds the engines that have ended. */
@@ -63,7 +64,7 @@
 };
 
 const held = ({ watches }: ReturnType<typeof startFleet>, prompt: string, now: number) =>
-  watches.map((watch) => watch.find('s', prompt.split(' '), now) !== undefined);
+  watches.map((watch) => watch.find(requestOf('e', prompt), now) !== undefined);
 
 // Guards against verdicts that each process draws from what it has seen itself.
 test('crashes that two processes see hold the prompt back at all', async () => {
@@ -157,10 +158,72 @@
   expect(held(fleet, 'a d p99', clock.now())).toEqual([false]);
 });
 
-test('a prompt without parts that others share is never held back', async () => {
+// Guards against requests without a common prompt part, such as calls of plain services, that crash
+// engine after engine because nothing names them.
+test('a request that comes again is held back after two crashes, at all processes', async () => {
+  const clock = VirtualClock.create();
+  const fleet = startFleet(clock, 3);
+  expect(await crash(fleet, clock, 0, 'e1', 'p1')).toBe(true);
+  expect(held(fleet, 'p1', clock.now())).toEqual([false, false, false]);
+  expect(await crash(fleet, clock, 1, 'e2', 'p1')).toBe(true);
+  expect(held(fleet, 'p1', clock.now())).toEqual([true, true, true]);
+  expect(held(fleet, 'p2', clock.now())).toEqual([false, false, false]);
+});
+
+/** Breaks the connections of requests that wait for their whole answers at an engine that has ended. */
+const breakAll = async (
+  { watches, ended }: ReturnType<typeof startFleet>,
+  clock: VirtualClock,
+  endpoint: string,
+  prompts: readonly string[],
+) => {
+  const sends = prompts.map((prompt, index) =>
+    watches[index % watches.length].begin(requestOf(endpoint, prompt), () => {}),
+  );
+  ended.add(endpoint);
+  const examined = Promise.all(sends.map((send) => send.examineBreak(clock.now())));
+  const mayHaveCrashed = await clock.settle(examined);
+  await clock.advance(100);
+  return mayHaveCrashed;
+};
+
+// Guards against engines that end before the head of an answer, whose requests all look the same.
+test('a request at three crashes without an answer is held back, those beside it are served', async () => {
+  const clock = VirtualClock.create();
+  const fleet = startFleet(clock, 2);
+  const mayHaveCrashed = [
+    await breakAll(fleet, clock, 'e1', ['x', 's1', 's2']),
+    await breakAll(fleet, clock, 'e2', ['s3', 'x', 's2']),
+    await breakAll(fleet, clock, 'e3', ['x', 's4']),
+  ];
+  // Each request may have a second attempt after the first crash that it was at.
+  expect(mayHaveCrashed).toEqual([
+    [false, false, false],
+    [false, true, true],
+    [true, false],
+  ]);
+  const now = clock.now();
+  expect(['x', 's1', 's2', 's3', 's4'].filter((one) => held(fleet, one, now)[0])).toEqual(['x']);
+});
+
+// Guards against a popular request that is refused because engines crash while it is at them.
+test('a request that engines keep answering is not blamed', async () => {
+  const clock = VirtualClock.create();
+  const fleet = startFleet(clock, 2);
+  for (const endpoint of ['e1', 'e2', 'e3', 'e4']) {
+    fleet.watches[1].begin(requestOf('e9', 'popular'), () => {}).complete(clock.now());
+    await clock.advance(1_000);
+    await breakAll(fleet, clock, endpoint, ['x', 'popular']);
+  }
+  expect(held(fleet, 'popular', clock.now())).toEqual([false, false]);
+  expect(held(fleet, 'x', clock.now())).toEqual([true, true]);
+});
+
+// Guards against a prompt that names another request to get it held back, or to clear it.
+test('a prompt part with the name of a request stands for no request', async () => {
   const clock = VirtualClock.create();
   const fleet = startFleet(clock, 1);
-  expect(await crash(fleet, clock, 0, 'e1', 'p1')).toBe(false);
-  expect(await crash(fleet, clock, 0, 'e2', 'p1')).toBe(false);
-  expect(held(fleet, 'p1', clock.now())).toEqual([false]);
+  await crash(fleet, clock, 0, 'e1', 'request:p9 q1');
+  await crash(fleet, clock, 0, 'e2', 'request:p9 q2');
+  expect(held(fleet, 'p9', clock.now())).toEqual([false]);
 });
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -40,8 +40,8 @@
   /** Contents of messages that crash the engine when it begins to answer them. */
   crashingContents: ReadonlySet<string> = new Set();
 
-  /** Called when such a message has crashed the engine. */
-  onCrash: (content: string) => void = () => {};
+  /** Called when such a message has crashed the engine; `isLast` if it was the last one of the prompt. */
+  onCrash: (content: string, isLast: boolean) => void = () => {};
 
   /** Called for each request that the engine accepts. */
   onRun: (run: EndpointRun) => void = () => {};
@@ -129,7 +129,7 @@
     try {
       const crashing = messages.find(({ content }) => this.crashingContents.has(content));
       if (crashing === undefined) yield* this.ownTexts(parts, messages, signal);
-      else yield* this.crash(crashing.content, signal);
+      else yield* this.crash(crashing.content, crashing === messages.at(-1), signal);
     } finally {
       this.freeSlot();
     }
@@ -164,6 +164,7 @@
   /** Ends the process as it begins to answer; another start follows after a while. */
   private async *crash(
     content: string,
+    isLast: boolean,
     signal: AbortSignal,
   ): AsyncGenerator<Result<StreamPart, Failure>> {
     const { bootId, faults } = this.engine;
@@ -175,7 +176,7 @@
       this.clock.sleep(restartMs).then(() => {
         faults.cut = false;
       });
-      this.onCrash(content);
+      this.onCrash(content, isLast);
     }
     yield err(this.lost('generate'));
   }
--- a/packages/tooling/scenario/src/callers.ts
+++ b/packages/tooling/scenario/src/callers.ts
@@ -11,6 +11,8 @@
   readonly tokens: number;
   /** Contents of the messages before the last one. */
   readonly parts: readonly string[];
+  /** Content of the last message; undefined for one that no other request has. */
+  readonly question: string | undefined;
 }
 
 export interface BookingCall {
@@ -33,12 +35,12 @@
   }
 
   async chat(daemon: Daemon, chat: ChatCall): Promise<void> {
-    const { model, caller, deadlineMs, tokens, parts } = chat;
+    const { model, caller, deadlineMs, tokens, parts, question } = chat;
     const truth = (id: string) =>
       Array.from({ length: tokens }, (_, offset) =>
-        trueToken([...parts, id].join(' '), offset),
+        trueToken([...parts, question ?? id].join(' '), offset),
       ).join('');
-    const record = this.begin(daemon, model, deadlineMs, truth, parts);
+    const record = this.begin(daemon, model, deadlineMs, truth, parts, question);
     const { node, process } = daemon;
     await this.untilDeath(daemon, record, async () => {
       await process.gate(async () => {});
@@ -51,7 +53,10 @@
         requestId: record.id,
         caller: known,
         item: model,
-        messages: [...parts, record.id].map((content) => ({ role: 'user' as const, content })),
+        messages: [...parts, question ?? record.id].map((content) => ({
+          role: 'user' as const,
+          content,
+        })),
         maxTokens: tokens,
         priority: 5,
         deadline: record.deadline,
@@ -107,6 +112,7 @@
     deadlineMs: number,
     truth: (id: string) => string,
     parts: readonly string[] = [],
+    question: string | undefined = undefined,
   ): RequestRecord {
     const now = this.clock.now();
     const id = `r${this.history.requests.length + 1}`;
@@ -118,6 +124,7 @@
       deadline: now + deadlineMs,
       truth: truth(id),
       parts,
+      question,
       received: '',
       outcome: undefined,
       message: '',
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -1,5 +1,10 @@
 import { parseItemKey } from '@currantdrift/core';
-import { type Arrival, limitViolations, repeatedCrashViolations } from '@currantdrift/soak';
+import {
+  type Arrival,
+  CauseKind,
+  limitViolations,
+  repeatedCrashViolations,
+} from '@currantdrift/soak';
 import type { History, RequestRecord, VersionSample } from './history';
 import type { expectationTemplates } from './language';
 import { numberOf, type Statement, wordOf } from './scenario';
@@ -40,7 +45,7 @@
 /** Time after an endpoint first states a limit from which it must be kept, in ms. */
 const limitSettleMs = 3_000;
 
-/** Time after the fifth crash by a prompt within which all daemons hold it back, in ms. */
+/** Time after the crash that decides within which all daemons hold such requests back, in ms. */
 const crashSettleMs = 3_000;
 
 /** Cost of rounding and of the steps between the caller and the daemon, in ms. */
@@ -228,22 +233,27 @@
   );
 };
 
-/** Requests with a message that crashes engines, which must soon reach none. */
-const crashingPromptsHeldBack: Check = ({ history }) => {
-  const requestById = new Map(history.requests.map((request) => [request.id, request]));
-  const crashing = new Set(history.crashes.map(({ cause }) => cause));
-  const arrivals = history.runs.flatMap(({ at, endpoint, requestId }) =>
-    (requestById.get(requestId)?.parts ?? [])
-      .filter((part) => crashing.has(part))
-      .map((cause) => ({ at, endpoint, cause })),
-  );
-  return rule(
-    repeatedCrashViolations(history.crashes, arrivals, crashSettleMs).map(({ at, text }) => ({
-      at,
-      message: text,
-    })),
-  );
-};
+/** Requests that crash engines by a cause of this kind, which must soon reach none. */
+const crashingHeldBack =
+  (kind: CauseKind, causesOf: (request: RequestRecord) => readonly string[]): Check =>
+  ({ history }) => {
+    const requestById = new Map(history.requests.map((request) => [request.id, request]));
+    const crashes = history.crashes.filter((crash) => crash.kind === kind);
+    const crashing = new Set(crashes.map(({ cause }) => cause));
+    const arrivals = history.runs.flatMap(({ at, endpoint, requestId }) => {
+      const request = requestById.get(requestId);
+      const causes = request === undefined ? [] : causesOf(request);
+      return causes
+        .filter((cause) => crashing.has(cause))
+        .map((cause) => ({ at, endpoint, cause }));
+    });
+    return rule(
+      repeatedCrashViolations(crashes, arrivals, crashSettleMs).map(({ at, text }) => ({
+        at,
+        message: text,
+      })),
+    );
+  };
 
 const versionsRise: Check = ({ history }) =>
   rule(
@@ -314,7 +324,14 @@
   'requests end by deadline': endByDeadline,
   'leaving endpoints get no new work': noWorkAtLeaving,
   'calls within limits of endpoints': callsWithinLimits,
-  'prompts that crash engines are held back': crashingPromptsHeldBack,
+  'prompts that crash engines are held back': crashingHeldBack(
+    CauseKind.part,
+    ({ parts }) => parts,
+  ),
+  'requests that crash engines are held back': crashingHeldBack(
+    CauseKind.request,
+    ({ question }) => (question === undefined ? [] : [question]),
+  ),
   'bundle versions rise': versionsRise,
   'bundle versions agree': versionsAgree,
   'bundle <count> at <place>': bundleAt,
--- a/packages/tooling/scenario/src/history.ts
+++ b/packages/tooling/scenario/src/history.ts
@@ -16,6 +16,8 @@
   readonly truth: string;
   /** Contents of its messages before the last one. */
   readonly parts: readonly string[];
+  /** Content of its last message that other requests share; undefined if none does. */
+  readonly question: string | undefined;
   received: string;
   outcome: RequestOutcome | undefined;
   message: string;
--- a/packages/tooling/scenario/src/language.ts
+++ b/packages/tooling/scenario/src/language.ts
@@ -56,7 +56,7 @@
   'lost answers from <endpoint>',
   'crossed answers from <endpoint>',
   'whole answers from <endpoint>',
-  'burst <count> requests for <model> at <place> [deadline <time>] [tokens <tokens:count>] [parts <parts:word>] [by <caller>]',
+  'burst <count> requests for <model> at <place> [deadline <time>] [tokens <tokens:count>] [parts <parts:word>] [asking <question:word>] [by <caller>]',
   'book <service:pool> key <key:word> at <daemon> [amount <amount:word>] [deadline <time>]',
   'rollout bundle <bundle> by <a:operator> and <b:operator> at <daemon>',
 ] as const;
@@ -77,6 +77,7 @@
   'leaving endpoints get no new work',
   'calls within limits of endpoints',
   'prompts that crash engines are held back',
+  'requests that crash engines are held back',
   'bundle versions rise',
   'bundle versions agree',
   'bundle <count> at <place>',
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -260,11 +260,12 @@
       const observed = ObservedEngine.create(engine, this.clock);
       this.observeRuns(observed);
       observed.crashingContents = this.crashingContents;
-      observed.onCrash = (part) => {
+      observed.onCrash = (cause, isQuestion) => {
         const at = this.clock.now();
         const { id: endpoint } = observed;
-        this.history.crashes.push({ endpoint, kind: CauseKind.part, cause: part, at });
-        this.history.note(at, `${observed.id} crashes by a prompt with ${part}`);
+        const kind = isQuestion ? CauseKind.request : CauseKind.part;
+        this.history.crashes.push({ endpoint, kind, cause, at });
+        this.history.note(at, `${endpoint} crashes by ${kind} ${cause}`);
       };
       this.engines.set(name, observed);
       this.put({
--- a/packages/tooling/scenario/src/steps.ts
+++ b/packages/tooling/scenario/src/steps.ts
@@ -45,6 +45,7 @@
     tokens: Number(step.values.tokens ?? defaultTokens),
     // Earlier messages of the conversation, separated by plus signs.
     parts: step.values.parts === undefined ? [] : String(step.values.parts).split('+'),
+    question: step.values.question === undefined ? undefined : String(step.values.question),
   };
   const daemonOf = (index: number) => daemons[index % daemons.length];
   await Promise.all(
