Log the software version of endpoints and sends, and which stream a request takes up

Nothing decoded the version of an endpoint's entry or the header Resumes, so no log told a stream that went on at its own version from one that did not. No decision uses them yet.

--- a/packages/process/gateway/src/version/endpoint-directory-updater.ts
+++ b/packages/process/gateway/src/version/endpoint-directory-updater.ts
@@ -130,6 +130,7 @@
         endpoint: id,
         address: record.address,
         service: record.service,
+        softwareVersion: record.softwareVersion,
         state: record.state,
         bornAt: record.bornAt,
         revision: entry.revision,
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -14,6 +14,10 @@
   /** Tokens of the prompt, and the maximum number to generate; 0 if unknown. */
   readonly promptTokens: number;
   readonly maxNewTokens: number;
+  /** Id of the last event of a broken stream that the client has; undefined for a new stream. */
+  readonly resumesAfter: string | undefined;
+  /** Id of the earlier attempt that brought the first event of that stream; undefined if not stated. */
+  readonly resumes: string | undefined;
   /** Identifiers of the prompt's parts in order; prompts with a common prefix share the first ones. */
   readonly promptParts: readonly string[];
 }
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -116,6 +116,7 @@
       endpoint: record.id,
       address: record.address,
       domain: record.domain,
+      softwareVersion: record.softwareVersion,
       model: fields.model,
       service: this.request.service,
       candidates: found.candidates,
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -145,6 +145,8 @@
       versionAgeMs: Math.round(this.context.configurationAgeMs(now)),
       model: fields?.model,
       adapter: fields?.adapter,
+      resumes: fields?.resumes,
+      resumesAfter: fields?.resumesAfter,
       outcome: result.outcome,
       status: result.status,
       reason: result.reason === '' ? undefined : result.reason,
--- a/packages/request/forward/test/client-request.test.ts
+++ b/packages/request/forward/test/client-request.test.ts
@@ -10,6 +10,8 @@
   adapter: undefined,
   promptTokens: 0,
   maxNewTokens: 0,
+  resumesAfter: undefined,
+  resumes: undefined,
   promptParts: [],
 };
 
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -41,6 +41,8 @@
           adapter: undefined,
           promptTokens: 10,
           maxNewTokens: 10,
+          resumesAfter: first(headers['last-event-id']),
+          resumes: first(headers.resumes),
           promptParts: first(headers.prompt)?.split(' ') ?? [],
         };
   },
--- a/packages/tooling/fakes/src/endpoint-record.ts
+++ b/packages/tooling/fakes/src/endpoint-record.ts
@@ -10,6 +10,7 @@
   slots: 4,
   state: HostState.live,
   bornAt: 1,
+  softwareVersion: 'v1',
   remainingMs: undefined,
   models: [],
   copies: { inMemory: [], onDisk: [] },
--- a/packages/version/fleet/src/endpoint-record.ts
+++ b/packages/version/fleet/src/endpoint-record.ts
@@ -23,6 +23,8 @@
   readonly state: HostState;
   /** Start time of the process in ms since the epoch; distinguishes restarts under the same id. */
   readonly bornAt: number;
+  /** Version of its software, not of a model; empty if the record does not state it. */
+  readonly softwareVersion: string;
   /** Time from the record until the endpoint is gone, in ms. */
   readonly remainingMs: number | undefined;
   /** Undefined if the endpoint has no models or does not report them. */
