--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -18,6 +18,7 @@
   type Refusal,
   type Run,
 } from './observations';
+import { lostStreamViolations, mixedStreamViolations } from './stream-check';
 import type { Violation } from './violation';
 
 /** Bounds of the promises, in ms. */
@@ -149,22 +150,25 @@
       ...this.ofOrders(),
       ...this.ofLimits(),
       ...this.ofCrashingRequests(),
+      ...mixedStreamViolations(this.attempts),
+      ...this.ofTakenUpStreams(),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
 
   private ofAnswer(attempt: Attempt): Violation[] {
-    const { endedAt: at, id, events, expectedEvents } = attempt;
+    const { endedAt: at, id, events, expectedEvents, resumedAfter } = attempt;
     const found: Violation[] = [];
     if (!isSuccess(attempt)) return found;
     if (!attempt.sealed || (attempt.complete && !attempt.ownBody)) {
       found.push({ at, rule: 'own answer', text: `${id} got an answer that is not its own` });
     }
-    if (events.some((event, index) => event !== index + 1)) {
+    if (events.some((event, index) => event !== resumedAfter + index + 1)) {
       found.push({ at, rule: 'order', text: `${id} got the events ${events.join(' ')}` });
     }
-    if (attempt.complete && events.length !== expectedEvents) {
-      const text = `${id} ended as complete after ${events.length} of ${expectedEvents} events`;
+    const received = resumedAfter + events.length;
+    if (attempt.complete && received !== expectedEvents) {
+      const text = `${id} ended as complete after ${received} of ${expectedEvents} events`;
       found.push({ at, rule: 'order', text });
     }
     return found;
@@ -353,6 +357,16 @@
     ];
   }
 
+  private ofTakenUpStreams(): Violation[] {
+    const inTouch = this.attempts.filter(
+      ({ kind, crashCause, process, sentAt, endedAt }) =>
+        kind === Kind.resumable &&
+        crashCause === undefined &&
+        this.inTouch(process, sentAt, endedAt),
+    );
+    return lostStreamViolations(inTouch);
+  }
+
   private ofOrders(): Violation[] {
     const last = new Map<string, Order>();
     return [...this.orders]
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -23,6 +23,7 @@
   type Refusal,
   type Run,
 } from './observations';
+export { lostStreamViolations, mixedStreamViolations } from './stream-check';
 export { report } from './report';
 export { Timeline } from './timeline';
 export type { Violation } from './violation';
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -32,6 +32,14 @@
   /** Ids of the stream's events in the order of arrival, and how many the whole stream has. */
   readonly events: readonly number[];
   readonly expectedEvents: number;
+  /** Id of the attempt with which its stream began; its own id unless it takes a stream up. */
+  readonly stream: string;
+  /** Last event that its client had before; 0 unless it takes a stream up. */
+  readonly resumedAfter: number;
+  /** Software versions of the engines that wrote its events. */
+  readonly softwareVersions: readonly string[];
+  /** Whether two engines of the stream's software version served when it was sent. */
+  readonly canGoOn: boolean;
   /** Parts of its prompt; empty without one. */
   readonly promptParts: readonly string[];
   /** What of it crashes engines; undefined for a sound request. */
