Go on with a stream only at the software version that began it, at all gateways

Cause: the version of an endpoint's entry was dropped and Resumes not read, so both ways of going on took any engine with the model. Class: state that binds a later choice and is known to one process only, or to nobody. Ruled out: engines that change in place (each is a new entry), weight versions. Change: the entry's version is decoded, an answer binds its stream by its first event, and a take-up is bound by what the processes know: each remembers its own streams, tells each to two others while a service has several versions, and asks; names of versions that streams may still have stand in the store. What is not certain is refused as not run. The service of a take-up follows from the first attempt's id.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -15,6 +15,8 @@
   permit: 'gateway.permit',
   crash: 'gateway.crash',
   cleared: 'gateway.cleared',
+  streams: 'gateway.streams',
+  stream: 'gateway.stream',
   feed: 'gateway.feed',
   snapshot: 'gateway.snapshot',
 } as const;
@@ -147,6 +149,28 @@
 });
 export type ClearedMessage = z.infer<typeof clearedSchema>;
 
+/** Streams that the sender's endpoints of one software version have begun. */
+export const begunStreamsSchema = z.object({
+  kind: z.literal(PeerMessageKind.streams),
+  service: z.string(),
+  softwareVersion: z.string(),
+  /** Ids of the clients' attempts. */
+  requests: z.array(z.string()),
+});
+export type BegunStreamsMessage = z.infer<typeof begunStreamsSchema>;
+
+/** Asks a member what it knows of the stream of an attempt. */
+export const streamRequestSchema = z.object({
+  kind: z.literal(PeerMessageKind.stream),
+  request: z.string(),
+});
+
+/** Response to that; `elsewhere` if the member does not know the stream. */
+export const streamResponseSchema = z.union([
+  z.object({ kind: z.literal('begun'), service: z.string(), softwareVersion: z.string() }),
+  z.object({ kind: z.literal('elsewhere') }),
+]);
+
 const changeSchema = z.union([
   z.object({ kind: z.literal('put'), entry: entrySchema }),
   z.object({ kind: z.literal('removed'), key: z.string(), revision: z.number() }),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -46,6 +46,7 @@
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
 import { StoreCache, type StoreLayout } from './store-cache';
+import { StreamHandling } from './stream-handling';
 import { UsageReporter } from './usage-reporter';
 
 /** Interface between a gateway and the platform that it runs on. */
@@ -114,6 +115,8 @@
 
   private readonly crashHandling: CrashHandling;
 
+  private readonly streamHandling: StreamHandling;
+
   private readonly send = (address: string, message: Message): void =>
     this.peers.notify(address, message);
 
@@ -146,10 +149,7 @@
       peers: this.peers,
       directory: this.directory,
       onConfiguration: ({ limits }) => this.clientServer.limit(limits),
-      daemonEntries: {
-        onListing: (entries) => this.crashHandling.stored.onListing(entries),
-        onChange: (change) => this.crashHandling.stored.onChange(change),
-      },
+      daemonEntries: () => [this.crashHandling.stored, this.streamHandling.versions],
     });
     const { clock, self, members, directory, send } = this;
     this.inventoryBroadcaster = InventoryBroadcaster.create({
@@ -201,6 +201,19 @@
       probe: EngineProbe.create(this.control, directory, clock),
       members: () => members.all().length,
     });
+    this.streamHandling = StreamHandling.create({
+      store: platform.store,
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      directory,
+      self,
+      members,
+      peers: this.peers,
+      send,
+      configuration: () => this.storeCache.configuration,
+      endpointAgeMs: (now) => this.storeCache.endpointAgeMs(now),
+    });
     this.forwarder = this.createForwarder();
     this.clientServer = ClientHttpServer.create(
       (request, response) => this.forwarder.handle(request, response),
@@ -239,6 +252,7 @@
       inventoryBroadcaster,
       leavingNotices,
       crashNotices: this.crashHandling.notices,
+      streams: this.streamHandling.ledger,
       election,
     });
     this.storeCache.registerHandlers(inbox);
@@ -307,6 +321,7 @@
       usage: this.usage,
       permits: this.permits,
       crashes: this.crashHandling.watch,
+      streamVersions: this.streamHandling.ledger,
       stopping: this.stopped.signal,
       closing: this.closing.signal,
       waker: ControllerModelWaker.create(
@@ -381,6 +396,7 @@
     this.runInBackground(this.createUsageReporter().run(forever));
     this.runInBackground(this.pruneEndpointStates(forever));
     this.runInBackground(this.crashHandling.stored.run(forever));
+    this.runInBackground(this.streamHandling.versions.run(forever));
     this.runInBackground(this.registration.run(signal));
     this.runInBackground(this.runElection(signal));
   }
--- a/packages/process/gateway/src/process/peer-handlers.ts
+++ b/packages/process/gateway/src/process/peer-handlers.ts
@@ -1,5 +1,6 @@
 import type { PeerInbox } from '../connection/peer-inbox';
 import {
+  begunStreamsSchema,
   clearedSchema,
   crashSchema,
   inventorySchema,
@@ -8,6 +9,7 @@
   PeerMessageKind,
   permitRequestSchema,
   resignedSchema,
+  streamRequestSchema,
   usageSchema,
 } from '../connection/peer-messages';
 import type { Controller } from './controller';
@@ -16,6 +18,7 @@
 import type { InventoryBroadcaster } from './inventory-broadcaster';
 import type { LeavingNotices } from './leaving-notices';
 import type { PermitService } from './permit-service';
+import type { StreamLedger } from './stream-ledger';
 
 /** The components that receive messages from peers. */
 export interface PeerHandlers {
@@ -25,6 +28,7 @@
   readonly inventoryBroadcaster: InventoryBroadcaster;
   readonly leavingNotices: LeavingNotices;
   readonly crashNotices: CrashNotices;
+  readonly streams: StreamLedger;
   readonly election: ControllerElection;
 }
 
@@ -36,12 +40,22 @@
     inventoryBroadcaster,
     leavingNotices,
     crashNotices,
+    streams,
     election,
   } = handlers;
   inbox.onRequest(PeerMessageKind.want, loadRequestSchema, (want) => controller()?.want(want));
   inbox.onRequest(PeerMessageKind.permit, permitRequestSchema, (request, from) =>
     permitService.respond(request, from),
   );
+  inbox.onRequest(PeerMessageKind.stream, streamRequestSchema, ({ request }) => {
+    const known = streams.get(request);
+    if (known === undefined) return undefined;
+    const { service, softwareVersion } = known;
+    return { kind: 'begun', service, softwareVersion };
+  });
+  inbox.onNotification(PeerMessageKind.streams, begunStreamsSchema, (begun) =>
+    streams.receive(begun),
+  );
   inbox.onNotification(PeerMessageKind.usage, usageSchema, (usage) =>
     controller()?.recordUsage(usage),
   );
--- a/packages/process/gateway/src/process/store-cache.ts
+++ b/packages/process/gateway/src/process/store-cache.ts
@@ -52,7 +52,7 @@
   readonly directory: EndpointDirectory;
   readonly onConfiguration: (configuration: Configuration) => void;
   /** Receives all entries that the daemons write, besides the members. */
-  readonly daemonEntries: EntryListener;
+  readonly daemonEntries: () => readonly EntryListener[];
 }
 
 /**
@@ -105,6 +105,11 @@
     return this.feed.ageOf(this.options.layout.configurationPrefix, now);
   }
 
+  /** Time since the endpoints were last confirmed to be all, in ms. */
+  endpointAgeMs(now: number): number {
+    return this.feed.ageOf(this.options.layout.endpointPrefix, now);
+  }
+
   /** Registers the handlers for feed messages and snapshot requests of other members. */
   registerHandlers(inbox: PeerInbox): void {
     inbox.onRequest(PeerMessageKind.snapshot, snapshotSchema, ({ prefix }) => {
@@ -159,10 +164,10 @@
   }
 
   private daemonListener(): EntryListener {
-    const listeners = [this.members, this.options.daemonEntries];
+    const listeners = () => [this.members, ...this.options.daemonEntries()];
     return {
-      onListing: (entries) => listeners.forEach((listener) => listener.onListing(entries)),
-      onChange: (change) => listeners.forEach((listener) => listener.onChange(change)),
+      onListing: (entries) => listeners().forEach((listener) => listener.onListing(entries)),
+      onChange: (change) => listeners().forEach((listener) => listener.onChange(change)),
     };
   }
 
--- /dev/null
+++ b/packages/process/gateway/test/stream-versions.test.ts
@@ -0,0 +1,243 @@
+import {
+  type Failure,
+  FailureKind,
+  type Message,
+  NoopTelemetry,
+  type Peers,
+  SeededRandom,
+} from '@currantdrift/core';
+import {
+  endpointRecord,
+  MemoryPrefixStore,
+  PrefixStoreHandle,
+  VirtualClock,
+} from '@currantdrift/fakes';
+import { EndpointDirectory } from '@currantdrift/fleet';
+import { err, ok, type Result } from 'neverthrow';
+import { begunStreamsSchema, PeerMessageKind, parseMessage } from '../src/connection/peer-messages';
+import { StreamHandling } from '../src/process/stream-handling';
+import {
+  daemonPrefix,
+  encodeMember,
+  type Member,
+  memberPrefix,
+  Members,
+} from '../src/version/members';
+
+const service = 's';
+
+/** Lifetime of streams while no configuration is known, in ms. */
+const lifetimeMs = 60_000;
+
+const memberOf = (index: number): Member => ({
+  host: `h${index}`,
+  address: `h${index}`,
+  domain: `d${index % 3}`,
+  processors: 1,
+});
+
+const recordOf = (id: string, softwareVersion: string) =>
+  endpointRecord({ id, service, softwareVersion });
+
+/** Processes that share a store and a directory's contents; `kill` forgets what a process knows. */
+class Fleet {
+  readonly clock = VirtualClock.create();
+
+  readonly store = MemoryPrefixStore.create(this.clock);
+
+  readonly processes = new Map<
+    string,
+    { readonly handling: StreamHandling; readonly directory: EndpointDirectory }
+  >();
+
+  readonly messages: Message[] = [];
+
+  endpointAgeMs = 0;
+
+  private readonly peers = {
+    request: async (address: string, message: Message) => this.ask(address, message),
+  } as unknown as Peers;
+
+  private constructor(
+    readonly count: number,
+    private readonly stopped = new Map<string, AbortController>(),
+  ) {}
+
+  static create(count: number, ...versions: string[]): Fleet {
+    const fleet = new Fleet(count);
+    for (let index = 0; index < count; index += 1) fleet.start(index, versions);
+    return fleet;
+  }
+
+  start(index: number, versions: readonly string[]): void {
+    const self = memberOf(index);
+    const telemetry = NoopTelemetry.create();
+    const members = Members.create(telemetry, this.clock);
+    members.onListing(
+      Array.from({ length: this.count }, (_, other) => memberOf(other)).map((member) => ({
+        key: memberPrefix + member.host,
+        value: encodeMember(member),
+        revision: 1,
+      })),
+    );
+    const directory = EndpointDirectory.create();
+    versions.forEach((version) => directory.put(recordOf(`e-${version}`, version)));
+    const handling = StreamHandling.create({
+      store: PrefixStoreHandle.create(this.store, this.clock),
+      clock: this.clock,
+      random: SeededRandom.create(index + 1),
+      telemetry,
+      directory,
+      self,
+      members,
+      peers: this.peers,
+      send: (address, message) => this.send(address, message),
+      configuration: () => undefined,
+      endpointAgeMs: () => this.endpointAgeMs,
+    });
+    const stopped = new AbortController();
+    this.stopped.set(self.host, stopped);
+    handling.versions.onListing(this.store.below(daemonPrefix));
+    handling.versions.run(stopped.signal).catch(() => {});
+    this.processes.set(self.host, { handling, directory });
+  }
+
+  kill(index: number): void {
+    this.stopped.get(`h${index}`)?.abort();
+    this.processes.delete(`h${index}`);
+  }
+
+  process(index: number) {
+    const found = this.processes.get(`h${index}`);
+    if (found === undefined) throw new Error(`h${index} does not run`);
+    return found;
+  }
+
+  /** Begins a stream at a process. */
+  async begin(index: number, request: string, softwareVersion: string): Promise<void> {
+    this.process(index).handling.ledger.record({ request, service, softwareVersion });
+    await this.clock.advance(100);
+  }
+
+  /** An endpoint joins, as all processes see. */
+  async join(softwareVersion: string): Promise<void> {
+    this.processes.forEach(({ directory }) =>
+      directory.put(recordOf(`e-${softwareVersion}`, softwareVersion)),
+    );
+    await this.clock.advance(1_000);
+  }
+
+  async leave(softwareVersion: string): Promise<void> {
+    this.processes.forEach(({ directory }) => directory.remove(`e-${softwareVersion}`));
+    await this.clock.advance(1_000);
+  }
+
+  find(index: number, request: string | undefined): Promise<string | undefined> {
+    return this.clock.settle(this.process(index).handling.ledger.find(request, service));
+  }
+
+  private send(address: string, message: Message): void {
+    this.messages.push(message);
+    const begun = parseMessage(begunStreamsSchema, message);
+    if (begun !== undefined) this.processes.get(address)?.handling.ledger.receive(begun);
+  }
+
+  private ask(address: string, message: Message): Result<Message, Failure> {
+    const found = this.processes.get(address);
+    if (found === undefined) {
+      return err({ kind: FailureKind.unreachable, step: 'ask', peer: address, message: 'killed' });
+    }
+    const { request } = message as { request?: string };
+    const known = found.handling.ledger.get(request ?? '');
+    return ok(known === undefined ? { kind: 'elsewhere' } : { ...known, kind: 'begun' });
+  }
+}
+
+// Guards against a take-up that only the process which served the stream could place.
+test('a stream is known after its process was killed', async () => {
+  const fleet = Fleet.create(8, 'v1', 'v2');
+  await fleet.clock.advance(1_000);
+  await fleet.begin(0, 'r1', 'v1');
+  await fleet.begin(0, 'r2', 'v2');
+  fleet.kill(0);
+  const seen = await Promise.all([1, 4, 7].flatMap((index) => [fleet.find(index, 'r1')]));
+  expect(seen).toEqual(['v1', 'v1', 'v1']);
+  expect(await fleet.find(3, 'r2')).toBe('v2');
+});
+
+// Guards against streams from before a release that nobody knows of when their process is killed.
+test('streams in progress are told when a second version appears', async () => {
+  const fleet = Fleet.create(8, 'v1');
+  await fleet.clock.advance(1_000);
+  await fleet.begin(0, 'r1', 'v1');
+  expect(fleet.messages).toEqual([]);
+  await fleet.join('v2');
+  fleet.kill(0);
+  expect(await fleet.find(5, 'r1')).toBe('v1');
+});
+
+test('a stream of which nothing is known is of the only version there is', async () => {
+  const fleet = Fleet.create(3, 'v1');
+  await fleet.clock.advance(1_000);
+  expect([await fleet.find(0, 'r9'), await fleet.find(0, undefined)]).toEqual(['v1', 'v1']);
+  await fleet.join('v2');
+  expect([await fleet.find(0, 'r9'), await fleet.find(0, undefined)]).toEqual([
+    undefined,
+    undefined,
+  ]);
+});
+
+// Guards against processes that lose their memory together, shortly after the old version has left.
+test('a version that has just left is known after all processes were killed', async () => {
+  const fleet = Fleet.create(4, 'v1');
+  await fleet.join('v2');
+  await fleet.leave('v1');
+  for (let index = 0; index < 4; index += 1) {
+    fleet.kill(index);
+    fleet.start(index, ['v2']);
+  }
+  expect(await fleet.find(2, 'r1')).toBeUndefined();
+  await fleet.clock.advance(lifetimeMs / 2);
+  expect(await fleet.find(2, 'r1')).toBeUndefined();
+  // No stream of the old version can be left by now, and the entries are gone.
+  await fleet.clock.advance(lifetimeMs);
+  expect(await fleet.find(2, 'r1')).toBe('v2');
+  expect(fleet.store.below(daemonPrefix)).toEqual([]);
+});
+
+// Guards against a process that was cut off and has not heard of another version.
+test('a process that may have missed another version does not guess', async () => {
+  const fleet = Fleet.create(2, 'v1');
+  await fleet.clock.advance(1_000);
+  fleet.endpointAgeMs = 5_000;
+  expect(await fleet.find(0, 'r1')).toBeUndefined();
+});
+
+// Guards against a cost that grows with the fleet: each stream is told to two members at most.
+test('the messages for a stream do not grow with the fleet', async () => {
+  const fleet = Fleet.create(60, 'v1', 'v2');
+  await fleet.clock.advance(1_000);
+  const requests = Array.from({ length: 20 }, (_, index) => `r${index}`);
+  requests.forEach((request) =>
+    fleet.process(0).handling.ledger.record({ request, service, softwareVersion: 'v1' }),
+  );
+  await fleet.clock.advance(100);
+  const told = fleet.messages
+    .filter(({ kind }) => kind === PeerMessageKind.streams)
+    .flatMap((message) => (message as unknown as { requests: string[] }).requests);
+  expect(told.length).toBe(2 * requests.length);
+});
+
+test('an entry of another writer changes nothing', () => {
+  const fleet = Fleet.create(1, 'v1');
+  const { versions } = fleet.process(0).handling;
+  const entry = (value: string) => ({
+    key: `${daemonPrefix}software/x`,
+    value: Buffer.from(value),
+    revision: 9,
+  });
+  ['', '[', '{"service":7}', '['.repeat(100_000)].forEach((value) =>
+    versions.onChange({ kind: 'put', entry: entry(value) }),
+  );
+  expect(versions.isMixed(service)).toBe(false);
+});
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -6,6 +6,7 @@
 import type { ClientRequest } from './client-request';
 import type { ForwardContext } from './forward-context';
 import { PermitWait } from './permit-wait';
+import type { StreamPosition } from './send';
 
 /** The endpoint that was selected for a request. */
 export interface SelectedEndpoint {
@@ -19,6 +20,7 @@
 
 const promptReason = 'the prompt contains parts that crash engines';
 const requestReason = 'the request crashes engines';
+const versionReason = 'no endpoint of the software version that began the stream can go on with it';
 
 /** Why no endpoint was selected. */
 export interface NoEndpoint {
@@ -46,6 +48,7 @@
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
     private readonly gone: AbortSignal,
+    private readonly position: Pick<StreamPosition, 'softwareVersion'>,
   ) {
     this.permitWait = PermitWait.create(context);
   }
@@ -54,8 +57,9 @@
     context: ForwardContext,
     request: ClientRequest,
     gone: AbortSignal,
+    position: Pick<StreamPosition, 'softwareVersion'>,
   ): EndpointSelector {
-    return new EndpointSelector(context, request, gone);
+    return new EndpointSelector(context, request, gone, position);
   }
 
   /** Endpoints in `tried` are selected only if no other can serve the request. */
@@ -100,6 +104,10 @@
       return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
     const quarantined = this.checkQuarantine(now);
     if (quarantined !== undefined) return quarantined;
+    if (this.position.softwareVersion !== undefined && this.usableEndpoints(now).length === 0) {
+      const { defaultRetryAfterMs: retryAfterMs } = settings;
+      return { kind: 'refused', reason: versionReason, retryAfterMs };
+    }
     if (now + settings.minTimeLeftMs < this.request.firstByteDeadline) return undefined;
     const retryAfterMs = settings.defaultRetryAfterMs;
     return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
@@ -132,15 +140,26 @@
     return selected;
   }
 
-  /** Endpoints that can serve the request and that this process can reach. */
-  private reachableEndpoints(now: number): EndpointRecord[] {
-    const { directory, balancer } = this.context;
+  /** Endpoints that can serve the request, or go on with its stream. */
+  private usableEndpoints(now: number): EndpointRecord[] {
+    const { directory } = this.context;
     const { service, fields } = this.request;
-    if (fields.model === undefined) return directory.live(service);
+    const { softwareVersion } = this.position;
+    const records =
+      fields.model === undefined
+        ? directory.live(service)
+        : directory.replicas(service, fields.model, fields.adapter, now);
+    return softwareVersion === undefined
+      ? records
+      : records.filter((record) => record.softwareVersion === softwareVersion);
+  }
+
+  /** Usable endpoints that this process can reach. */
+  private reachableEndpoints(now: number): EndpointRecord[] {
+    const usable = this.usableEndpoints(now);
+    if (this.request.fields.model === undefined) return usable;
     // A model can be loaded on another engine, so unreachable engines are not used for it.
-    return directory
-      .replicas(service, fields.model, fields.adapter, now)
-      .filter(({ id }) => !balancer.isUnreachable(id, now));
+    return usable.filter(({ id }) => !this.context.balancer.isUnreachable(id, now));
   }
 
   private static preferUntried(
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -10,6 +10,7 @@
 import type { EndpointSignals } from './endpoint-signals';
 import type { ForwardSettings } from './forward-settings';
 import type { ModelUsage } from './model-usage';
+import type { StreamVersions } from './stream-versions';
 import type { ModelWaker } from './waker';
 
 /** Dependencies that all requests of a process share. */
@@ -27,6 +28,8 @@
   readonly waker: ModelWaker;
   /** Finds and holds back prompts that crash engines. */
   readonly crashes: CrashWatch;
+  /** Knows at which software version streams began. */
+  readonly streamVersions: StreamVersions;
   /**
    * Aborted when the process begins to shut down: requests that still wait for an endpoint are
    * refused, so that their clients retry at another process.
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -20,7 +20,11 @@
 
 /** Forwards one request: selects an endpoint, sends the request and retries where that is allowed. */
 export class ForwardRun {
-  private readonly position: StreamPosition = { hasBegun: false, lastEventId: undefined };
+  private readonly position: StreamPosition = {
+    hasBegun: false,
+    lastEventId: undefined,
+    softwareVersion: undefined,
+  };
 
   private readonly tried = new Set<string>();
 
@@ -64,7 +68,10 @@
   }
 
   private async serve(signal: AbortSignal): Promise<ForwardResult> {
-    const selector = EndpointSelector.create(this.context, this.request, this.client.gone);
+    const unknown = await this.bindToVersion();
+    if (unknown !== undefined) return unknown;
+    const { context, request, client, position } = this;
+    const selector = EndpointSelector.create(context, request, client.gone, position);
     for (;;) {
       const found = await selector.select(this.tried);
       if (found.kind !== 'selected') return this.giveUp(found);
@@ -81,6 +88,22 @@
     }
   }
 
+  /**
+   * Binds a stream that the client takes up to the software version that began it; returns the refusal if
+   * that version is not known.
+   */
+  private async bindToVersion(): Promise<ForwardResult | undefined> {
+    const { fields, route, service } = this.request;
+    if (!route.resumable || fields.resumesAfter === undefined) return undefined;
+    const { streamVersions, telemetry, settings } = this.context;
+    const softwareVersion = await streamVersions.find(fields.resumes, service);
+    this.position.softwareVersion = softwareVersion;
+    if (softwareVersion !== undefined) return undefined;
+    telemetry.count('currantdrift_unknown_streams_total');
+    const reason = 'the software version that began the stream is not known';
+    return this.answer('refused', httpStatus.unavailable, reason, settings.defaultRetryAfterMs);
+  }
+
   private async send(found: SelectedEndpoint, signal: AbortSignal): Promise<SendResult> {
     const { clock, usage, telemetry, directory } = this.context;
     const { fields } = this.request;
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -58,7 +58,8 @@
       return this.refuse(client, 404, `no route matches in configuration ${configuration.version}`);
     }
     if (fields === undefined) return this.refuse(client, 400, 'the request has no identifier');
-    const service = selectService(route, fields.id);
+    // A stream goes on at the service that began it, so the attempt that began it decides.
+    const service = selectService(route, fields.resumes ?? fields.id);
     if (fields.model !== undefined) {
       this.context.usage.recordArrival(service, fields.model, fields.adapter);
     }
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -16,4 +16,5 @@
   type UsageReport,
 } from './model-usage';
 export { isIdempotent, isRetryAllowed, type SendCounts, SendFailure } from './retry';
+export type { BegunStream, StreamVersions } from './stream-versions';
 export type { ModelLoadRequest, ModelWaker } from './waker';
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -55,6 +55,8 @@
   /** Whether the head of the answer was relayed. */
   hasBegun: boolean;
   lastEventId: string | undefined;
+  /** Software version at which the stream began and may go on; undefined until it has begun. */
+  softwareVersion: string | undefined;
 }
 
 /** One send of a request to one endpoint. */
@@ -111,6 +113,7 @@
     this.selected.place.observeFirstByte(firstByteMs);
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
     const isStream = this.request.route.kind === RequestKind.stream && answer.status === 200;
+    if (isStream && this.request.route.resumable) this.recordStream();
     return isStream ? this.relay(answer) : this.bufferAnswer(answer);
   }
 
@@ -232,9 +235,16 @@
     return { kind: 'delivered', status: answer.status, longestPauseMs };
   }
 
+  private recordStream(): void {
+    const { fields, service } = this.request;
+    const { softwareVersion } = this.selected.record;
+    this.context.streamVersions.record({ request: fields.id, service, softwareVersion });
+  }
+
   private begin(answer: OpenAnswer): void {
     if (this.position.hasBegun) return;
     this.position.hasBegun = true;
+    this.position.softwareVersion = this.selected.record.softwareVersion;
     const headers = this.context.protocol.responseHeaders(answer.headers);
     this.client.begin(answer.status, headers, framingOf(answer));
   }
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -16,6 +16,7 @@
 import { PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
 import {
+  type BegunStream,
   defaultForwardSettings,
   type EndpointProtocol,
   EndpointSignals,
@@ -52,6 +53,9 @@
     only: envelope.endpoint,
     deadline: String(envelope.deadlineMs),
     ...(headers.prompt === undefined ? {} : { prompt: first(headers.prompt) ?? '' }),
+    ...(headers['last-event-id'] === undefined
+      ? {}
+      : { after: first(headers['last-event-id']) ?? '' }),
     ...(envelope.resumeAfter === undefined ? {} : { after: envelope.resumeAfter }),
   }),
   responseHeaders: (headers: Headers) => ({ seal: first(headers.seal) ?? '' }),
@@ -190,6 +194,11 @@
 
   probes = 0;
 
+  /** Streams that endpoints have begun, and the software versions of those of other processes. */
+  readonly begunStreams: BegunStream[] = [];
+
+  readonly streamVersions = new Map<string, string>();
+
   budget = RetryBudget.create({ minRetries: 10 });
 
   /** The controller's answer for a model that no endpoint holds. */
@@ -314,6 +323,10 @@
       members: () => 1,
     });
     return Forwarder.create({
+      streamVersions: {
+        record: (stream) => this.begunStreams.push(stream),
+        find: async (attempt) => this.streamVersions.get(attempt ?? ''),
+      },
       permits,
       crashes,
       clock,
