Keep streams of mixed services in the store for a restart of all processes

Cause: what the processes tell each other is in memory only. Change: while a service has several versions each process writes the streams that it began under a key of its own, with a lease of twice the longest life of a stream, at most every 0.5 s, and removes the key when they have ended. Nobody follows these keys; a process that must place an unknown stream reads them, at most once a second. Test: streams are known after all processes were killed (stream-versions.test.ts, failed without the store).

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -396,7 +396,7 @@
     this.runInBackground(this.createUsageReporter().run(forever));
     this.runInBackground(this.pruneEndpointStates(forever));
     this.runInBackground(this.crashHandling.stored.run(forever));
-    this.runInBackground(this.streamHandling.versions.run(forever));
+    this.runInBackground(this.streamHandling.run(forever));
     this.runInBackground(this.registration.run(signal));
     this.runInBackground(this.runElection(signal));
   }
--- a/packages/process/gateway/src/process/stream-handling.ts
+++ b/packages/process/gateway/src/process/stream-handling.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '@currantdrift/routes';
 import type { Member, Members } from '../version/members';
 import { SoftwareVersions } from '../version/software-versions';
+import { StoredStreams } from '../version/stored-streams';
 import { StreamLedger } from './stream-ledger';
 
 /** Time by which the tries of a client may outlast the time limit of its route, in ms. */
@@ -41,11 +42,20 @@
 
   readonly ledger: StreamLedger;
 
+  private readonly stored: StoredStreams;
+
   private constructor(options: StreamHandlingOptions) {
     const { members, configuration } = options;
     const streamLifetimeMs = () => streamLifetimeOf(configuration());
+    this.stored = StoredStreams.create({
+      ...options,
+      host: options.self.host,
+      members: () => members.all().length,
+      streamLifetimeMs,
+    });
     this.ledger = StreamLedger.create({
       ...options,
+      stored: this.stored,
       versions: () => this.versions,
       streamLifetimeMs,
     });
@@ -60,4 +70,9 @@
   static create(options: StreamHandlingOptions): StreamHandling {
     return new StreamHandling(options);
   }
+
+  /** Keeps versions and streams in the store until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.versions.run(signal), this.stored.run(signal)]);
+  }
 }
--- a/packages/process/gateway/src/process/stream-ledger.ts
+++ b/packages/process/gateway/src/process/stream-ledger.ts
@@ -14,6 +14,7 @@
 } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
 import type { SoftwareVersions } from '../version/software-versions';
+import type { StoredStreams } from '../version/stored-streams';
 
 /** Streams that are remembered. */
 const maxStreams = 20_000;
@@ -41,13 +42,14 @@
   readonly peers: Peers;
   readonly send: (address: string, message: Message) => void;
   readonly versions: () => SoftwareVersions;
+  readonly stored: StoredStreams;
   readonly streamLifetimeMs: () => number;
 }
 
 /**
  * Remembers at which software version streams began. While a service has endpoints of several versions,
  * each stream is told to two other members, by rendezvous hashing of its id, so that it can be taken up
- * when the process that served it has ended.
+ * when the process that served it has ended, and kept in the store, in case all of them have.
  */
 export class StreamLedger implements StreamVersions {
   private readonly streams = BoundedMap.create<KnownStream>(maxStreams);
@@ -81,9 +83,14 @@
   }
 
   async find(request: string | undefined, service: string): Promise<string | undefined> {
+    const { clock, stored, versions } = this.options;
+    const versionOf = (stream: BegunStream | undefined) =>
+      stream?.service === service ? stream.softwareVersion : undefined;
     const known = request === undefined ? undefined : await this.lookUp(request);
-    if (known !== undefined) return known.service === service ? known.softwareVersion : undefined;
-    return this.options.versions().only(service, this.options.clock.now());
+    if (known !== undefined) return versionOf(known);
+    const only = versions().only(service, clock.now());
+    if (only !== undefined || request === undefined) return only;
+    return versionOf(await stored.find(request));
   }
 
   /** The stream of an attempt as far as this process knows it. */
@@ -130,10 +137,12 @@
 
   private announce(streams: readonly BegunStream[]): void {
     if (streams.length === 0) return;
+    const { clock, stored } = this.options;
+    stored.add(streams, clock.now());
     const isFirst = this.pending.length === 0;
     this.pending.push(...streams);
     if (!isFirst) return;
-    this.options.clock
+    clock
       .sleep(gatherMs)
       .then(() => this.sendPending())
       .catch(() => {});
--- a/packages/process/gateway/test/stream-versions.test.ts
+++ b/packages/process/gateway/test/stream-versions.test.ts
@@ -16,6 +16,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { begunStreamsSchema, PeerMessageKind, parseMessage } from '../src/connection/peer-messages';
 import { StreamHandling } from '../src/process/stream-handling';
+import { streamsPrefix } from '../src/version/stored-streams';
 import {
   daemonPrefix,
   encodeMember,
@@ -98,7 +99,7 @@
     const stopped = new AbortController();
     this.stopped.set(self.host, stopped);
     handling.versions.onListing(this.store.below(daemonPrefix));
-    handling.versions.run(stopped.signal).catch(() => {});
+    handling.run(stopped.signal).catch(() => {});
     this.processes.set(self.host, { handling, directory });
   }
 
@@ -205,6 +206,24 @@
   expect(fleet.store.below(daemonPrefix)).toEqual([]);
 });
 
+// Guards against take-ups that are all refused, or joined, after a kill of all processes at once.
+test('streams are known after all processes were killed, until they must have ended', async () => {
+  const fleet = Fleet.create(4, 'v1');
+  await fleet.clock.advance(1_000);
+  await fleet.begin(0, 'r1', 'v1');
+  await fleet.join('v2');
+  await fleet.begin(1, 'r2', 'v2');
+  await fleet.begin(1, 'r3', 'v1');
+  await fleet.clock.advance(1_000);
+  for (let index = 0; index < 4; index += 1) fleet.kill(index);
+  for (let index = 0; index < 4; index += 1) fleet.start(index, ['v1', 'v2']);
+  const seen = [];
+  for (const request of ['r1', 'r2', 'r3', 'r9']) seen.push(await fleet.find(2, request));
+  expect(seen).toEqual(['v1', 'v2', 'v1', undefined]);
+  await fleet.clock.advance(3 * lifetimeMs);
+  expect(fleet.store.below(streamsPrefix)).toEqual([]);
+});
+
 // Guards against a process that was cut off and has not heard of another version.
 test('a process that may have missed another version does not guess', async () => {
   const fleet = Fleet.create(2, 'v1');
