Take no refusal of another request for the word on this one

An engine that writes an earlier refusal once more gets it read as the answer to the request that is waiting; its id was compared only after the refusal had been believed, so a client heard 503, not run, for a request that may have run, or it was sent to a second engine. Cause: Send.checkHead looked at the refusal first. Today each connection of the gateway carries one request, so a late second answer finds nobody there; the order is wrong all the same. Change: the id first. A refusal without an id is believed as before, as engines shed without one. Test: two cases of forwarder.test.ts, both failed before (503 for a request that had arrived).

--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -147,14 +147,15 @@
   /** Returns the result of the send if the answer must not be relayed. */
   private checkHead(head: Head): Exclude<SendResult, { kind: 'delivered' }> | undefined {
     const { protocol } = this.context;
-    if (protocol.isNotRun(head)) {
-      const cause = protocol.isMisdirected(head) ? 'absent' : 'refused';
-      return { kind: SendFailure.notRun, reason: `refused with status ${head.status}`, cause };
-    }
+    // A refusal of another request says nothing of whether this one has run.
     const answeredId = protocol.responseRequestId(head);
     if (answeredId !== undefined && answeredId !== this.request.fields.id) {
       return { kind: SendFailure.unknown, reason: `answer to another request, ${answeredId}` };
     }
+    if (protocol.isNotRun(head)) {
+      const cause = protocol.isMisdirected(head) ? 'absent' : 'refused';
+      return { kind: SendFailure.notRun, reason: `refused with status ${head.status}`, cause };
+    }
     if (head.status < 300 && !protocol.isSealed(head)) {
       return { kind: SendFailure.unknown, reason: 'success without the seal of an endpoint' };
     }
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -48,6 +48,18 @@
     expect(Number(/deadline: (\d+)/u.exec(sent)?.[1])).toBeLessThanOrEqual(1_500);
   });
 
+  // Guards against a refusal of an earlier request, written once more, that makes a client repeat what has run.
+  test.each([
+    ['a refusal', 503, 'Not-Run: 1\r\n'],
+    ['a misdirected request', 421, ''],
+  ])('%s of another request is no word on this one', async (_name, status, extra) => {
+    harness = await ForwardHarness.create((socket) =>
+      socket.end(whole(status, '', `${extra}Id: another\r\n`)),
+    );
+    expect((await harness.call('/unsafe/x')).status).toBe(502);
+    expect(harness.arrivals).toEqual([1]);
+  });
+
   // Guards against relaying another request's answer, or a success that no endpoint has sealed.
   test.each([
     ['of another request', whole(200, 'other', 'Id: another\r\n')],
