Take no refusal of another request for the word on this one in currantdriftd

Cause: nothing in a response named its request. Change: a response may name it in x-request-id, as the request of a plain call does; one that names another is unknown. Streams name request and attempt in each part already. The stand-ins of services name it. An endpoint that names nothing is believed as before, and one answer that comes while nothing waits breaks its connection (undici). Test: http-endpoint.test.ts, refused in place of unknown before.

--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -23,6 +23,9 @@
 /** Response header with the requests per second that the endpoint takes from all daemons together. */
 const requestLimitHeader = 'request-limit';
 
+/** Request and response header with the id of the request. */
+const requestIdHeader = 'x-request-id';
+
 const jsonHeaders = { 'content-type': 'application/json' };
 
 /** Statuses that an HTTP gateway may return whether or not the service ran the call. */
@@ -80,6 +83,11 @@
     });
     if (opened.isErr()) return err(opened.error);
     this.observe(opened.value, sentAt);
+    const own = this.checkRequest(step, opened.value, generation.requestId);
+    if (own.isErr()) {
+      opened.value.exchange.stop(new Error(own.error.message));
+      return err(own.error);
+    }
     const { status, headers, exchange } = opened.value;
     if (status === 200 && String(headers['content-type']).startsWith('text/event-stream')) {
       return ok(readTokenStream(generation, exchange, this.client));
@@ -103,7 +111,7 @@
   ): Promise<Result<ServiceCallResponse, Failure>> {
     const step = 'endpoint.call';
     const path = `/calls/${encodeURIComponent(call.service)}/${encodeURIComponent(call.call)}`;
-    const headers: Record<string, string> = { 'x-request-id': call.requestId };
+    const headers: Record<string, string> = { [requestIdHeader]: call.requestId };
     if (call.contentType !== '') headers['content-type'] = call.contentType;
     if (call.idempotencyKey !== undefined) headers['idempotency-key'] = call.idempotencyKey;
     if (call.traceparent) headers.traceparent = call.traceparent;
@@ -118,7 +126,9 @@
       },
       this.settings.callTimeoutMs,
     );
-    return answer.andThen((received) => this.toServiceCallResponse(step, received));
+    return answer
+      .andThen((received) => this.checkRequest(step, received, call.requestId).map(() => received))
+      .andThen((received) => this.toServiceCallResponse(step, received));
   }
 
   async order(order: Order, signal: AbortSignal): Promise<Result<void, Failure>> {
@@ -195,6 +205,16 @@
     this.onLimit(this.host, parseStatedLimit(headers[requestLimitHeader]), sentAt);
   }
 
+  /** Fails if the response says that it belongs to another request: it is no word on this one. */
+  private checkRequest(step: string, { headers }: Head, requestId: string): Result<void, Failure> {
+    const answered = headers[requestIdHeader];
+    return answered === undefined || answered === requestId
+      ? ok(undefined)
+      : err(
+          this.client.failure(step, FailureKind.unknown, `answer to another request, ${answered}`),
+        );
+  }
+
   private toServiceCallResponse(
     step: string,
     answer: WholeAnswer,
--- a/packages/connection/endpoint/test/http-endpoint.test.ts
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -279,3 +279,33 @@
   await sleep(5);
   expect((await first.report(neverAborted))._unsafeUnwrapErr().kind).toBe('unreachable');
 });
+
+// Guards against a refusal of an earlier request, written once more on a kept connection, that makes a
+// caller repeat what has run.
+test('a refusal that names another request leaves the outcome unknown', async () => {
+  const refusal = { error: { message: 'full', outcome: 'not_run' } };
+  const address = await serve((_request, response) => {
+    response.writeHead(503, { 'content-type': 'application/json', 'x-request-id': 'r0' });
+    response.end(JSON.stringify(refusal));
+  });
+  const call: ServiceCallRequest = {
+    requestId: 'r1',
+    service: 'ledger',
+    call: 'book',
+    method: 'POST',
+    query: '',
+    contentType: 'application/json',
+    body: Buffer.from('{}'),
+  };
+  const endpoint = connect(address);
+  const outcomes = [
+    await endpoint.call(call, neverAborted),
+    await endpoint.generate(generation, neverAborted).then((result) => result.map(() => undefined)),
+    await endpoint.call({ ...call, requestId: 'r0' }, neverAborted),
+  ];
+  expect(outcomes.map((outcome) => outcome.isErr() && outcome.error.kind)).toEqual([
+    'unknown',
+    'unknown',
+    'refused',
+  ]);
+});
--- a/packages/tooling/standins/src/service-standin.ts
+++ b/packages/tooling/standins/src/service-standin.ts
@@ -12,6 +12,7 @@
   type StandinApp,
   type StandinContext,
   StandinServer,
+  nameRequest,
   stateRequestLimit,
 } from './standin-server';
 
@@ -126,6 +127,7 @@
 
   private app(): StandinApp {
     const app: StandinApp = new Hono();
+    nameRequest(app);
     stateRequestLimit(app, () => this.faults.requestLimitPerS);
     app.all('/calls/:service/:call', (context) => this.call(context));
     app.get('/control/report', (context) => context.json(this.report()));
--- a/packages/tooling/standins/src/standin-server.ts
+++ b/packages/tooling/standins/src/standin-server.ts
@@ -73,3 +73,12 @@
     await next();
   });
 };
+
+/** Lets all responses name the request that they answer, if it names itself. */
+export const nameRequest = (app: StandinApp): void => {
+  app.use(async (context, next) => {
+    const id = context.req.header('x-request-id');
+    if (id !== undefined) context.env.outgoing.setHeader('x-request-id', id);
+    await next();
+  });
+};
