--- a/packages/connection/endpoint/test/http-endpoint.test.ts
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -288,7 +288,7 @@
     response.writeHead(503, { 'content-type': 'application/json', 'x-request-id': 'r0' });
     response.end(JSON.stringify(refusal));
   });
-  const call: ServiceCallRequest = {
+  const booking: ServiceCallRequest = {
     requestId: 'r1',
     service: 'ledger',
     call: 'book',
@@ -299,9 +299,9 @@
   };
   const endpoint = connect(address);
   const outcomes = [
-    await endpoint.call(call, neverAborted),
+    await endpoint.call(booking, neverAborted),
     await endpoint.generate(generation, neverAborted).then((result) => result.map(() => undefined)),
-    await endpoint.call({ ...call, requestId: 'r0' }, neverAborted),
+    await endpoint.call({ ...booking, requestId: 'r0' }, neverAborted),
   ];
   expect(outcomes.map((outcome) => outcome.isErr() && outcome.error.kind)).toEqual([
     'unknown',
