Write a stream to the store as soon as it has begun

Change: a write follows the stream at once unless the last one was less than 0.25 s ago, which makes no more writes at the usual rates. Test: a stream that begins 100 ms before the kill is known after it (stream-versions.test.ts).

--- a/packages/process/gateway/src/version/stored-streams.ts
+++ b/packages/process/gateway/src/version/stored-streams.ts
@@ -14,10 +14,13 @@
 /** Prefix of the streams in the store. No process follows it: it is read only to look a stream up. */
 export const streamsPrefix = 'currantdrift-streams/';
 
-/** Interval between writes of a process, in ms, and the part of it for each member. */
-const minWriteIntervalMs = 500;
+/** Least interval between writes of a process, in ms, and the part of it for each member. */
+const minWriteIntervalMs = 250;
 const writeIntervalPerMemberMs = 10;
 
+/** Interval between looks for streams that have ended, in ms. */
+const forgetIntervalMs = 1_000;
+
 /** Streams that one process keeps in the store; the oldest ones are dropped first. */
 const maxStored = 20_000;
 
@@ -86,6 +89,9 @@
 
   private hasChanged = false;
 
+  /** Aborted when streams are added. */
+  private added = new AbortController();
+
   /** Revision of the entry; 0 if there is none. */
   private revision = 0;
 
@@ -109,19 +115,30 @@
     const added = streams.map((stream) => ({ ...stream, at: now }));
     this.own = [...this.own, ...added].slice(-maxStored);
     this.hasChanged = true;
+    this.added.abort();
   }
 
   /** Writes the streams until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, members } = this.options;
     while (!signal.aborted) {
+      await this.awaitChange(signal);
+      this.forget(clock.now());
+      if (!this.hasChanged) continue;
+      // A stream is written at once if the last write was a while ago, since streams are short.
+      await this.write();
       const intervalMs = Math.max(minWriteIntervalMs, writeIntervalPerMemberMs * members());
       await clock.sleep(intervalMs, signal);
-      this.forget(clock.now());
-      if (this.hasChanged) await this.write();
     }
   }
 
+  private async awaitChange(signal: AbortSignal): Promise<void> {
+    if (this.hasChanged) return;
+    this.added = new AbortController();
+    const woken = AbortSignal.any([signal, this.added.signal]);
+    await this.options.clock.sleep(forgetIntervalMs, woken);
+  }
+
   /** The stream of an attempt that some process has kept in the store. */
   async find(request: string): Promise<BegunStream | undefined> {
     const { clock } = this.options;
--- a/packages/process/gateway/test/stream-versions.test.ts
+++ b/packages/process/gateway/test/stream-versions.test.ts
@@ -213,8 +213,9 @@
   await fleet.begin(0, 'r1', 'v1');
   await fleet.join('v2');
   await fleet.begin(1, 'r2', 'v2');
-  await fleet.begin(1, 'r3', 'v1');
   await fleet.clock.advance(1_000);
+  // Begins shortly before the kill; `begin` lets 100 ms pass.
+  await fleet.begin(1, 'r3', 'v1');
   for (let index = 0; index < 4; index += 1) fleet.kill(index);
   for (let index = 0; index < 4; index += 1) fleet.start(index, ['v1', 'v2']);
   const seen = [];
