Go on with an answer only at the software version that began it in currantdriftd

The same cause: nothing stated an engine's software version, and an answer that broke went on at any replica, in its own domain or through another one. Change: reports and the facts of a domain carry the version, the runner of attempts binds an answer by the attempt that wrote its first tokens, the choice of a replica keeps to it and refuses at once when no replica of it is left, and forwarded requests and their tokens name it between domains. Callers of currantdriftd take up nothing, so there is nothing to remember. Engines that state no version bind nothing, as before; older daemons ignore the fields. Not tested with processes or scenarios: the stand-ins have one software version.

--- a/packages/connection/endpoint/src/schemas.ts
+++ b/packages/connection/endpoint/src/schemas.ts
@@ -1,6 +1,9 @@
 import { CacheTier, HostState } from '@currantdrift/core';
 import { z } from 'zod';
 
+/** Longest name of a software version, in characters. */
+const maxVersionLength = 200;
+
 const nonNegativeInteger = z.number().int().nonnegative();
 
 /** Event of a token stream that carries tokens. */
@@ -39,6 +42,7 @@
   waiting: nonNegativeInteger,
   slots: nonNegativeInteger,
   requestLimitPerS: z.number().nonnegative().optional(),
+  softwareVersion: z.string().max(maxVersionLength).optional(),
 });
 
 export const cacheEventsSchema = z.object({
--- a/packages/process/core/src/endpoint.ts
+++ b/packages/process/core/src/endpoint.ts
@@ -116,6 +116,8 @@
   readonly slots: number;
   /** Requests per second that it takes from all daemons together; absent if it has no limit. */
   readonly requestLimitPerS?: number;
+  /** Version of its software, not of an item; absent if it does not state it. */
+  readonly softwareVersion?: string;
 }
 
 /** A change in the prefix cache of an engine. Events arrive late, and some are lost. */
--- a/packages/process/core/src/view.ts
+++ b/packages/process/core/src/view.ts
@@ -17,6 +17,8 @@
   readonly level: number;
   /** Requests per second that it takes from all daemons together; absent if it has no limit. */
   readonly requestLimitPerS?: number;
+  /** Version of its software, not of an item; absent if it does not state it. */
+  readonly softwareVersion?: string;
 }
 
 /** A daemon's view of the endpoints in its own domain. */
--- a/packages/process/membership/src/endpoint-directory.ts
+++ b/packages/process/membership/src/endpoint-directory.ts
@@ -194,6 +194,7 @@
       slots: base.slots,
       level: this.levelOf(id, base.watcher),
       ...(base.requestLimitPerS !== undefined && { requestLimitPerS: base.requestLimitPerS }),
+      ...(base.softwareVersion !== undefined && { softwareVersion: base.softwareVersion }),
     };
   }
 
--- a/packages/process/membership/src/endpoint-facts.ts
+++ b/packages/process/membership/src/endpoint-facts.ts
@@ -19,6 +19,8 @@
   readonly reachable: boolean;
   /** Requests per second that it takes from all daemons together; undefined for no limit. */
   readonly requestLimitPerS: number | undefined;
+  /** Version of its software; undefined if it does not state it. */
+  readonly softwareVersion: string | undefined;
   /** Hash of the watcher's name. */
   readonly watcher: number;
 }
@@ -45,6 +47,11 @@
 const stateOf = (leaving: unknown): HostState =>
   leaving === true ? HostState.leaving : HostState.live;
 
+const optionalValues = ({ requestLimitPerS, softwareVersion }: EndpointReport): unknown[] => {
+  if (softwareVersion !== undefined) return [requestLimitPerS ?? null, softwareVersion];
+  return requestLimitPerS === undefined ? [] : [requestLimitPerS];
+};
+
 export const baseFact = (
   host: Host,
   report: EndpointReport,
@@ -66,8 +73,8 @@
     report.memoryBytes,
     report.slots,
     reachable,
-    // Daemons that do not know of limits ignore further values.
-    ...(report.requestLimitPerS === undefined ? [] : [report.requestLimitPerS]),
+    // Daemons that do not know of limits or software versions ignore further values.
+    ...optionalValues(report),
   ],
 });
 
@@ -102,7 +109,8 @@
 export const readBase = (fact: Fact, domain: string): EndpointBase | undefined => {
   if (!Array.isArray(fact.value) || fact.value.length < 12) return undefined;
   const [kind, address, incarnation, pool, fencing, hostLeaving, ...rest] = fact.value as unknown[];
-  const [bootId, sequence, leaving, memoryBytes, slots, reachable, requestLimitPerS] = rest;
+  const [bootId, sequence, leaving, memoryBytes, slots, reachable, ...optional] = rest;
+  const [requestLimitPerS, softwareVersion] = optional;
   return {
     host: {
       name: fact.key.slice(FactPrefix.endpoint.length),
@@ -121,6 +129,7 @@
     slots: Number(slots),
     reachable: reachable === true,
     requestLimitPerS: typeof requestLimitPerS === 'number' ? requestLimitPerS : undefined,
+    softwareVersion: typeof softwareVersion === 'string' ? softwareVersion : undefined,
     watcher: fact.rank[2] ?? 0,
   };
 };
--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -235,15 +235,16 @@
       return;
     }
     const { clock } = this.options.context;
-    const { caller: name, deadlineMs, resume, kind, ...rest } = parsed.data;
+    const { caller: name, deadlineMs, resume, softwareVersion, kind, ...rest } = parsed.data;
     const caller = this.options.holder.current?.caller(name);
     if (caller === undefined) {
       yield { kind: EntryMessage.refused, refusal: unknownItem(rest.item) };
       return;
     }
     const request: ChatRequest = { ...rest, caller, deadline: clock.now() + deadlineMs };
+    const origin = { forwarded: true, resume, softwareVersion };
     let offset = resume.length;
-    for await (const part of this.runChat(request, { forwarded: true, resume }, signal)) {
+    for await (const part of this.runChat(request, origin, signal)) {
       yield this.toForwardedPart(part, offset);
       if (part.isOk() && part.value.kind === 'tokens') offset += part.value.tokens.length;
     }
@@ -254,9 +255,10 @@
     offset: number,
   ): ForwardedPart {
     if (part.isErr()) return { kind: EntryMessage.refused, refusal: part.error };
-    return part.value.kind === 'tokens'
-      ? { kind: EntryMessage.tokens, offset, tokens: part.value.tokens }
-      : { kind: EntryMessage.end, offset, finishReason: part.value.finishReason };
+    const { value } = part;
+    return value.kind === 'tokens'
+      ? { ...value, kind: EntryMessage.tokens, offset }
+      : { kind: EntryMessage.end, offset, finishReason: value.finishReason };
   }
 
   private async handleForwardedCall(message: Message): Promise<Message> {
--- a/packages/process/node/src/request/chat-run.ts
+++ b/packages/process/node/src/request/chat-run.ts
@@ -50,6 +50,8 @@
   readonly forwarded: boolean;
   /** Tokens that the caller has already received. */
   readonly resume: readonly string[];
+  /** Software version of the engine that wrote them; undefined if it is not known. */
+  readonly softwareVersion?: string;
 }
 
 /** The model or adapter of a request. */
@@ -100,6 +102,7 @@
       priority: request.priority,
       deadline: request.deadline,
       resume: origin.resume,
+      softwareVersion: origin.softwareVersion,
       traceparent: span.traceparent,
       ...(request.temperature === undefined ? {} : { temperature: request.temperature }),
       ...(request.seed === undefined ? {} : { seed: request.seed }),
@@ -137,7 +140,8 @@
     }
     delivered += tokens.length;
     telemetry.count('currantdrift_tokens_total', undefined, tokens.length);
-    yield ok({ kind: 'tokens', tokens });
+    const softwareVersion = run.softwareVersion();
+    yield ok({ kind: 'tokens', tokens, ...(softwareVersion !== undefined && { softwareVersion }) });
   }
   const outcome: Outcome<GeneratedAnswer> = await run.outcome;
   const refusal = refusalOf(outcome);
--- a/packages/process/node/src/request/domain-endpoint.ts
+++ b/packages/process/node/src/request/domain-endpoint.ts
@@ -22,6 +22,8 @@
   readonly peers: Peers;
   readonly clock: Clock;
   readonly request: ChatRequest;
+  /** Software version of the engines that may go on with the answer; undefined for a new one. */
+  readonly softwareVersion: string | undefined;
 }
 
 /** Endpoint id under which another domain is listed among the tried endpoints. */
@@ -41,6 +43,9 @@
 
   readonly fencing = false;
 
+  /** Software version of the engine that answers, once the other domain has stated it. */
+  softwareVersion: string | undefined;
+
   private constructor(private readonly options: DomainEndpointOptions) {
     this.id = domainEndpointId(options.domain);
     this.domain = options.domain;
@@ -88,7 +93,7 @@
   }
 
   private toForwardedChat(generation: GenerationRequest): ForwardedChat {
-    const { request, clock } = this.options;
+    const { request, clock, softwareVersion } = this.options;
     const { temperature, seed } = request;
     return {
       kind: EntryMessage.chat,
@@ -100,6 +105,7 @@
       priority: request.priority,
       deadlineMs: Math.max(1, request.deadline - clock.now()),
       resume: [...generation.resume],
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
       ...(temperature === undefined ? {} : { temperature }),
       ...(seed === undefined ? {} : { seed }),
       ...(generation.traceparent === undefined ? {} : { traceparent: generation.traceparent }),
@@ -118,6 +124,7 @@
       const message = part.value as ForwardedPart;
       switch (message.kind) {
         case EntryMessage.tokens:
+          this.softwareVersion ??= message.softwareVersion;
           yield ok({
             kind: 'tokens',
             requestId,
--- a/packages/process/node/src/request/messages.ts
+++ b/packages/process/node/src/request/messages.ts
@@ -38,6 +38,8 @@
   seed: z.int().optional(),
   /** Tokens that the caller has already received. */
   resume: z.array(z.string()),
+  /** Software version of the engine that wrote them; absent if it is not known. */
+  softwareVersion: z.string().optional(),
 });
 
 export type ForwardedChat = z.infer<typeof forwardedChatSchema>;
@@ -49,6 +51,8 @@
         readonly kind: typeof EntryMessage.tokens;
         readonly offset: number;
         readonly tokens: readonly string[];
+        /** Software version of the engine that wrote the first tokens; absent if it is not known. */
+        readonly softwareVersion?: string;
       }
     | {
         readonly kind: typeof EntryMessage.end;
--- a/packages/process/node/src/request/replica-chooser.ts
+++ b/packages/process/node/src/request/replica-chooser.ts
@@ -34,6 +34,8 @@
 export interface RoutedAdmissionRequest extends AdmissionRequest {
   readonly tried: readonly string[];
   readonly prefixes: readonly string[];
+  /** Software version of the engines that may go on with a stream; undefined for a new one. */
+  readonly softwareVersion?: string;
 }
 
 /** Components of the daemon that are used to choose an endpoint. */
@@ -58,6 +60,15 @@
   return left.length > 0 ? left : candidates;
 };
 
+/** Endpoints of a software version; all of them if it is undefined. */
+const ofVersion = (
+  states: readonly EndpointState[],
+  softwareVersion: string | undefined,
+): readonly EndpointState[] =>
+  softwareVersion === undefined
+    ? states
+    : states.filter((state) => state.softwareVersion === softwareVersion);
+
 /**
  * Acquires a lease on an endpoint for the request at the head of the queue `key`: an item's key or
  * `pool:name`.
@@ -65,9 +76,12 @@
 export const acquireLease =
   (view: DomainView, balancer: Balancer, limitOf: (host: Host) => number | undefined) =>
   (key: string, request: AdmissionRequest, now: number): Lease | undefined => {
-    const { tried, prefixes } = request as RoutedAdmissionRequest;
+    const { tried, prefixes, softwareVersion } = request as RoutedAdmissionRequest;
     const pool = key.startsWith('pool:') ? key.slice('pool:'.length) : undefined;
-    const all = pool === undefined ? view.replicas(key) : view.pool(pool);
+    const all = ofVersion(
+      pool === undefined ? view.replicas(key) : view.pool(pool),
+      softwareVersion,
+    );
     // Endpoints that limit their requests are used only if no other can serve the request.
     const unlimited = all.filter(({ host }) => limitOf(host) === undefined);
     const candidates = untried(unlimited.length > 0 ? unlimited : all, tried);
@@ -109,6 +123,7 @@
   endpoints: EndpointCache,
 ): Target => ({
   endpoint: endpoints.get(state.host),
+  softwareVersion: () => state.softwareVersion,
   lease: {
     observe: (latencyMs, now) => grant.value.observe(latencyMs, now),
     release: (result, now) => {
@@ -144,13 +159,13 @@
 
 /** Watches the send to the target, unless the request has been held back meanwhile. */
 export const guardTarget = (
-  { endpoint, lease }: Target,
+  target: Target,
   guard: RequestGuard,
   now: number,
 ): Result<Target, Reason> => {
   const heldBack = guard.check(now);
-  if (heldBack === undefined) return ok({ endpoint: guard.watch(endpoint), lease });
-  lease.release('neutral', now);
+  if (heldBack === undefined) return ok({ ...target, endpoint: guard.watch(target.endpoint) });
+  target.lease.release('neutral', now);
   return err(heldBack);
 };
 
@@ -230,7 +245,7 @@
   ): Promise<Result<Target, Reason>> | Result<Target, Reason> {
     return domain === this.context.own.name
       ? this.chooseLocal(tried, signal, choice)
-      : this.chooseRemote(domain);
+      : this.chooseRemote(domain, choice.softwareVersion);
   }
 
   private async chooseLocal(
@@ -241,6 +256,12 @@
     if (choice.last === 'refused' && this.allReplicasTried(tried)) {
       await this.context.clock.sleep(refusedRetryDelayMs, signal);
     }
+    const { softwareVersion } = choice;
+    const replicas = this.context.view.replicas(this.itemKey);
+    if (softwareVersion !== undefined && ofVersion(replicas, softwareVersion).length === 0) {
+      const message = `no engine of software version ${softwareVersion} can go on with the answer`;
+      return err(reason(RefusalCode.noEndpoint, message));
+    }
     const woken = await this.wakeIfCold(signal);
     if (woken.isErr()) return err(woken.error);
     const { caller, priority, deadline } = this.request;
@@ -255,6 +276,7 @@
         deadline,
         tried,
         prefixes: this.prefixes,
+        softwareVersion,
         isRetry: tried.length > 0,
       },
       signal,
@@ -282,7 +304,10 @@
       .mapErr(({ kind, message, retryAfterMs }) => reason(wakeCodes[kind], message, retryAfterMs));
   }
 
-  private chooseRemote(domain: string): Result<Target, Reason> {
+  private chooseRemote(
+    domain: string,
+    softwareVersion: string | undefined,
+  ): Result<Target, Reason> {
     const { domains, peers, clock } = this.context;
     const addresses = domains.entryAddresses(domain);
     if (addresses.length === 0) {
@@ -294,7 +319,12 @@
       peers,
       clock,
       request: this.request,
+      softwareVersion,
+    });
+    return ok({
+      endpoint,
+      softwareVersion: () => endpoint.softwareVersion,
+      lease: { observe: () => {}, release: () => {} },
     });
-    return ok({ endpoint, lease: { observe: () => {}, release: () => {} } });
   }
 }
--- a/packages/process/node/src/request/request.ts
+++ b/packages/process/node/src/request/request.ts
@@ -21,7 +21,12 @@
 
 /** Part of a streamed answer. */
 export type ChatPart =
-  | { readonly kind: 'tokens'; readonly tokens: readonly string[] }
+  | {
+      readonly kind: 'tokens';
+      readonly tokens: readonly string[];
+      /** Software version of the engine that wrote the first tokens; absent if it is not known. */
+      readonly softwareVersion?: string;
+    }
   | {
       readonly kind: 'end';
       readonly finishReason: 'stop' | 'length';
--- a/packages/request/attempt/src/chooser.ts
+++ b/packages/request/attempt/src/chooser.ts
@@ -16,6 +16,8 @@
 export interface Target {
   readonly endpoint: Endpoint;
   readonly lease: Lease;
+  /** Software version of the engine that answers, once it is known; undefined if it is not stated. */
+  readonly softwareVersion?: () => string | undefined;
 }
 
 /** Why an attempt is started. */
@@ -29,6 +31,11 @@
    * endpoint may work over a new connection; after `refused` it would refuse again.
    */
   readonly last: 'refused' | 'broken' | 'stalled' | undefined;
+  /**
+   * Software version of the engine that wrote the first tokens. What two versions write does not fit
+   * together, so only engines of this one may go on; undefined before the first token.
+   */
+  readonly softwareVersion?: string;
 }
 
 /**
--- a/packages/request/attempt/src/generate.ts
+++ b/packages/request/attempt/src/generate.ts
@@ -27,6 +27,8 @@
   readonly repeatable?: boolean;
   /** Tokens that were delivered before this run; generation continues after them. */
   readonly resume?: readonly string[];
+  /** Software version of the engine that wrote them; undefined if it is not known. */
+  readonly softwareVersion?: string;
 }
 
 /** Dependencies and settings of `generate` and `callService`. */
@@ -66,6 +68,8 @@
    * delivered until then are a prefix of an answer.
    */
   readonly outcome: Promise<Outcome<GeneratedAnswer>>;
+  /** Software version of the engine that wrote the first tokens; undefined if it is not known. */
+  softwareVersion(): string | undefined;
   /** Cancels the request because its answer is no longer needed. */
   cancel(): void;
 }
@@ -97,6 +101,9 @@
 
   private readonly live = new Set<StreamAttempt>();
 
+  /** Software version of the engine that wrote the first tokens. */
+  softwareVersion: string | undefined;
+
   /** The attempt whose tokens are delivered. */
   private winner: StreamAttempt | undefined;
 
@@ -107,6 +114,7 @@
     this.settings = { ...defaultAttemptSettings, ...options.settings };
     this.history = AttemptHistory.create(request.requestId);
     this.tokens = [...(request.resume ?? [])];
+    this.softwareVersion = request.softwareVersion;
     this.stop = StopController.start('generate', options.clock, request.deadline, options.signal);
     this.buffer = TokenBuffer.create(this.settings.maxBufferedTokens, () =>
       this.stop.trigger('caller', 'the caller has stopped reading'),
@@ -130,6 +138,7 @@
       this.cancelLive(attempt);
     }
     if (this.winner !== attempt) return false;
+    this.softwareVersion ??= attempt.target.softwareVersion?.();
     this.tokens.push(...tokens);
     this.buffer.push(tokens);
     return true;
@@ -147,7 +156,9 @@
     const { budget, choose, clock } = this.options;
     let context: AttemptContext = { cause: 'first', last: undefined };
     for (;;) {
-      const chosen = await this.stop.choose(choose, this.history.tried, context, clock);
+      const { softwareVersion } = this;
+      const bound = { ...context, softwareVersion };
+      const chosen = await this.stop.choose(choose, this.history.tried, bound, clock);
       if (chosen.isErr()) return this.conclude(chosen.error);
       if (this.stop.reason !== undefined) {
         chosen.value.lease.release('neutral', clock.now());
@@ -185,7 +196,7 @@
   private start(target: Target, cause: AttemptCause): RunningAttempt {
     const { clock } = this.options;
     const sent = this.history.dispatch(target.endpoint.id);
-    const { deadline, repeatable, ...generation } = this.request;
+    const { deadline, repeatable, softwareVersion, ...generation } = this.request;
     const attempt = StreamAttempt.start(
       target,
       { ...generation, attempt: sent.attempt, resume: this.tokens.slice() },
@@ -312,6 +323,7 @@
   return {
     deltas: runner.buffer,
     outcome,
+    softwareVersion: () => runner.softwareVersion,
     cancel: () => runner.stop.trigger('caller', 'cancelled by the caller'),
   };
 };
--- a/packages/request/attempt/test/generate.test.ts
+++ b/packages/request/attempt/test/generate.test.ts
@@ -25,6 +25,30 @@
   expect(groups.flat()).toEqual(expectedTokens.slice(4));
 });
 
+// Guards against an answer that is joined from the tokens of two software versions.
+test('an answer goes on only at the software version that wrote its first tokens', async () => {
+  const cut = { kind: 'cut' } as const;
+  const { clock, bound, finish } = runScripts([
+    { ...stream(cut), softwareVersion: 'v1' },
+    { ...stream(tokens(3), cut), softwareVersion: 'v2' },
+    { ...stream(cut), softwareVersion: 'v2' },
+    { ...completeStream, softwareVersion: 'v2' },
+  ]);
+  await clock.settle(finish());
+  // The first attempt wrote nothing, so it binds nothing.
+  expect(bound).toEqual([undefined, undefined, 'v2', 'v2']);
+});
+
+test('tokens that another domain has delivered bind the answer to their version', async () => {
+  const { clock, bound, finish } = runScripts(
+    [{ ...completeStream, softwareVersion: 'v1' }],
+    {},
+    { resume: expectedTokens.slice(0, 4), softwareVersion: 'v1' },
+  );
+  await clock.settle(finish());
+  expect(bound).toEqual(['v1']);
+});
+
 // Guards against hedges that delay the answer, leave the losing attempt running or mix two answers.
 test('a late first token starts a hedge, and the losing attempt is cancelled', async () => {
   const { clock, seen, finish } = runScripts(
--- a/packages/request/attempt/test/scripted.ts
+++ b/packages/request/attempt/test/scripted.ts
@@ -27,6 +27,8 @@
 export interface Script {
   readonly open: 'ok' | FailureKind;
   readonly steps: readonly Step[];
+  /** Software version of the endpoint; undefined if it is not stated. */
+  readonly softwareVersion?: string;
 }
 
 export const expectedTokens = Array.from({ length: 12 }, (_, index) => `t${index}`);
@@ -111,18 +113,25 @@
     deadline: 60_000,
     ...overrides,
   };
+  /** Software version that each choice was bound to. */
+  const bound: (string | undefined)[] = [];
   const run = generate(request, {
     clock,
     budget,
     settings: { progressTimeoutMs: 50, firstTokenTimeoutMs: 100, maxAttempts: 100, ...settings },
     observer: (event) => seen.events.push(event),
     onDropped: (reason) => seen.dropped.push(reason),
-    choose: () => {
+    choose: (_tried, _signal, { softwareVersion }) => {
       const index = seen.opened;
+      bound.push(softwareVersion);
       if (index >= scripts.length) return err({ step: 'choose', peer: 'self', message: 'none' });
       seen.opened += 1;
       const release = (result: string) => seen.released.push(result);
-      return ok({ endpoint: endpoint(index), lease: { observe() {}, release } });
+      return ok({
+        endpoint: endpoint(index),
+        lease: { observe() {}, release },
+        softwareVersion: () => scripts[index].softwareVersion,
+      });
     },
   });
   const groups: (readonly string[])[] = [];
@@ -130,5 +139,5 @@
     for await (const tokens of run.deltas) groups.push(tokens);
     return run.outcome;
   };
-  return { clock, run, seen, groups, finish };
+  return { clock, run, seen, groups, bound, finish };
 };
