Take the planned end of an engine whose record is gone for no crash

A send that breaks when an engine exits after its drain was examined when the engine's entry had already been removed, and counted as evidence against the request. Cause: the probe asked the record only, and what the engine had announced outlives it. Change: the announcement is asked first. Engines that never announce their end still count as ended. Test: engine-probe.test.ts, ended in place of unknown before.

--- a/packages/process/gateway/src/connection/engine-probe.ts
+++ b/packages/process/gateway/src/connection/engine-probe.ts
@@ -20,6 +20,8 @@
 
   /** An engine that has announced its end counts as unknown, since it ends as planned. */
   async check({ endpoint, bornAt }: WatchedRequest): Promise<EngineState> {
+    // The record of an engine that has left as planned may be gone already.
+    if (this.directory.isLeaving(endpoint, bornAt)) return EngineState.unknown;
     const record = this.recordOf(endpoint, bornAt);
     if (record === undefined) return EngineState.ended;
     if (record.state === HostState.leaving) return EngineState.unknown;
--- a/packages/process/gateway/test/engine-probe.test.ts
+++ b/packages/process/gateway/test/engine-probe.test.ts
@@ -44,3 +44,16 @@
   expect(await check([report], leaving)).toBe('unknown, 0 asked');
   expect(await check([report], endpointRecord({ id: 'e1', bornAt: 2 }))).toBe('ended, 0 asked');
 });
+
+// Guards against a planned end as evidence against the requests that it broke off.
+test('an engine that has left as planned and has no record any more has not crashed', async () => {
+  const clock = VirtualClock.create();
+  const directory = EndpointDirectory.create();
+  directory.put(endpointRecord({ id: 'e1', bornAt: 1 }));
+  directory.markLeaving('e1', 1);
+  directory.remove('e1');
+  const control = { report: async () => report } as unknown as EngineControl;
+  const probe = EngineProbe.create(control, directory, clock);
+  expect(await clock.settle(probe.check(request))).toBe('unknown');
+  expect(await clock.settle(probe.check({ ...request, bornAt: 2 }))).toBe('ended');
+});
--- a/packages/version/fleet/src/endpoint-directory.ts
+++ b/packages/version/fleet/src/endpoint-directory.ts
@@ -73,6 +73,11 @@
     return true;
   }
 
+  /** Whether this start of an endpoint has announced that it is leaving. */
+  isLeaving(id: string, bornAt: number): boolean {
+    return this.leaving.get(id) === bornAt;
+  }
+
   /** Records that the endpoint accepts nothing from this process until `until` or its restart. */
   pause(id: string, bornAt: number, until: number): void {
     const known = this.endpoints.get(id);
@@ -172,8 +177,9 @@
   }
 
   private withLeavingState(record: EndpointRecord): EndpointRecord {
-    const isLeaving = this.leaving.get(record.id) === record.bornAt;
-    return isLeaving ? { ...record, state: HostState.leaving } : record;
+    return this.isLeaving(record.id, record.bornAt)
+      ? { ...record, state: HostState.leaving }
+      : record;
   }
 
   private notify(): void {
