Keep each quarantine in the store under a key of its own

The key was a hash of 32 bits: two quarantines with the same one shared a key, the second was taken for stored, and a process that started later learned of one only. With whole requests as subjects there may be thousands. Change: the digest of 128 bits. Entries under old keys are read as before. Test: two parts with the same hash (stored-quarantines.test.ts), one of them missing before.

--- a/packages/process/gateway/src/version/stored-quarantines.ts
+++ b/packages/process/gateway/src/version/stored-quarantines.ts
@@ -2,8 +2,8 @@
   type Change,
   type Clock,
   describeFailure,
+  digest,
   type Entry,
-  hash32,
   type PrefixStore,
   type Random,
   type Telemetry,
@@ -40,7 +40,7 @@
 }
 
 const keyOf = ({ service, parts }: Quarantine): string =>
-  `${quarantinePrefix}${hash32([service, ...parts].join('\u0000')).toString(36)}`;
+  `${quarantinePrefix}${digest(service, ...parts)}`;
 
 const decode = (value: Uint8Array): Quarantine | undefined => {
   try {
--- a/packages/process/gateway/test/stored-quarantines.test.ts
+++ b/packages/process/gateway/test/stored-quarantines.test.ts
@@ -1,4 +1,4 @@
-import { type Entry, NoopTelemetry, SeededRandom } from '@currantdrift/core';
+import { type Entry, hash32, NoopTelemetry, SeededRandom } from '@currantdrift/core';
 import { MemoryPrefixStore, PrefixStoreHandle, VirtualClock } from '@currantdrift/fakes';
 import { CrashLedger, CrashWatch, EngineState, type Quarantine } from '@currantdrift/quarantine';
 import { daemonPrefix } from '../src/version/members';
@@ -6,6 +6,9 @@
 
 const quarantine: Quarantine = { service: 's', parts: ['d'], crashes: ['e1@1', 'e2@1'] };
 
+/** Parts that have the same 32-bit hash together with the service `s`. */
+const collidingParts = ['part-e10622ae56a7', 'part-add6ae1c6a76'] as const;
+
 /** One process with its store; `read` lets it read the store as its follower does. */
 const start = (clock: VirtualClock, store: MemoryPrefixStore) => {
   const random = SeededRandom.create(1);
@@ -116,3 +119,21 @@
   first.read();
   expect(first.holdsBack()).toBe(false);
 });
+
+// Guards against two quarantines under one key, of which a process that starts later learns only one: the
+// names of these parts have the same 32-bit hash.
+test('quarantines whose names have the same short hash are both kept', async () => {
+  const { clock, store, first } = setUp();
+  const hashes = collidingParts.map((part) => hash32(`s\u0000${part}`));
+  expect(hashes[0]).toBe(hashes[1]);
+  collidingParts.forEach((part) => {
+    const found = { ...quarantine, parts: [part] };
+    first.ledger.adopt(found, clock.now());
+    first.stored.begin(found, true);
+  });
+  await clock.advance(1_000);
+  const later = start(clock, store);
+  later.read();
+  const held = later.ledger.active(clock.now()).flatMap(({ parts }) => parts);
+  expect(new Set(held)).toEqual(new Set(collidingParts));
+});
