Spread the retries of a refused burst evenly in place of by a hash

Cause: the offset of a retry was a hash of the request's id, that is, an independent draw for each client. Such draws cluster. With the ids of the test, the fullest tenth holds 9 to 15 clients, depending on the time left of the pause when the burst arrives: 10 or 11 at 1,950 ms and more, 14 at 1,940 ms, 15 at 1,670 ms. So the test passed only where the burst arrived within some 50 ms. With random ids 6 of 100 bursts of 60 break the promise at 1,970 ms (2,000 drawn).

Ruled out: a wrong test (it states what callers are promised; it stays as it is), the length of the pause (the lowest retry time was never below it).

Change: RetrySpread gives consecutive refusals the offsets of an additive recurrence with the golden ratio, which are even at any count; each process begins at a random offset. It holds both refusals that shared the hash: during a pause and for a limit.

Before: 27 of the 60 times left from 1,400 to 1,990 ms had more than 12 in a tenth (calculated).

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -14,6 +14,7 @@
   EndpointSignals,
   Forwarder,
   ModelUsage,
+  RetrySpread,
 } from '@currantdrift/forward';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
@@ -330,6 +331,7 @@
         this.self,
         () => this.controller,
       ),
+      retrySpread: RetrySpread.create(defaultForwardSettings, SystemRandom.create()),
       configuration: () => this.storeCache.configuration,
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
       client: (record) => this.clients.of(record),
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,4 +1,3 @@
-import { hash32 } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
 import type { PermitSource } from '@currantdrift/rate-limit';
@@ -251,21 +250,13 @@
   private refuseForLimit(retryAt: number, now: number): NoEndpoint {
     this.context.telemetry.count('currantdrift_limited_refusals_total');
     const reason = 'all endpoints limit their requests';
-    return { kind: 'refused', reason, retryAfterMs: this.spreadRetry(retryAt - now) };
+    return { kind: 'refused', reason, retryAfterMs: this.context.retrySpread.next(retryAt - now) };
   }
 
   /** Refuses the request at once if all replicas ask for a pause. */
   private refuseDuringPause(endsAt: number, now: number): NoEndpoint {
     const reason = 'all endpoints ask for a pause';
-    return { kind: 'refused', reason, retryAfterMs: this.spreadRetry(endsAt - now) };
-  }
-
-  /** Spreads the retries of the clients that are refused until the same moment over the time after it. */
-  private spreadRetry(leftMs: number): number {
-    const { minRetrySpreadMs, retrySpreadShare } = this.context.settings;
-    const spreadMs = Math.max(minRetrySpreadMs, leftMs * retrySpreadShare);
-    const jitter = hash32(this.request.fields.id) / 2 ** 32;
-    return Math.max(0, leftMs) + jitter * spreadMs;
+    return { kind: 'refused', reason, retryAfterMs: this.context.retrySpread.next(endsAt - now) };
   }
 
   /**
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -10,6 +10,7 @@
 import type { EndpointSignals } from './endpoint-signals';
 import type { ForwardSettings } from './forward-settings';
 import type { ModelUsage } from './model-usage';
+import type { RetrySpread } from './retry-spread';
 import type { StreamVersions } from './stream-versions';
 import type { ModelWaker } from './waker';
 
@@ -26,6 +27,8 @@
   /** Permits for requests to endpoints that limit their requests. */
   readonly permits: RequestPermits;
   readonly waker: ModelWaker;
+  /** When clients retry that are refused while all endpoints pause or limit their requests. */
+  readonly retrySpread: RetrySpread;
   /** Finds and holds back prompts that crash engines. */
   readonly crashes: CrashWatch;
   /** Knows at which software version streams began. */
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -1,5 +1,7 @@
+import type { RetrySpreadSettings } from './retry-spread';
+
 /** Timeouts and limits of forwarding. */
-export interface ForwardSettings {
+export interface ForwardSettings extends RetrySpreadSettings {
   /** Timeout for opening a connection to an endpoint, in ms. */
   readonly connectTimeoutMs: number;
   /** Unread bytes of an answer above which backpressure applies to the endpoint. */
@@ -26,12 +28,6 @@
   readonly defaultRetryAfterMs: number;
   /** Retry time given to a client when this process shuts down; it may try another one, in ms. */
   readonly shutdownRetryAfterMs: number;
-  /**
-   * Time over which the retries of clients are spread after a pause of all endpoints: its minimum in
-   * ms, and its share of the time left of the pause.
-   */
-  readonly minRetrySpreadMs: number;
-  readonly retrySpreadShare: number;
   /** Number of refusals by endpoints after which a request is refused. */
   readonly maxRefusals: number;
   /** Delay before a request is sent again after a refusal, in ms. */
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -16,5 +16,6 @@
   type UsageReport,
 } from './model-usage';
 export { isIdempotent, isRetryAllowed, type SendCounts, SendFailure } from './retry';
+export { RetrySpread } from './retry-spread';
 export type { BegunStream, StreamVersions } from './stream-versions';
 export type { ModelLoadRequest, ModelWaker } from './waker';
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -24,6 +24,7 @@
   type ForwardingFields,
   ModelUsage,
   type ModelWaker,
+  RetrySpread,
 } from '../src';
 
 const first = (value: string | string[] | undefined) => (Array.isArray(value) ? value[0] : value);
@@ -345,6 +346,7 @@
       balancer: PredictiveBalancer.create(SeededRandom.create(1), () => 1),
       usage: ModelUsage.create(),
       waker,
+      retrySpread: RetrySpread.create(defaultForwardSettings, random),
       stopping: this.closing.signal,
       closing: this.closing.signal,
       configuration: () => configuration,
