Process tests fail, with the log, when a daemon ends by itself

Change: closing a deployment fails if one of its daemons ended without being asked to, and shows how it ended and the last 40 lines of its log. This makes each process test stricter: a daemon that ends after the last assertion was not noticed before.

Ruled out so far: nothing; this is the observability that the trace needs.

--- a/packages/tooling/demo/src/deployment.ts
+++ b/packages/tooling/demo/src/deployment.ts
@@ -57,6 +57,9 @@
 
   private readonly standins: ManagedProcess[] = [];
 
+  /** All daemon processes that were started, replaced ones included. */
+  private readonly started: ManagedProcess[] = [];
+
   private constructor(
     readonly folder: string,
     readonly operators: readonly string[],
@@ -113,6 +116,7 @@
       }),
     };
     this.daemons.set(name, daemon);
+    this.started.push(daemon.process);
     return daemon;
   }
 
@@ -179,11 +183,13 @@
     return new Map(exits);
   }
 
-  /** Ends everything that still runs and removes the folder. */
+  /** Ends everything that still runs and removes the folder; fails if a daemon has ended by itself. */
   async close(): Promise<void> {
+    const unexpected = this.started.flatMap((process) => process.unexpectedExit() ?? []);
     await Promise.all([...this.daemons.values()].map(({ process }) => process.kill()));
     await Promise.all(this.standins.map((standin) => standin.kill()));
     rmSync(this.folder, { recursive: true, force: true });
+    if (unexpected.length > 0) throw new Error(unexpected.join('\n\n'));
   }
 
   private startStandin(kind: string, file: string): void {
