currantdriftd: a store that comes back from a copy gives its revisions and leases out again

What callers see: nothing yet by itself; a daemon takes a value of before the copy for the current one. A compare-and-swap with a revision of before may overwrite a value that another daemon has written since under the same revision; a lease of before may renew the one that another daemon holds.

Cause, as in the gateway: a revision orders writes only together with the era of the store, and the store of currantdriftd had no era.

Change: HttpStore reads `store-era` from each answer and combines revisions and lease ids with it, as the gateway's client does; the era's bookkeeping, which only that client had, moves to core. The stand-in can be copied and restored, over HTTP too; the store in memory counts its eras.

The four new tests can't run before the change (the stand-in had no copy). With the header ignored, three of them fail: the swap with the former revision succeeds, revisions fall, a lease id is granted twice; the fourth, the watch, passes only after its whole wait of 5 s.

Remains: the first swap after the return still reaches the store with the former revision, before the client can know; it is reported as unknown, but may have overwritten a value.

--- a/packages/connection/platform/src/http-store.ts
+++ b/packages/connection/platform/src/http-store.ts
@@ -1,11 +1,17 @@
 import {
+  decodeLease,
+  encodeLease,
   type Entry,
+  eraOf,
   type Failure,
   FailureKind,
   type Lease,
   maxValueBytes,
+  revisionInEra,
   type Store,
+  StoreEra,
   type SwapResult,
+  withoutEra,
 } from '@currantdrift/core';
 import type { WholeAnswer } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
@@ -40,8 +46,23 @@
   return parameters.toString();
 };
 
-/** The platform's store over HTTP. Values are sent as raw bytes, revisions in `x-revision`. */
+/** Header with the number of times that the store has come back from a copy. */
+const eraHeader = 'store-era';
+
+const restoredReason = 'the store has come back from a copy';
+
+/** An answer of the store and the era in which it was given. */
+interface StoreAnswer extends WholeAnswer {
+  readonly era: number;
+}
+
+/**
+ * The platform's store over HTTP. Values are sent as raw bytes, revisions in `x-revision`. Its revisions and
+ * leases are combined with its era, which rises when it comes back from a copy.
+ */
 export class HttpStore implements Store {
+  private readonly era = StoreEra.create();
+
   private constructor(
     private readonly client: PlatformClient,
     private readonly timeoutMs: number,
@@ -62,9 +83,13 @@
   ): Promise<Result<readonly { key: string; revision: number }[], Failure>> {
     const step = 'store.list';
     const answer = await this.call(step, 'GET', `/v1/entries?${queryString({ prefix })}`);
-    return answer
-      .andThen((received) => this.client.parse(step, listSchema, received))
-      .map(({ entries }) => entries);
+    return answer.andThen((received) =>
+      this.client
+        .parse(step, listSchema, received)
+        .map(({ entries }) =>
+          entries.map((one) => ({ ...one, revision: revisionInEra(received.era, one.revision) })),
+        ),
+    );
   }
 
   async compareAndSwap(
@@ -78,7 +103,14 @@
       const message = `value of ${value.length} bytes exceeds the limit of ${maxValueBytes} bytes`;
       return err(this.client.failure(step, FailureKind.refused, message));
     }
-    const path = `/v1/entry?${queryString({ key, revision, lease: leaseId })}`;
+    const lease = leaseId === undefined ? undefined : decodeLease(leaseId);
+    if (lease !== undefined && lease.era < this.era.current) {
+      return err(this.client.failure(step, FailureKind.refused, restoredReason));
+    }
+    // The store may have given the revision to another value.
+    if (revision !== 0 && eraOf(revision) < this.era.current) return this.conflict(key);
+    const parameters = { key, revision: withoutEra(revision), lease: lease?.id };
+    const path = `/v1/entry?${queryString(parameters)}`;
     const answer =
       value === undefined
         ? await this.call(step, 'DELETE', path)
@@ -86,13 +118,17 @@
             body: value,
             headers: { 'content-type': 'application/octet-stream' },
           });
-    return answer.andThen((received): Result<SwapResult, Failure> =>
-      received.status === conflictStatus
-        ? this.entry(step, key, received).map((current) => ({ kind: 'conflict', current }))
-        : this.client
-            .parse(step, swapSchema, received)
-            .map((swapped) => ({ kind: 'swapped', revision: swapped.revision })),
-    );
+    if (answer.isErr()) return err(answer.error);
+    const { era, status } = answer.value;
+    if (status === conflictStatus) {
+      return this.entry(step, key, answer.value).map((current) => ({ kind: 'conflict', current }));
+    }
+    const done = this.client.parse(step, swapSchema, answer.value);
+    if (done.isErr()) return err(done.error);
+    const swapped = revisionInEra(era, done.value.revision);
+    if (lease !== undefined && lease.era !== era) return this.undo(key, swapped);
+    const isOtherRevision = revision !== 0 && eraOf(revision) !== era;
+    return isOtherRevision ? err(this.restored(step)) : ok({ kind: 'swapped', revision: swapped });
   }
 
   /** Aborting `signal` ends the call with an `unknown` or `unreachable` failure. */
@@ -103,10 +139,12 @@
     signal?: AbortSignal,
   ): Promise<Result<Entry | undefined, Failure>> {
     const step = 'store.watch';
+    // In another era the store may have given the revision out again.
+    if (revision !== 0 && eraOf(revision) < this.era.current) return this.get(key);
     const answer = await this.call(
       step,
       'GET',
-      `/v1/watch?${queryString({ key, revision, waitMs })}`,
+      `/v1/watch?${queryString({ key, revision: withoutEra(revision), waitMs })}`,
       {
         timeoutMs: waitMs + this.timeoutMs,
         signal,
@@ -121,18 +159,25 @@
       body: JSON.stringify({ ttlMs }),
       headers: { 'content-type': 'application/json' },
     });
-    return answer.andThen((received) => this.client.parse(step, leaseSchema, received));
+    return answer.andThen((received) => this.lease(step, received));
   }
 
   async renewLease(leaseId: string): Promise<Result<Lease, Failure>> {
     const step = 'store.renewLease';
-    const path = `/v1/leases/${encodeURIComponent(leaseId)}/renew`;
+    const { era, id } = decodeLease(leaseId);
+    const ended = () => err(this.client.failure(step, FailureKind.refused, restoredReason));
+    // In another era the store may have granted the id to another process.
+    if (era < this.era.current) return ended();
+    const path = `/v1/leases/${encodeURIComponent(id)}/renew`;
     const answer = await this.call(step, 'POST', path);
-    return answer.andThen((received) => this.client.parse(step, leaseSchema, received));
+    if (answer.isOk() && answer.value.era !== era) return ended();
+    return answer.andThen((received) => this.lease(step, received));
   }
 
   async revokeLease(leaseId: string): Promise<Result<void, Failure>> {
-    const path = `/v1/leases/${encodeURIComponent(leaseId)}`;
+    const { era, id } = decodeLease(leaseId);
+    if (era < this.era.current) return ok(undefined);
+    const path = `/v1/leases/${encodeURIComponent(id)}`;
     const answer = await this.call('store.revokeLease', 'DELETE', path);
     return answer.map(() => undefined);
   }
@@ -142,21 +187,46 @@
     return this.client.close();
   }
 
-  private call(
+  /** Reads what a swap with a revision of an earlier era conflicts with. */
+  private async conflict(key: string): Promise<Result<SwapResult, Failure>> {
+    const current = await this.get(key);
+    return current.map((entry) => ({ kind: 'conflict', current: entry }));
+  }
+
+  /** Removes an entry that was written under a lease which belongs to another process by now. */
+  private async undo(key: string, revision: number): Promise<Result<SwapResult, Failure>> {
+    const removed = await this.compareAndSwap(key, revision, undefined);
+    return err(removed.isErr() ? removed.error : this.restored('store.compareAndSwap'));
+  }
+
+  private restored(step: string): Failure {
+    return this.client.failure(step, FailureKind.unknown, restoredReason);
+  }
+
+  private async call(
     step: string,
     method: string,
     path: string,
     options: Partial<PlatformCall> = {},
-  ): Promise<Result<WholeAnswer, Failure>> {
-    return this.client.call({ step, method, path, timeoutMs: this.timeoutMs, ...options }, [
-      conflictStatus,
-    ]);
+  ): Promise<Result<StoreAnswer, Failure>> {
+    const call = { step, method, path, timeoutMs: this.timeoutMs, ...options };
+    const answer = await this.client.call(call, [conflictStatus]);
+    return answer.map((received) => ({
+      ...received,
+      era: this.era.observe(received.headers[eraHeader]),
+    }));
+  }
+
+  private lease(step: string, answer: StoreAnswer): Result<Lease, Failure> {
+    return this.client
+      .parse(step, leaseSchema, answer)
+      .map(({ id, ttlMs }) => ({ id: encodeLease({ era: answer.era, id }), ttlMs }));
   }
 
   private entry(
     step: string,
     key: string,
-    answer: WholeAnswer,
+    answer: StoreAnswer,
   ): Result<Entry | undefined, Failure> {
     const revision = revisionHeaderSchema.safeParse(answer.headers['x-revision']);
     if (!revision.success) {
@@ -169,6 +239,7 @@
       );
     }
     if (revision.data === 0) return ok(undefined);
-    return ok({ key, value: new Uint8Array(answer.body), revision: revision.data });
+    const combined = revisionInEra(answer.era, revision.data);
+    return ok({ key, value: new Uint8Array(answer.body), revision: combined });
   }
 }
--- a/packages/connection/platform/test/http-store.test.ts
+++ b/packages/connection/platform/test/http-store.test.ts
@@ -1,7 +1,9 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { type Failure, type SwapResult, withoutEra } from '@currantdrift/core';
 import { HttpHostList, HttpStore } from '@currantdrift/platform';
 import { HostsStandin, StoreStandin } from '@currantdrift/standins';
+import type { Result } from 'neverthrow';
 
 const bytes = (text: string) => new TextEncoder().encode(text);
 
@@ -29,6 +31,11 @@
   return store;
 };
 
+const revisionOf = (swap: Result<SwapResult, Failure>): number => {
+  const result = swap._unsafeUnwrap();
+  return result.kind === 'swapped' ? result.revision : 0;
+};
+
 const connectStandin = async (): Promise<{ store: HttpStore; platform: StoreStandin }> => {
   const platform = StoreStandin.create();
   const store = connect(await platform.listen());
@@ -94,6 +101,65 @@
   expect(gone._unsafeUnwrap()).toBeUndefined();
 });
 
+describe('a store that comes back from a copy', () => {
+  // Guards against a revision of before that overwrites another value to which it was given again.
+  test('conflicts with revisions of before the copy', async () => {
+    const { store, platform } = await connectStandin();
+    await store.compareAndSwap('a', 0, bytes('copied'));
+    platform.copy();
+    const before = await store.compareAndSwap('a', 1, bytes('lost'));
+    platform.restore();
+    const other = connect(platform.address);
+    const copied = (await other.get('a'))._unsafeUnwrap();
+    await other.compareAndSwap('a', copied?.revision ?? 0, bytes('new'));
+    const stale = await store.compareAndSwap('a', revisionOf(before), bytes('stale'));
+    expect(stale._unsafeUnwrapErr().kind).toBe('unknown');
+    const again = await store.compareAndSwap('a', revisionOf(before), bytes('stale'));
+    expect(again._unsafeUnwrap()).toMatchObject({ kind: 'conflict' });
+  });
+
+  test('gives revisions that are higher than all of before', async () => {
+    const { store, platform } = await connectStandin();
+    platform.copy();
+    const before = revisionOf(await store.compareAndSwap('a', 0, bytes('1')));
+    platform.restore();
+    const after = revisionOf(await store.compareAndSwap('a', 0, bytes('1')));
+    expect(after).toBeGreaterThan(before);
+    expect([withoutEra(before), withoutEra(after)]).toEqual([1, 1]);
+  });
+
+  // Guards against a watch that waits at a revision which another value has by now.
+  test('answers a watch that waits at a revision of before', async () => {
+    const { store, platform } = await connectStandin();
+    platform.copy();
+    const before = revisionOf(await store.compareAndSwap('a', 0, bytes('1')));
+    const waiting = store.watch('a', before, 5_000);
+    await store.get('a');
+    platform.restore();
+    expect((await waiting)._unsafeUnwrap()).toBe(undefined);
+    await store.compareAndSwap('a', 0, bytes('2'));
+    const seen = (await store.watch('a', before, 5_000))._unsafeUnwrap();
+    expect(Buffer.from(seen?.value ?? []).toString()).toBe('2');
+  });
+
+  // Guards against a lease that renews the one of another process.
+  test('refuses leases of before, whose ids it grants again', async () => {
+    const { store, platform } = await connectStandin();
+    platform.copy();
+    const before = (await store.grantLease(60_000))._unsafeUnwrap();
+    platform.restore();
+    const after = (await connect(platform.address).grantLease(60_000))._unsafeUnwrap();
+    expect(after.id).not.toBe(before.id);
+    const refused = [
+      await store.renewLease(before.id),
+      await store.compareAndSwap('a', 0, bytes('1'), before.id),
+    ];
+    expect(refused.map((result) => result._unsafeUnwrapErr().kind)).toEqual(['refused', 'refused']);
+    expect((await store.revokeLease(before.id)).isOk()).toBe(true);
+    expect((await store.renewLease(after.id)).isOk()).toBe(true);
+  });
+});
+
 // Guards against reporting that a call had no effect although it may have had one, and the reverse.
 test('each transport failure maps to its failure kind', async () => {
   const { address } = await serve((request, response) => {
--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './seeded-random';
 export * from './monotonic-clock';
 export * from './store';
+export * from './store-era';
 export * from './store-revision';
 export * from './telemetry';
 export * from './view';
--- a/packages/process/core/src/store.ts
+++ b/packages/process/core/src/store.ts
@@ -5,7 +5,10 @@
 export interface Entry {
   readonly key: string;
   readonly value: Uint8Array;
-  /** Changes with each write of the key; always above 0. */
+  /**
+   * Changes with each write of the key, and when the store comes back from a copy; always above 0.
+   * Combined with the store's era, see `eraOf`.
+   */
   readonly revision: number;
 }
 
@@ -24,7 +27,8 @@
 export const maxValueBytes = 1_000_000;
 
 /**
- * The platform's key-value service. A call that fails with `unreachable` or `refused` had no
+ * The platform's key-value service. It may come back from an older copy of itself, which loses what it has
+ * acknowledged since; revisions and leases of before are valid no more. A call that fails with `unreachable` or `refused` had no
  * effect; one that fails with `unknown` or `invalid` may have taken effect.
  */
 export interface Store {
@@ -50,7 +54,7 @@
     signal?: AbortSignal,
   ): Promise<Result<Entry | undefined, Failure>>;
   grantLease(ttlMs: number): Promise<Result<Lease, Failure>>;
-  /** Fails with `refused` once the lease has ended. */
+  /** Fails with `refused` once the lease has ended, as all do when the store comes back from a copy. */
   renewLease(leaseId: string): Promise<Result<Lease, Failure>>;
   revokeLease(leaseId: string): Promise<Result<void, Failure>>;
 }
--- a/packages/tooling/standins/src/store-standin.ts
+++ b/packages/tooling/standins/src/store-standin.ts
@@ -1,6 +1,15 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type Entry, maxValueBytes, SystemClock } from '@currantdrift/core';
-import { MemoryStore, StoreHandle } from '@currantdrift/fakes';
+import {
+  decodeLease,
+  encodeLease,
+  type Entry,
+  type Lease,
+  maxValueBytes,
+  revisionInEra,
+  SystemClock,
+  withoutEra,
+} from '@currantdrift/core';
+import { MemoryStore, type MemoryStoreCopy, StoreHandle } from '@currantdrift/fakes';
 import { Hono } from 'hono';
 import { z } from 'zod';
 import { readBody } from './body';
@@ -61,6 +70,8 @@
 
   private readonly hanging = new Set<() => void>();
 
+  private copied: MemoryStoreCopy | undefined;
+
   private server: StandinServer | undefined;
 
   private expiry: NodeJS.Timeout | undefined;
@@ -81,6 +92,11 @@
     return this.server.address;
   }
 
+  /** `ip:port` on which it listens. */
+  get address(): string {
+    return this.server?.address ?? '';
+  }
+
   async close(): Promise<void> {
     clearInterval(this.expiry);
     this.setFaults({ outage: 'none' });
@@ -94,6 +110,16 @@
     this.hanging.clear();
   }
 
+  /** Copies the contents, so that the store can come back from the copy. */
+  copy(): void {
+    this.copied = this.state.copy();
+  }
+
+  /** Comes back from the last copy: what was written since is gone. */
+  restore(): void {
+    if (this.copied !== undefined) this.state.restore(this.copied);
+  }
+
   /** Calls by kind since the start, refused ones included. */
   stats(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.calls);
@@ -115,10 +141,19 @@
     );
     app.delete('/v1/leases/:id', (context) =>
       this.perform(context, 'revokeLease', () => {
-        this.state.revoke(context.req.param('id'));
+        this.state.revoke(this.leaseInEra(context.req.param('id')));
         return context.json({});
       }),
     );
+    app.post('/copy', (context) => {
+      this.copy();
+      return context.json({});
+    });
+    app.post('/restore', (context) => {
+      if (this.copied === undefined) return refuse(context, 409, 'the store has not been copied');
+      this.restore();
+      return context.json({ era: this.state.era });
+    });
     app.get('/stats', (context) => context.json({ calls: this.stats() }));
     app.post('/faults', async (context) => {
       const body = await readBody(context, storeFaultsSchema);
@@ -141,6 +176,7 @@
     const waitMs = (isRead ? this.reads : this.writes).take(Date.now());
     if (waitMs > 0) return refuse(context, 429, `too many ${isRead ? 'reads' : 'writes'}`, waitMs);
     const answer = await effect();
+    answer.headers.set('store-era', String(this.state.era));
     // A watch may have waited into an outage.
     if (call === 'watch' && this.faults.outage !== 'none') return this.withhold(context);
     if (this.faults.latencyMs > 0) await sleep(this.faults.latencyMs / 2);
@@ -171,7 +207,10 @@
   }
 
   private list(context: StandinContext): Response {
-    return context.json({ entries: this.state.keys(context.req.query('prefix') ?? '') });
+    const entries = this.state
+      .keys(context.req.query('prefix') ?? '')
+      .map((one) => ({ ...one, revision: withoutEra(one.revision) }));
+    return context.json({ entries });
   }
 
   private async watch(context: StandinContext): Promise<Response> {
@@ -182,7 +221,8 @@
       return refuse(context, 400, `key, revision or waitMs (at most ${maxWaitMs}) is missing`);
     }
     const { signal } = context.req.raw;
-    const entry = await this.watches.watch(key, revision.data, waitMs.data, signal);
+    const known = this.revisionInEra(revision.data);
+    const entry = await this.watches.watch(key, known, waitMs.data, signal);
     if (entry.isErr()) return refuse(context, 503, entry.error.message, 1000);
     return this.entry(context, entry.value, 200);
   }
@@ -191,7 +231,8 @@
     const key = context.req.query('key');
     const revision = number.safeParse(context.req.query('revision'));
     if (!key || !revision.success) return refuse(context, 400, 'key or revision is missing');
-    const lease = context.req.query('lease');
+    const granted = context.req.query('lease');
+    const lease = granted === undefined ? undefined : this.leaseInEra(granted);
     const body = new Uint8Array(await context.req.arrayBuffer());
     if (body.length > maxValueBytes) {
       return refuse(context, 413, `the value is above ${maxValueBytes} bytes`);
@@ -200,24 +241,38 @@
       return refuse(context, 410, 'the lease has ended');
     }
     const value = context.req.method === 'DELETE' ? undefined : body;
-    const swap = this.state.swap(key, revision.data, value, lease);
+    const swap = this.state.swap(key, this.revisionInEra(revision.data), value, lease);
     if (swap.kind === 'conflict') return this.entry(context, swap.current, 412);
-    return context.json({ revision: swap.revision });
+    return context.json({ revision: withoutEra(swap.revision) });
   }
 
   private async grant(context: StandinContext): Promise<Response> {
     const body = await readBody(context, z.object({ ttlMs: z.number().positive() }));
     if ('answer' in body) return body.answer;
-    return context.json(this.state.grant(body.value.ttlMs));
+    return this.lease(context, this.state.grant(body.value.ttlMs));
   }
 
   private renew(context: StandinContext): Response {
-    const lease = this.state.renew(context.req.param('id') ?? '');
-    return lease === undefined ? refuse(context, 410, 'the lease has ended') : context.json(lease);
+    const lease = this.state.renew(this.leaseInEra(context.req.param('id') ?? ''));
+    return lease === undefined
+      ? refuse(context, 410, 'the lease has ended')
+      : this.lease(context, lease);
+  }
+
+  private lease(context: StandinContext, { id, ttlMs }: Lease): Response {
+    return context.json({ id: decodeLease(id).id, ttlMs });
+  }
+
+  private leaseInEra(id: string): string {
+    return encodeLease({ era: this.state.era, id });
+  }
+
+  private revisionInEra(revision: number): number {
+    return revisionInEra(this.state.era, revision);
   }
 
   private entry(context: StandinContext, entry: Entry | undefined, status: 200 | 412): Response {
-    context.header('x-revision', String(entry?.revision ?? 0));
+    context.header('x-revision', String(withoutEra(entry?.revision ?? 0)));
     context.header('content-type', 'application/octet-stream');
     if (entry === undefined) return context.body(null, status);
     return context.body(new Uint8Array(entry.value), status);
