currantdriftd: a booking runs once although the store came back without its claim

Cause: the claim was the only record that forbids a second dispatch, and the store may lose it although it had confirmed it.

Change: each daemon keeps its claims of the last minute before the last one, and writes them again, with their newest state, when it learns of a new era. For 15 s a key that has no claim is refused as not run, with the time left; claimed keys are answered as before. A daemon learns of the era from the store's answers (ObservedStore, formerly CountedStore) or from the member states of its domain, because only the relays ask the store all the time; no call is added. A daemon that has just started takes the era for new unless a member has known it for longer.

Weighed: refusing repeats for the 24 h that a claim lives (no booking with a new key could run); a copy of each claim at a second daemon (it would hold for dispatchers that ended, but doubles the messages of each booking); asking the store for the era from each daemon (92 reads a second for 460 daemons).

Remains: a dispatcher that has ended, or is cut from the store for those 15 s, doesn't write its claims.

--- a/packages/process/node/src/process/member-state.ts
+++ b/packages/process/node/src/process/member-state.ts
@@ -1,4 +1,6 @@
 import type { Member, Membership } from '@currantdrift/membership';
+import { z } from 'zod';
+import type { KnownEra } from './restore-tracker';
 
 /** Roles that a daemon publishes in its member state. */
 export interface Roles {
@@ -8,7 +10,15 @@
   readonly relays: boolean;
 }
 
-const noRoles: Roles = { epoch: 0, relays: false };
+/** What a daemon publishes to its domain. */
+interface PublishedState extends Roles {
+  /** The store's era, once it has come back from a copy. */
+  readonly storeEra?: KnownEra;
+}
+
+const eraSchema = z.object({
+  storeEra: z.object({ era: z.int().nonnegative(), since: z.number().nonnegative() }),
+});
 
 /** Reads a member's roles from its state; missing fields get defaults. */
 export const rolesOf = (member: Member): Roles => {
@@ -16,9 +26,13 @@
   return { epoch: Number(state?.epoch ?? 0), relays: state?.relays === true };
 };
 
-/** Tracks this daemon's roles and publishes them to the domain when they change. */
+/** Reads the store's era from a member's state; undefined if it states none. */
+export const storeEraOf = (member: Member): KnownEra | undefined =>
+  eraSchema.safeParse(member.state).data?.storeEra;
+
+/** Tracks what this daemon publishes to its domain, and publishes it when it changes. */
 export class MemberState {
-  private roles = noRoles;
+  private published: PublishedState = { epoch: 0, relays: false };
 
   private constructor(private readonly membership: Membership) {}
 
@@ -26,10 +40,15 @@
     return new MemberState(membership);
   }
 
-  update(change: Partial<Roles>): void {
-    const next = { ...this.roles, ...change };
-    if (next.epoch === this.roles.epoch && next.relays === this.roles.relays) return;
-    this.roles = next;
+  update(change: Partial<PublishedState>): void {
+    const next = { ...this.published, ...change };
+    const isSame =
+      next.epoch === this.published.epoch &&
+      next.relays === this.published.relays &&
+      next.storeEra?.era === this.published.storeEra?.era &&
+      next.storeEra?.since === this.published.storeEra?.since;
+    if (isSame) return;
+    this.published = next;
     this.membership.setState(next);
   }
 }
--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -180,7 +180,8 @@
 
   private runTasks(): void {
     const { signal } = this.tasks;
-    const { admission, controllers, exchange, hosts, admissionAbort, relay, wakes } = this.parts;
+    const { admission, controllers, exchange, hosts, admissionAbort, relay, restoreTask, wakes } =
+      this.parts;
     const tasks: readonly [string, Promise<void>][] = [
       ['admission', admission.run(this.options.clock, admissionAbort.signal)],
       ['hosts', hosts.run(signal)],
@@ -188,6 +189,7 @@
       ['controller', controllers.run(signal)],
       ['bundles', exchange.run(signal)],
       ['relay', relay.run(signal)],
+      ['restores', restoreTask.run(signal)],
     ];
     tasks.forEach(([task, running]) =>
       running.catch((error: unknown) => {
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -21,7 +21,6 @@
 import { LimitedEndpointConnector } from '../request/limited-endpoint-connector';
 import { acquireLease } from '../request/replica-chooser';
 import { ControllerTask } from './controller-task';
-import { CountedStore } from './counted-store';
 import { CrashFacts } from './crash-facts';
 import { DomainPermits } from './domain-permits';
 import { DrainMarks } from './drain-marks';
@@ -31,6 +30,9 @@
 import { itemCosts } from './item-costs';
 import { KnownDomains } from './known-domains';
 import { MemberState } from './member-state';
+import { ObservedStore } from './observed-store';
+import { RestoreTask } from './restore-task';
+import { RestoreTracker } from './restore-tracker';
 import type { NodeOptions } from './node-options';
 import { RelayTask } from './relay-task';
 import { RoutableView } from './routable-view';
@@ -52,7 +54,9 @@
 /** Creates the components for the bundle, the peer connections and the domain's membership. */
 const wireDomain = (options: NodeOptions) => {
   const { clock, random, telemetry, network, address, domain, name } = options;
-  const store = CountedStore.create(options.store, telemetry);
+  const restores = RestoreTracker.create(telemetry);
+  const onEra = (era: number) => restores.observe(era, clock.now());
+  const store = ObservedStore.create(options.store, telemetry, onEra);
   const hosts = HostTask.create({ ...options, clock, random, telemetry });
   const holder = BundleHolder.create(options.trusted, options.protections?.bundle);
   const reader = BundleReader.create(store, holder);
@@ -110,8 +114,11 @@
     random,
     telemetry,
   });
+  const restoreTask = RestoreTask.create({ tracker: restores, membership, state, clock });
   return {
     store,
+    restores,
+    restoreTask,
     hosts,
     holder,
     reader,
@@ -302,6 +309,7 @@
     random,
     telemetry,
     dispatcher: `${name}#${incarnation}`,
+    restores: domain.restores,
     ...(options.protections?.booking && { protections: options.protections.booking }),
     isGone: (dispatcher) => {
       const [host] = dispatcher.split('#');
--- a/packages/request/booking/src/bucket-writer.ts
+++ b/packages/request/booking/src/bucket-writer.ts
@@ -17,6 +17,7 @@
   type GoneCheck,
   recordOutcome,
   releaseClaim,
+  restoreClaim,
 } from './claim-decisions';
 import type { Protections } from './protections';
 
@@ -28,7 +29,9 @@
       readonly claim: Claim;
       readonly outcome: RecordedOutcome | undefined;
     }
-  | { readonly kind: 'release'; readonly claim: Claim };
+  | { readonly kind: 'release'; readonly claim: Claim }
+  /** Writes a claim again that the store has lost. */
+  | { readonly kind: 'restore'; readonly claim: Claim };
 
 /** Why a change was not confirmed. */
 export interface WriteFailure {
@@ -37,7 +40,10 @@
   readonly inDoubt: boolean;
 }
 
-/** Result of a change; `written` for an outcome, a release or a claim that is no longer wanted. */
+/**
+ * Result of a change; `written` for an outcome, a release, a restored claim or one that is no longer
+ * wanted.
+ */
 export type ChangeResult = ClaimDecision | { readonly kind: 'written' };
 
 interface PendingChange {
@@ -67,6 +73,9 @@
   if (change.kind === 'outcome') {
     return { bucket: recordOutcome(bucket, change.claim, change.outcome), answer: writtenResult };
   }
+  if (change.kind === 'restore') {
+    return { bucket: restoreClaim(bucket, change.claim), answer: writtenResult };
+  }
   if (change.kind === 'release' || !change.isWanted()) {
     return { bucket: releaseClaim(bucket, change.claim), answer: writtenResult };
   }
--- a/packages/request/booking/src/claim-decisions.ts
+++ b/packages/request/booking/src/claim-decisions.ts
@@ -116,6 +116,15 @@
   return withClaim(bucket, recorded);
 };
 
+/** Adds a claim that the store has lost, in place of any other one for its key. */
+export const restoreClaim = (bucket: Bucket, claim: Claim): Bucket => {
+  const restored = withClaim(bucket, claim);
+  if (claim.outcome === undefined || bucketBytes(restored) <= maxBucketBytesForBodies) {
+    return restored;
+  }
+  return withClaim(bucket, { ...claim, outcome: withoutBody(claim.outcome) });
+};
+
 /** Removes a claim whose dispatch did not happen and will not happen. */
 export const releaseClaim = (bucket: Bucket, claim: Claim): Bucket => {
   const existing = bucket.get(claim.keyHash);
--- a/packages/request/booking/src/claim-ledger.ts
+++ b/packages/request/booking/src/claim-ledger.ts
@@ -18,6 +18,8 @@
 import { callDigest, keyHash } from './digest';
 import { Permit } from './permit';
 import { allProtections, type Protections } from './protections';
+import { RecentClaims } from './recent-claims';
+import { noRestores, type StoreRestores } from './store-restores';
 
 export interface ClaimRequest {
   readonly caller: string;
@@ -44,6 +46,8 @@
   readonly dispatcher: string;
   /** Reports whether another daemon has left or died; by default none counts as gone. */
   readonly isGone?: GoneCheck;
+  /** By default the store never comes back from a copy. */
+  readonly restores?: StoreRestores;
   readonly random?: Random;
   readonly telemetry?: Telemetry;
   /** Generates the 128-bit nonce that identifies a claim. */
@@ -61,6 +65,8 @@
 
 const retryHint = 'repeat the request with the same Idempotency-Key';
 
+const restoredMessage = `the store has come back from a copy, and claims are being written again; ${retryHint}`;
+
 /**
  * Claims idempotency keys in the store, so that each key of a caller is dispatched at most once.
  */
@@ -70,6 +76,10 @@
   /** Outcomes that this daemon has not yet written to the store, by key hash. */
   private readonly unrecorded = new Map<string, Claim>();
 
+  private readonly recent = RecentClaims.create();
+
+  private readonly restores: StoreRestores;
+
   /** Passed to permits. Private, so that only the holder of a permit can release its claim. */
   private readonly recorder: ClaimRecorder;
 
@@ -88,6 +98,8 @@
     this.telemetry = options.telemetry ?? NoopTelemetry.create();
     this.protections = { ...allProtections, ...options.protections };
     this.isGone = options.isGone ?? (() => false);
+    this.restores = options.restores ?? noRestores;
+    this.restores.subscribe(() => this.rewriteRecent());
     this.nonce = options.nonce ?? (() => randomBytes(16).toString('base64url'));
     this.recorder = {
       recordDone: (claim, outcome) => this.recordDone(claim, outcome),
@@ -106,11 +118,17 @@
     return this.unrecorded.size;
   }
 
-  /** Claims the key of a booking. `now` is in ms since the epoch. Resolves by the deadline. */
+  /**
+   * Claims the key of a booking. `now` is in ms since the epoch. Resolves by the deadline. While claims that
+   * the store has lost are written again, only keys that are claimed get another result than a refusal.
+   */
   async claim(request: ClaimRequest, now: number): Promise<ClaimResult> {
     const claim = this.newClaim(request, now);
     const known = this.unrecorded.get(claim.keyHash);
     if (known !== undefined) return existingClaimResult(known, claim.bodyDigest, now, this.isGone);
+    if (this.restores.recoveryLeftMs(now) > 0) {
+      return (await this.find(request, now)) ?? this.refuseDuringRecovery();
+    }
     let wanted = true;
     const settled = new AbortController();
     const timeLeftMs = Math.max(0, request.deadline - now);
@@ -147,18 +165,24 @@
   }
 
   private async recordDone(claim: Claim, outcome: RecordedOutcome): Promise<void> {
-    this.unrecorded.set(claim.keyHash, { ...claim, state: ClaimState.done, outcome });
+    this.keepUnrecorded({ ...claim, state: ClaimState.done, outcome });
     await this.write({ kind: 'outcome', claim, outcome });
     this.unrecorded.delete(claim.keyHash);
   }
 
   private async recordUnknown(claim: Claim): Promise<void> {
-    this.unrecorded.set(claim.keyHash, { ...claim, state: ClaimState.unknown });
+    this.keepUnrecorded({ ...claim, state: ClaimState.unknown });
     await this.write({ kind: 'outcome', claim, outcome: undefined });
     this.unrecorded.delete(claim.keyHash);
   }
 
+  private keepUnrecorded(claim: Claim): void {
+    this.unrecorded.set(claim.keyHash, claim);
+    this.recent.remember(claim, this.options.clock.now());
+  }
+
   private async release(claim: Claim): Promise<void> {
+    this.recent.forget(claim);
     await this.write({ kind: 'release', claim });
   }
 
@@ -185,9 +209,29 @@
     }
     if (value.kind === 'written') return this.refusal('the deadline has passed');
     if (value.kind !== 'granted') return value;
-    if (isWanted()) return { kind: 'granted', permit: Permit.create(claim, this.recorder) };
+    const now = this.options.clock.now();
+    const isRestored = this.restores.recoveryLeftMs(now) > 0;
+    if (isWanted() && !isRestored) {
+      this.recent.remember(claim, now);
+      return { kind: 'granted', permit: Permit.create(claim, this.recorder) };
+    }
     this.releaseInBackground(claim);
-    return this.refusal('the deadline has passed');
+    return isRestored ? this.refuseDuringRecovery() : this.refusal('the deadline has passed');
+  }
+
+  private refuseDuringRecovery(): ClaimResult {
+    const retryAfterMs = Math.ceil(this.restores.recoveryLeftMs(this.options.clock.now()));
+    return { kind: 'refused', message: restoredMessage, retryAfterMs };
+  }
+
+  /** Writes the recent claims again, which the store may have lost. */
+  private rewriteRecent(): void {
+    const claims = this.recent.all();
+    this.telemetry.log('booking.claims_rewritten', { count: claims.length });
+    claims.forEach((claim) => {
+      // eslint-disable-next-line no-void -- each write is retried until its claim expires
+      void this.write({ kind: 'restore', claim });
+    });
   }
 
   private refuseFailedClaim(claim: Claim, { failure, inDoubt }: WriteFailure): ClaimResult {
--- a/packages/request/booking/src/index.ts
+++ b/packages/request/booking/src/index.ts
@@ -2,6 +2,7 @@
   type Claim,
   claimLifetimeMs,
   ClaimState,
+  clockSkewMs,
   dispatchWindowMs,
   unknownIfGoneAfterMs,
   maxKeptBodyBytes,
@@ -15,3 +16,4 @@
 export type { DispatchTicket } from './dispatch-ticket';
 export type { DispatchRefusal, Permit } from './permit';
 export * from './run-booking';
+export type { StoreRestores } from './store-restores';
