One decoder for JSON values of the store

`decode` stood four times in the gateway's version package (members, software versions, quarantines, streams) and once, with a reason for what is wrong, in the platform folder. The latter moves to core as decode-json.ts, and all use it. Behaviour is the same: a value that doesn't match its schema is ignored and counted by its reader. core depends on zod for it, which all its users already have.

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -1,6 +1,7 @@
 export * from './bounded-map';
 export * from './bundle';
 export * from './clock';
+export * from './decode-json';
 export * from './digest';
 export * from './endpoint';
 export * from './failure';
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -1,4 +1,10 @@
-import type { Change, Clock, Entry, Telemetry } from '@currantdrift/core';
+import {
+  type Change,
+  type Clock,
+  decodeJson,
+  type Entry,
+  type Telemetry,
+} from '@currantdrift/core';
 import { z } from 'zod';
 import type { EntryListener } from '../process/prefix-follower';
 import { relaysOf } from './relays';
@@ -41,15 +47,6 @@
 
 export const encodeMember = (member: Member): Uint8Array => Buffer.from(JSON.stringify(member));
 
-const decodeMember = (entry: Entry): Member | undefined => {
-  try {
-    const parsed = memberSchema.safeParse(JSON.parse(Buffer.from(entry.value).toString('utf8')));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-};
-
 /** The members and the controller according to the store. */
 export class Members implements EntryListener {
   private readonly members = new Map<string, Member>();
@@ -140,7 +137,7 @@
 
   private put(entry: Entry): void {
     if (entry.key !== controllerKey && !entry.key.startsWith(memberPrefix)) return;
-    const member = decodeMember(entry);
+    const member = decodeJson(memberSchema, entry.value).unwrapOr(undefined);
     if (member === undefined) {
       this.telemetry.count('currantdrift_malformed_entries_total', { kind: 'member' });
       this.telemetry.log('member.malformed', { key: entry.key, revision: entry.revision });
--- a/packages/process/gateway/src/version/software-versions.ts
+++ b/packages/process/gateway/src/version/software-versions.ts
@@ -1,6 +1,7 @@
 import {
   type Change,
   type Clock,
+  decodeJson,
   describeFailure,
   digest,
   type Entry,
@@ -35,15 +36,6 @@
 });
 type ServiceVersion = z.infer<typeof entrySchema>;
 
-const decode = (value: Uint8Array): ServiceVersion | undefined => {
-  try {
-    const parsed = entrySchema.safeParse(JSON.parse(Buffer.from(value).toString('utf8')));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-};
-
 const keyOf = ({ service, softwareVersion }: ServiceVersion): string =>
   `${softwarePrefix}${digest(service, softwareVersion)}`;
 
@@ -146,7 +138,7 @@
   private put({ key, value, revision }: Entry): void {
     if (!key.startsWith(softwarePrefix)) return;
     const { clock, telemetry } = this.options;
-    const found = decode(value);
+    const found = decodeJson(entrySchema, value).unwrapOr(undefined);
     if (found === undefined) {
       telemetry.count('currantdrift_malformed_entries_total', { kind: 'software' });
       telemetry.log('software.malformed', { key, revision });
--- a/packages/process/gateway/src/version/stored-quarantines.ts
+++ b/packages/process/gateway/src/version/stored-quarantines.ts
@@ -1,6 +1,7 @@
 import {
   type Change,
   type Clock,
+  decodeJson,
   describeFailure,
   digest,
   type Entry,
@@ -42,15 +43,6 @@
 const keyOf = ({ service, parts }: Quarantine): string =>
   `${quarantinePrefix}${digest(service, ...parts)}`;
 
-const decode = (value: Uint8Array): Quarantine | undefined => {
-  try {
-    const parsed = quarantineSchema.safeParse(JSON.parse(Buffer.from(value).toString('utf8')));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-};
-
 /**
  * Keeps the quarantines in the store, for processes that start later. An entry that vanishes from the
  * store ends no quarantine: it is written again while the quarantine is in force.
@@ -106,7 +98,7 @@
   private put({ key, value, revision }: Entry): void {
     if (!key.startsWith(quarantinePrefix)) return;
     const { clock, telemetry, watch } = this.options;
-    const quarantine = decode(value);
+    const quarantine = decodeJson(quarantineSchema, value).unwrapOr(undefined);
     if (quarantine === undefined) {
       telemetry.count('currantdrift_malformed_entries_total', { kind: 'quarantine' });
       telemetry.log('quarantine.malformed', { key, revision });
--- a/packages/process/gateway/src/version/stored-streams.ts
+++ b/packages/process/gateway/src/version/stored-streams.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  decodeJson,
   describeFailure,
   type Entry,
   type Failure,
@@ -54,17 +55,12 @@
   return Buffer.from(JSON.stringify([...groups.values()]));
 };
 
-const decode = ({ value }: Entry): BegunStream[] | undefined => {
-  try {
-    const parsed = entrySchema.safeParse(JSON.parse(Buffer.from(value).toString('utf8')));
-    if (!parsed.success) return undefined;
-    return parsed.data.flatMap(({ requests, ...of }) =>
-      requests.map((request) => ({ ...of, request })),
-    );
-  } catch {
-    return undefined;
-  }
-};
+const decode = ({ value }: Entry): BegunStream[] | undefined =>
+  decodeJson(entrySchema, value)
+    .map((groups) =>
+      groups.flatMap(({ requests, ...of }) => requests.map((request) => ({ ...of, request }))),
+    )
+    .unwrapOr(undefined);
 
 export interface StoredStreamsOptions {
   readonly store: PrefixStore;
