currantdriftd: a domain's fencing token is not given out again after a restore of the store

What could be seen (suspected in the postmortem on restored stores, shown now): the store comes back from a copy of before a controller's takeover, and the next holder gets the same epoch. Engines that enforce fencing take late orders of the former holder for its own; and loads that only the lost record named are unknown, so that an item gets a replica more than its allotment.

Cause: the epoch was the record's plus one, and the record may go back.

Change: a new holder's epoch is above both the record's and the start of the store's era (of the record's revision or of its lease, whichever is higher). If the record is of an earlier era than its holder, the domain counts as one with unrecorded loads, as after a holder that ended in an outage: engines that enforce fencing get no load counted as free until they report under the new epoch.

Ruled out: that the holder itself goes on with the lost record. Its next swap conflicts, since its revision is of the earlier era, and it takes over anew.

Before: both new tests fail (epoch 1 again after 1; a second replica on e2). After: they pass; 128 tests of placement and scenario pass. In era 0, in which a store is that never came back, nothing changes.

Remains: engines that don't enforce fencing may get late orders of a holder whose tenure the copy lacks.

--- a/packages/version/placement/src/controller.ts
+++ b/packages/version/placement/src/controller.ts
@@ -3,6 +3,7 @@
   type Clock,
   type DomainView,
   type Endpoint,
+  eraOf,
   type HostList,
   isAdapter,
   modelOf,
@@ -245,7 +246,7 @@
     }
   }
 
-  /** Increments the epoch in the record; undefined if `signal` aborted first. */
+  /** Raises the epoch in the record; undefined if `signal` aborted first. */
   private async takeOver(
     signal: AbortSignal,
   ): Promise<{ record: DomainRecord; revision: number } | undefined> {
@@ -258,9 +259,11 @@
         if (read.isErr()) {
           this.telemetry.log('record_invalid', { key, error: read.error });
         } else {
-          const record = { ...withHolder(read.value, daemon), serial: read.value.serial + 1 };
+          const { revision = 0 } = entry.value ?? {};
+          const era = Math.max(eraOf(revision), this.lease.era);
+          const record = { ...withHolder(read.value, daemon, era), serial: read.value.serial + 1 };
           const bytes = encodeRecord(record)._unsafeUnwrap();
-          const swap = await store.compareAndSwap(key, entry.value?.revision ?? 0, bytes);
+          const swap = await store.compareAndSwap(key, revision, bytes);
           if (swap.isOk() && swap.value.kind === 'swapped') {
             return { record, revision: swap.value.revision };
           }
--- a/packages/version/placement/src/lease.ts
+++ b/packages/version/placement/src/lease.ts
@@ -1,4 +1,4 @@
-import { type Clock, FailureKind, type Random, type Store } from '@currantdrift/core';
+import { type Clock, decodeLease, FailureKind, type Random, type Store } from '@currantdrift/core';
 
 export interface LeaseOptions {
   readonly store: Store;
@@ -42,6 +42,11 @@
     return now < this.confirmedUntil - confirmMarginMs;
   }
 
+  /** Era of the store in which the lease was granted; 0 without a lease. */
+  get era(): number {
+    return this.leaseId === undefined ? 0 : decodeLease(this.leaseId).era;
+  }
+
   /** Waits for the lease; false if `signal` aborted first. */
   async acquire(signal: AbortSignal): Promise<boolean> {
     const { store, clock, random, key } = this.options;
--- a/packages/version/placement/src/record-updates.ts
+++ b/packages/version/placement/src/record-updates.ts
@@ -1,3 +1,4 @@
+import { eraOf, startOfEra } from '@currantdrift/core';
 import type { Intent } from './intent';
 import type { Loan } from './loan';
 import type { DomainRecord, Holder } from './record';
@@ -24,13 +25,15 @@
 });
 
 /**
- * Increments the epoch for a new holder; the former one may still send orders and gets a tenure.
+ * Raises the epoch for a new holder above all before, also above those that the store has lost when it came
+ * back from a copy in `era`. The former holder may still send orders and gets a tenure.
  */
-export const withHolder = (record: DomainRecord, holder: Holder): DomainRecord => ({
+export const withHolder = (record: DomainRecord, holder: Holder, era = 0): DomainRecord => ({
   ...record,
-  epoch: record.epoch + 1,
+  epoch: Math.max(record.epoch, startOfEra(era)) + 1,
   holder,
-  unrecorded: record.unrecorded || record.holder !== null,
+  // In a new era the record may lack holders and their loads.
+  unrecorded: record.unrecorded || record.holder !== null || eraOf(record.epoch) < era,
   tenures:
     record.holder === null
       ? record.tenures
--- a/packages/version/placement/src/record.ts
+++ b/packages/version/placement/src/record.ts
@@ -20,7 +20,7 @@
 
 /** Persistent state of a domain, shared by successive controllers; key `domain/<name>/record`. */
 export interface DomainRecord {
-  /** Fencing token; incremented by each new holder. */
+  /** Fencing token; raised by each new holder, to the start of the store's era if that is higher. */
   readonly epoch: number;
   /** Write counter; it makes each value unique, so that a read resolves a lost response. */
   readonly serial: number;
--- a/packages/version/placement/test/takeover.test.ts
+++ b/packages/version/placement/test/takeover.test.ts
@@ -86,3 +86,43 @@
   await world.clock.advance(3_000);
   expect(controller.isHolder).toBe(false);
 });
+
+// Guards against a fencing token that two holders have, since the store came back from a copy between them.
+test('a holder after a restore of the store outranks all before it', async () => {
+  const world = worldOf(true);
+  const copy = world.memory.copy();
+  const first = world.addController('d1');
+  await world.clock.advance(5_000);
+  const before = first.controller.status();
+  expect(before.isHolder).toBe(true);
+  first.process.pause();
+  world.memory.restore(copy);
+  const { controller } = world.addController('d2');
+  await world.clock.advance(10_000);
+  const { isHolder, epoch } = controller.status();
+  expect(isHolder).toBe(true);
+  expect(epoch).toBeGreaterThan(before.epoch);
+});
+
+// Guards against a second replica of an item whose load is in no record that the store still has.
+test('a holder after a restore waits for the engines that may hold loads it does not know', async () => {
+  const world = worldOf(true);
+  const first = world.addController('d1');
+  await world.clock.advance(5_000);
+  await world.clock.settle(first.controller.stop());
+  const copy = world.memory.copy();
+  const second = world.addController('d2');
+  await world.clock.advance(5_000);
+  const load = second.controller.wake(item, world.clock.now() + 60_000);
+  expect((await world.clock.settle(load))._unsafeUnwrap()).toBe('e1');
+  second.process.kill();
+  world.engines[0].faults.cut = true;
+  world.memory.restore(copy);
+  world.addEngine('e2', { fencing: true });
+  const { controller } = world.addController('d3');
+  await world.clock.advance(20_000);
+  expect(controller.isHolder).toBe(true);
+  const refused = await world.clock.settle(controller.wake(item, world.clock.now() + 60_000));
+  expect(refused._unsafeUnwrapErr().kind).toBe('no_allotment');
+  expect(replicas(world)).toBe(1);
+});
