Tests of restores for a holder that goes on, and with real processes

- A process test copies and restores the store between a booking and its repeats at a daemon of another domain and at another one of the same.

--- a/packages/tooling/demo/test/processes.test.ts
+++ b/packages/tooling/demo/test/processes.test.ts
@@ -186,3 +186,30 @@
   const later = await caller.call('POST', 'shipments/book', { lanterns: 1 }, 'outage-1');
   expect(later.status).toBe(200);
 });
+
+// Guards against a booking that runs twice when the store has come back without its claim (G6).
+test('a booking whose claim the store lost runs once', async () => {
+  const store = '127.0.0.1:17000';
+  await postStandin(store, '/copy', {});
+  const book = (name: string) =>
+    CallerClient.create(daemonNamed(name).callers, key).call(
+      'POST',
+      'shipments/book',
+      { lanterns: 2 },
+      'restored-1',
+    );
+  expect((await book('vake-1')).status).toBe(200);
+  await postStandin(store, '/restore', {});
+  await deployment.until('the booking is answered again', async () => {
+    const { status, text } = await book('isani-1');
+    if (status === 200) return true;
+    expect(JSON.parse(text).error).toMatchObject({
+      code: 'store_unavailable',
+      outcome: 'not_run',
+    });
+    return false;
+  });
+  expect((await book('vake-2')).status).toBe(200);
+  const { runsByKey } = await readStats<ServiceStats>(ledger);
+  expect(runsByKey).toEqual({ 'restored-1': 1 });
+});
--- a/packages/version/placement/test/takeover.test.ts
+++ b/packages/version/placement/test/takeover.test.ts
@@ -126,3 +126,18 @@
   expect(refused._unsafeUnwrapErr().kind).toBe('no_allotment');
   expect(replicas(world)).toBe(1);
 });
+
+// Guards against a holder that goes on with a record that the store has lost.
+test('a holder during a restore takes the domain over anew', async () => {
+  const world = worldOf(true);
+  const first = world.addController('d1');
+  await world.clock.advance(5_000);
+  const copy = world.memory.copy();
+  const { epoch } = first.controller.status();
+  world.memory.restore(copy);
+  first.controller.wake(item, world.clock.now() + 60_000).catch(() => {});
+  await world.clock.advance(20_000);
+  expect(first.controller.isHolder).toBe(true);
+  expect(first.controller.status().epoch).toBeGreaterThan(epoch + 1);
+  expect(replicas(world)).toBeLessThanOrEqual(1);
+});
