currantdriftd: an odd entry in the host list hides all hosts

Here the gateway holds (its entries are decoded one by one); the host list of currantdriftd did not. One odd entry made the whole answer invalid, at each read: a daemon that runs keeps its old list for as long as the entry stands, and one that starts finds neither its domain nor its engines. A port of 70000 was even taken for valid.

Cause: the schema covered the list as a whole.

Change: each entry is parsed on its own. An odd one is logged and counted, and the last known host of its name stays, since nothing tells that it has gone. Ports are 1 to 65535. A list without a single valid entry stays invalid, as the test of the protocol demands.

--- a/packages/connection/platform/src/http-host-list.ts
+++ b/packages/connection/platform/src/http-host-list.ts
@@ -17,6 +17,16 @@
   readonly address: string;
   /** Timeout of one call, in ms; default 1000. */
   readonly timeoutMs?: number;
+  /** Called for each entry that is not a valid host. */
+  readonly onMalformed?: (entry: MalformedHost) => void;
+}
+
+/** An entry of the list that is not a valid host. */
+export interface MalformedHost {
+  /** Name in the entry; empty if it has none. */
+  readonly name: string;
+  /** The first wrong field, and what is wrong with it. */
+  readonly reason: string;
 }
 
 /** Hosts read from one path, kept so that the next read transfers only changes. */
@@ -29,11 +39,18 @@
 
 const notModified = 304;
 
+const maxPort = 65_535;
+
+const isAddress = (text: string): boolean => {
+  const [, port] = /^.+:(\d{1,5})$/u.exec(text) ?? [];
+  return Number(port) > 0 && Number(port) <= maxPort;
+};
+
 const hostSchema = z.object({
   name: z.string().min(1),
   kind: z.enum(HostKind),
   domain: z.string().min(1),
-  address: z.string().regex(/^.+:\d+$/),
+  address: z.string().refine(isAddress, 'expected IP:PORT'),
   state: z.enum(HostState),
   incarnation: z.number().int().nonnegative(),
   pool: z.string(),
@@ -44,13 +61,14 @@
 
 const fullListSchema = z.object({
   engines: engineCountSchema.optional(),
-  hosts: z.array(hostSchema),
+  /** Each one is parsed on its own, so that an odd one hides no other. */
+  hosts: z.array(z.unknown()),
 });
 
 const changesSchema = z.object({
   since: z.string(),
   engines: engineCountSchema.optional(),
-  changed: z.array(hostSchema),
+  changed: z.array(z.unknown()),
   removed: z.array(z.string()),
 });
 
@@ -58,6 +76,10 @@
 
 type HostsResponse = z.infer<typeof responseSchema>;
 
+const namedSchema = z.object({ name: z.string() });
+
+const nameOf = (entry: unknown): string => namedSchema.safeParse(entry).data?.name ?? '';
+
 const countEngines = (hosts: readonly Host[]): number =>
   hosts.filter(({ kind }) => kind === HostKind.engine).length;
 
@@ -91,11 +113,13 @@
   private constructor(
     private readonly client: PlatformClient,
     private readonly timeoutMs: number,
+    private readonly onMalformed: (entry: MalformedHost) => void,
   ) {}
 
   static create(settings: HttpHostListSettings): HttpHostList {
     const client = PlatformClient.create(settings.address, `hosts ${settings.address}`);
-    return new HttpHostList(client, settings.timeoutMs ?? defaultTimeoutMs);
+    const { timeoutMs = defaultTimeoutMs, onMalformed = () => {} } = settings;
+    return new HttpHostList(client, timeoutMs, onMalformed);
   }
 
   async read(): Promise<Result<readonly Host[], Failure>> {
@@ -153,7 +177,10 @@
     revision: string | undefined,
   ): Result<CachedHosts, Failure> {
     if ('hosts' in parsed) {
-      const { hosts } = parsed;
+      const hosts = this.parseHosts(parsed.hosts, cached);
+      if (hosts.length === 0 && parsed.hosts.length > 0) {
+        return err(this.invalidResponse(step, 'no entry of the list is a valid host'));
+      }
       return ok({ hosts, revision, engines: parsed.engines ?? countEngines(hosts) });
     }
     if (cached?.revision !== parsed.since) {
@@ -164,10 +191,23 @@
         ),
       );
     }
-    const hosts = applyChanges(cached.hosts, parsed.changed, parsed.removed);
+    const changed = this.parseHosts(parsed.changed, cached);
+    const hosts = applyChanges(cached.hosts, changed, parsed.removed);
     return ok({ hosts, revision, engines: parsed.engines ?? countEngines(hosts) });
   }
 
+  /** The valid hosts; in place of an entry that is not valid, the last known host of its name. */
+  private parseHosts(entries: readonly unknown[], cached: CachedHosts | undefined): Host[] {
+    return entries.flatMap((entry) => {
+      const parsed = hostSchema.safeParse(entry);
+      if (parsed.success) return parsed.data;
+      const name = nameOf(entry);
+      const [issue] = parsed.error.issues;
+      this.onMalformed({ name, reason: `${issue.path.map(String).join('.')}: ${issue.message}` });
+      return cached?.hosts.find((host) => host.name === name) ?? [];
+    });
+  }
+
   private invalidResponse(step: string, message: string): Failure {
     return this.client.failure(step, FailureKind.invalid, message);
   }
--- a/packages/connection/platform/src/index.ts
+++ b/packages/connection/platform/src/index.ts
@@ -1,2 +1,2 @@
-export { HttpHostList, type HttpHostListSettings } from './http-host-list';
+export { HttpHostList, type HttpHostListSettings, type MalformedHost } from './http-host-list';
 export { HttpStore, type HttpStoreSettings } from './http-store';
--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -51,6 +51,10 @@
     hostList: HttpHostList.create({
       address: settings.platform.hosts,
       timeoutMs: settings.platform.timeoutMs,
+      onMalformed: ({ name, reason }) => {
+        telemetry.count('currantdrift_malformed_entries_total', { kind: 'host' });
+        telemetry.log('host.malformed', { name, reason });
+      },
     }),
     connector: HttpEndpointConnector.create(),
     network: WebSocketNetwork.create(),
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -109,7 +109,7 @@
   },
   currantdrift_malformed_entries_total: {
     type: 'counter',
-    help: 'Entries of the store that were refused as malformed',
+    help: 'Entries of the store and the host list that were refused as malformed',
     labels: ['kind'],
   },
   currantdrift_malformed_limits_total: {
