currantdriftd: a request that crashes engines crashes some in each domain

Cause: the facts about crashes were replicated to the members of the domain only, and callers repeat at any daemon of any domain.

Change: the daemon that saw a crash, or cleared parts, sends the same fact to one daemon of each other domain (CrashLinks), which publishes it there under the sender's domain and name; ranks keep the newest one. A domain that doesn't confirm is tried every 0.5 s for a minute, at another of its entries each time. One message of a few KB per crash and domain; none without crashes. Daemons of before this change don't know the message and learn as before.

Weighed: quarantines in the summaries that relays exchange (they are bounded to 1 KB and replaced whole); in the store, as the gateway does (domains that are cut off from it would not hear).

Remains: a domain that is cut off for more than a minute hears of a crash with the sender's next fact.

--- a/packages/process/node/src/process/crash-facts.ts
+++ b/packages/process/node/src/process/crash-facts.ts
@@ -26,6 +26,19 @@
   cleared: z.array(numberedSchema).max(maxCleared),
 });
 
+const maxNameLength = 200;
+
+export const crashFactSchema = z.object({
+  domain: z.string().min(1).max(maxNameLength),
+  daemon: z.string().min(1).max(maxNameLength),
+  /** Incarnation of the daemon and number of its fact; the highest is the newest. */
+  rank: z.tuple([z.number(), z.number()]),
+  value: valueSchema,
+});
+
+/** What one daemon saw of crashed engines. */
+export type CrashFact = z.infer<typeof crashFactSchema>;
+
 /** Exchanges what the daemons of a domain see of crashed engines, by facts that joining daemons get too. */
 export class CrashFacts {
   private sequence = 0;
@@ -37,6 +50,8 @@
   /** Number of the last cleared parts that were applied, by daemon and incarnation. */
   private readonly applied = new Map<string, number>();
 
+  private readonly listeners: ((fact: CrashFact) => void)[] = [];
+
   private constructor(
     private readonly membership: Membership,
     private readonly clock: Clock,
@@ -46,6 +61,17 @@
     return new CrashFacts(membership, clock);
   }
 
+  /** Calls `listener` with each fact that this daemon publishes. */
+  onPublish(listener: (fact: CrashFact) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Publishes in this domain what a daemon of another one saw. */
+  publishRemote({ domain, daemon, rank, value }: CrashFact): void {
+    if (domain === this.membership.self.domain) return;
+    this.membership.publish({ key: `${crashPrefix}${domain}/${daemon}`, rank, value }, true);
+  }
+
   /** Passes what other daemons tell to `watch`. */
   subscribe(watch: CrashWatch): void {
     this.membership.dissemination.table.subscribe(crashPrefix, (fact) => this.receive(fact, watch));
@@ -64,11 +90,11 @@
 
   private publish(): void {
     this.sequence += 1;
-    const { name, incarnation } = this.membership.self;
-    const { crashes, cleared } = this;
-    const key = `${crashPrefix}${name}`;
-    const rank = [incarnation, this.sequence];
-    this.membership.publish({ key, rank, value: { crashes, cleared } }, true);
+    const { name, domain, incarnation } = this.membership.self;
+    const value = { crashes: this.crashes, cleared: this.cleared };
+    const rank: CrashFact['rank'] = [incarnation, this.sequence];
+    this.membership.publish({ key: `${crashPrefix}${name}`, rank, value }, true);
+    this.listeners.forEach((listener) => listener({ domain, daemon: name, rank, value }));
   }
 
   private receive({ key, rank, value }: Fact, watch: CrashWatch): void {
--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -180,8 +180,8 @@
 
   private runTasks(): void {
     const { signal } = this.tasks;
-    const { admission, controllers, exchange, hosts, admissionAbort, relay, restoreTask, wakes } =
-      this.parts;
+    const { admission, controllers, exchange, hosts, admissionAbort, wakes } = this.parts;
+    const { crashLinks, relay, restoreTask } = this.parts;
     const tasks: readonly [string, Promise<void>][] = [
       ['admission', admission.run(this.options.clock, admissionAbort.signal)],
       ['hosts', hosts.run(signal)],
@@ -190,6 +190,7 @@
       ['bundles', exchange.run(signal)],
       ['relay', relay.run(signal)],
       ['restores', restoreTask.run(signal)],
+      ['crash links', crashLinks.run(signal)],
     ];
     tasks.forEach(([task, running]) =>
       running.catch((error: unknown) => {
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -22,6 +22,7 @@
 import { acquireLease } from '../request/replica-chooser';
 import { ControllerTask } from './controller-task';
 import { CrashFacts } from './crash-facts';
+import { CrashLinks } from './crash-links';
 import { DomainPermits } from './domain-permits';
 import { DrainMarks } from './drain-marks';
 import { EndpointCache } from './endpoint-cache';
@@ -259,14 +260,22 @@
 /** Creates the components that hold back prompts which crash engines. */
 const wireCrashes = (
   options: NodeOptions,
-  { membership, view }: DomainParts,
+  { membership, peers, summaries, view }: DomainParts,
   endpoints: EndpointCache,
-): CrashWatch => {
+): { readonly crashes: CrashWatch; readonly crashLinks: CrashLinks } => {
   const { clock, random, telemetry } = options;
   const enabled = options.protections?.crashQuarantine !== false;
   const probe = EndpointProbe.create(endpoints, view, clock);
   const facts = CrashFacts.create(membership, clock);
-  const watch = CrashWatch.create({
+  const crashLinks = CrashLinks.create({
+    peers,
+    summaries,
+    clock,
+    random,
+    onFact: (fact) => facts.publishRemote(fact),
+  });
+  facts.onPublish((fact) => crashLinks.publish(fact));
+  const crashes = CrashWatch.create({
     clock,
     random,
     telemetry,
@@ -276,8 +285,8 @@
     publishCleared: (cleared) => facts.publishCleared(cleared),
     members: () => membership.alive().length,
   });
-  facts.subscribe(watch);
-  return watch;
+  facts.subscribe(crashes);
+  return { crashes, crashLinks };
 };
 
 /** Creates and connects the components of a daemon without starting any of them. */
@@ -317,6 +326,7 @@
       return status === MemberStatus.dead || status === MemberStatus.left;
     },
   });
+  const { crashes, crashLinks } = wireCrashes(options, domain, placement.endpoints);
   const entry = CallerEntry.create({
     holder,
     context: {
@@ -331,13 +341,23 @@
       telemetry,
       budget: RetryBudget.create(),
       prefixes,
-      crashes: wireCrashes(options, domain, placement.endpoints),
+      crashes,
       attempts: options.attempts ?? {},
       ledger,
     },
   });
   const admissionAbort = new AbortController();
-  return { ...domain, ...placement, admission, balancer, domains, ledger, entry, admissionAbort };
+  return {
+    ...domain,
+    ...placement,
+    admission,
+    balancer,
+    crashLinks,
+    domains,
+    ledger,
+    entry,
+    admissionAbort,
+  };
 };
 
 /** The connected components of a daemon. */
