--- a/packages/tooling/fakes/src/engine.ts
+++ b/packages/tooling/fakes/src/engine.ts
@@ -36,6 +36,8 @@
   readonly tokenMs: number;
   /** Tokens of an answer, if the request allows as many. */
   readonly answerTokens: number;
+  /** Version of its software that it reports; answers of two versions do not fit together. */
+  readonly softwareVersion?: string;
 }
 
 /** Faults that a test can switch at any time. */
@@ -215,6 +217,7 @@
     if (sent.isErr()) return err(sent.error);
     this.sequence += 1;
     const { items } = this;
+    const { softwareVersion } = this.options;
     const running = items.reduce((sum, item) => sum + item.running, 0);
     const report: EndpointReport = {
       endpoint: this.id,
@@ -228,6 +231,7 @@
       running: Math.min(running, this.options.slots),
       waiting: Math.max(0, running - this.options.slots),
       slots: this.options.slots,
+      ...(softwareVersion !== undefined && { softwareVersion }),
     };
     if (this.faults.latencyMs > 0) await this.clock.sleep(this.faults.latencyMs / 2);
     return ok(report);
--- a/packages/tooling/fakes/src/observed-engine.ts
+++ b/packages/tooling/fakes/src/observed-engine.ts
@@ -24,6 +24,17 @@
 /** The true text of token `offset` of the answer to a prompt. */
 export const trueToken = (prompt: string, offset: number): string => `${prompt}.${offset} `;
 
+/** Marks a token with the software version that wrote it, if its engine reports one. */
+const mark = (token: string, softwareVersion: string | undefined): string =>
+  softwareVersion === undefined ? token : `${token.trimEnd()}@${softwareVersion} `;
+
+/** The text without the marks of software versions. */
+export const withoutMarks = (text: string): string => text.replaceAll(/@\S+ /gu, ' ');
+
+/** The software versions that wrote a text. */
+export const softwareVersionsIn = (text: string): ReadonlySet<string> =>
+  new Set([...text.matchAll(/@(\S+) /gu)].map(([, version]) => version));
+
 /**
  * A `FakeEngine` that records what it runs, generates as many streams at once as it has slots, and whose answers have a text of their own, so that a
  * part of another answer can be told apart.
@@ -187,6 +198,7 @@
     signal: AbortSignal,
   ): AsyncGenerator<Result<StreamPart, Failure>> {
     const prompt = messages.map(({ content }) => content).join(' ');
+    const { softwareVersion } = this.engine.options;
     if (this.answers.lateMs > 0) await this.clock.sleep(this.answers.lateMs, signal);
     for await (const part of parts) {
       if (this.answers.lost) {
@@ -203,7 +215,9 @@
           ? value
           : {
               ...value,
-              tokens: value.tokens.map((_, index) => trueToken(prompt, value.offset + index)),
+              tokens: value.tokens.map((_, index) =>
+                mark(trueToken(prompt, value.offset + index), softwareVersion),
+              ),
             };
       const { stray } = this;
       this.stray = own;
--- a/packages/tooling/scenario/src/checks.ts
+++ b/packages/tooling/scenario/src/checks.ts
@@ -1,4 +1,5 @@
 import { parseItemKey } from '@currantdrift/core';
+import { softwareVersionsIn, withoutMarks } from '@currantdrift/fakes';
 import {
   type Arrival,
   CauseKind,
@@ -126,12 +127,23 @@
 const answersWhole: Check = (seen) =>
   rule(
     ended(seen).flatMap(({ id, daemon, outcome, received, truth, endedAt }) => {
-      const isRight = outcome === 'answered' ? received === truth : truth.startsWith(received);
-      const text = `${id} at ${daemon}, ${outcome}: got ${JSON.stringify(received)}`;
-      return isRight ? [] : [{ at: endedAt, message: text }];
+      const text = withoutMarks(received);
+      const isRight = outcome === 'answered' ? text === truth : truth.startsWith(text);
+      const message = `${id} at ${daemon}, ${outcome}: got ${JSON.stringify(received)}`;
+      return isRight ? [] : [{ at: endedAt, message }];
     }),
   );
 
+const answersOfOneVersion: Check = (seen) =>
+  rule(
+    ended(seen)
+      .filter(({ received }) => softwareVersionsIn(received).size > 1)
+      .map(({ id, daemon, received, endedAt }) => ({
+        at: endedAt,
+        message: `${id} at ${daemon}: tokens of ${[...softwareVersionsIn(received)].join(' and ')}`,
+      })),
+  );
+
 const refusalsTrue: Check = (seen) =>
   rule(
     ended(seen)
@@ -318,6 +330,7 @@
   'requests <outcome> <op> <count>': requests,
   'rollouts <outcome:rolloutOutcome> <op> <count>': rollouts,
   'answers whole': answersWhole,
+  'answers of one software version': answersOfOneVersion,
   'refusals true': refusalsTrue,
   'refusals within <time>': refusalsWithin,
   'refusals before deadline': refusalsBeforeDeadline,
--- a/packages/tooling/scenario/src/deployment.ts
+++ b/packages/tooling/scenario/src/deployment.ts
@@ -16,6 +16,8 @@
   readonly pool: string;
   /** 0 for plain services. */
   readonly memoryBytes: number;
+  /** Version of an engine's software, if it reports one. */
+  readonly softwareVersion?: string;
 }
 
 /** A deployment as the settings of a scenario describe it. */
@@ -156,6 +158,7 @@
       domain: wordOf(setting, 'domain'),
       pool: wordOf(setting, 'pool'),
       memoryBytes: Number(setting.values.bytes ?? 0),
+      ...(setting.values.software && { softwareVersion: wordOf(setting, 'software') }),
     }));
   const services = endpoints('service');
   const named = (kind: string) => of(kind).map((setting) => wordOf(setting, 'new'));
--- a/packages/tooling/scenario/src/platform.ts
+++ b/packages/tooling/scenario/src/platform.ts
@@ -243,12 +243,13 @@
 
   private addEngines(): void {
     const { engines, fencing, checkpoints } = this.deployment;
-    engines.forEach(({ name, domain, pool, memoryBytes }) => {
+    engines.forEach(({ name, domain, pool, memoryBytes, softwareVersion }) => {
       const engine = FakeEngine.create(this.clock, {
         id: name,
         domain,
         pool,
         memoryBytes,
+        softwareVersion,
         loadMs: this.loadMs,
         answerTokens: maxAnswerTokens,
         fencing: fencing && this.off !== 'engine-fencing',
