The store of currantdriftd states its era in a header of its own protocol

`store-era` is a word of the gateway's platform and stays in its folder; the store of currantdriftd says `x-era`, beside its `x-revision`.

--- a/packages/connection/platform/src/http-store.ts
+++ b/packages/connection/platform/src/http-store.ts
@@ -47,7 +47,7 @@
 };
 
 /** Header with the number of times that the store has come back from a copy. */
-const eraHeader = 'store-era';
+const eraHeader = 'x-era';
 
 const restoredReason = 'the store has come back from a copy';
 
--- a/packages/request/booking/src/claim-ledger.ts
+++ b/packages/request/booking/src/claim-ledger.ts
@@ -119,8 +119,8 @@
   }
 
   /**
-   * Claims the key of a booking. `now` is in ms since the epoch. Resolves by the deadline. While claims that
-   * the store has lost are written again, only keys that are claimed get another result than a refusal.
+   * Claims the key of a booking. `now` is in ms since the epoch. Resolves by the deadline. A key that is not
+   * claimed is refused while claims that the store has lost are written again.
    */
   async claim(request: ClaimRequest, now: number): Promise<ClaimResult> {
     const claim = this.newClaim(request, now);
--- a/packages/tooling/standins/src/store-standin.ts
+++ b/packages/tooling/standins/src/store-standin.ts
@@ -176,7 +176,7 @@
     const waitMs = (isRead ? this.reads : this.writes).take(Date.now());
     if (waitMs > 0) return refuse(context, 429, `too many ${isRead ? 'reads' : 'writes'}`, waitMs);
     const answer = await effect();
-    answer.headers.set('store-era', String(this.state.era));
+    answer.headers.set('x-era', String(this.state.era));
     // A watch may have waited into an outage.
     if (call === 'watch' && this.faults.outage !== 'none') return this.withhold(context);
     if (this.faults.latencyMs > 0) await sleep(this.faults.latencyMs / 2);
