Streams of before a restart of all processes go on at their own version

Cause: a process took the one version that it found for that of all streams, without a proof for the time at which they had begun. The store named versions only while a running process saw two, and what a process knew counted for two seconds.

Change: the store always holds a record of the versions of each service. A version that joins others settles there before streams begin at it, for longer than any process goes by an older record. So a record with one version proves the version of all streams begun up to the bound after it.

Ruled out: that another process answered wrongly (none knew the streams).

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -213,7 +213,9 @@
       peers: this.peers,
       send,
       configuration: () => this.storeCache.configuration,
-      endpointAgeMs: (now) => this.storeCache.endpointAgeMs(now),
+      timeOfDay: () => Date.now(),
+      maxRecordAgeMs: settings.changeBoundMs,
+      recordAgeMs: (now) => this.storeCache.daemonEntriesAgeMs(now),
     });
     this.forwarder = this.createForwarder();
     this.clientServer = ClientHttpServer.create(
--- a/packages/process/gateway/src/process/store-cache.ts
+++ b/packages/process/gateway/src/process/store-cache.ts
@@ -105,9 +105,9 @@
     return this.feed.ageOf(this.options.layout.configurationPrefix, now);
   }
 
-  /** Time since the endpoints were last confirmed to be all, in ms. */
-  endpointAgeMs(now: number): number {
-    return this.feed.ageOf(this.options.layout.endpointPrefix, now);
+  /** Time since the daemons' entries were last confirmed to be the newest, in ms. */
+  daemonEntriesAgeMs(now: number): number {
+    return this.feed.ageOf(daemonPrefix, now);
   }
 
   /** Registers the handlers for feed messages and snapshot requests of other members. */
--- a/packages/process/gateway/src/process/stream-handling.ts
+++ b/packages/process/gateway/src/process/stream-handling.ts
@@ -23,8 +23,12 @@
   readonly peers: Peers;
   readonly send: (address: string, message: Message) => void;
   readonly configuration: () => Configuration | undefined;
-  /** Time since the known endpoints were last confirmed to be all, in ms. */
-  readonly endpointAgeMs: (now: number) => number;
+  /** The time of day, in ms. */
+  readonly timeOfDay: () => number;
+  /** Highest age of what a process knows of the store, whichever other processes fail, in ms. */
+  readonly maxRecordAgeMs: number;
+  /** Time since the daemons' entries in the store were last confirmed to be the newest, in ms. */
+  readonly recordAgeMs: (now: number) => number;
 }
 
 /** Longest time from the begin of a stream to the end of the last try of its client, in ms. */
--- a/packages/process/gateway/src/process/stream-ledger.ts
+++ b/packages/process/gateway/src/process/stream-ledger.ts
@@ -88,11 +88,17 @@
       stream?.service === service ? stream.softwareVersion : undefined;
     const known = request === undefined ? undefined : await this.lookUp(request);
     if (known !== undefined) return versionOf(known);
-    const only = versions().only(service, clock.now());
+    const only = await versions().only(service);
     if (only !== undefined || request === undefined) return only;
+    // A read would only delay the refusal.
+    if (versions().isOutOfTouch(clock.now())) return undefined;
     return versionOf(await stored.find(request));
   }
 
+  mayBegin(service: string, softwareVersion: string): boolean {
+    return this.options.versions().mayBegin(service, softwareVersion);
+  }
+
   /** The stream of an attempt as far as this process knows it. */
   get(request: string): BegunStream | undefined {
     return this.streams.get(request);
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -37,6 +37,9 @@
   /** Whether the last search found only endpoints with too many prompt tokens waiting for prefill. */
   private isPrefillLimited = false;
 
+  /** Whether the last search found only endpoints of a version at which no stream may begin yet. */
+  private isSettling = false;
+
   /** Time at which the first pause ends, if the last search found only paused endpoints. */
   private pauseEndsAt: number | undefined;
 
@@ -80,6 +83,10 @@
         await clock.sleep(settings.prefillPollMs, this.gone);
         continue;
       }
+      if (this.isSettling) {
+        await this.awaitChange(now + settings.settlingPollMs);
+        continue;
+      }
       const permitted = await this.tryPermit(tried, now);
       if (permitted !== undefined) return permitted;
       if (this.isPermittedOnTime()) {
@@ -128,6 +135,7 @@
   private tryReserve(tried: ReadonlySet<string>, now: number): SelectedEndpoint | undefined {
     const { directory } = this.context;
     const reachable = this.reachableEndpoints(now);
+    this.isSettling = reachable.length === 0 && this.hasSettlingEndpoint(now);
     const notPaused = reachable.filter(({ id }) => directory.pausedUntil(id) <= now);
     const pauseEnds = reachable.map(({ id }) => directory.pausedUntil(id));
     const allPause = reachable.length > 0 && notPaused.length === 0;
@@ -141,16 +149,31 @@
 
   /** Endpoints that can serve the request, or go on with its stream. */
   private usableEndpoints(now: number): EndpointRecord[] {
-    const { directory } = this.context;
-    const { service, fields } = this.request;
     const { softwareVersion } = this.position;
-    const records =
-      fields.model === undefined
-        ? directory.live(service)
-        : directory.replicas(service, fields.model, fields.adapter, now);
+    const holders = this.holders(now);
     return softwareVersion === undefined
-      ? records
-      : records.filter((record) => record.softwareVersion === softwareVersion);
+      ? holders.filter((record) => this.mayBeginAt(record))
+      : holders.filter((record) => record.softwareVersion === softwareVersion);
+  }
+
+  /** Endpoints that hold what the request needs. */
+  private holders(now: number): EndpointRecord[] {
+    const { directory } = this.context;
+    const { service, fields } = this.request;
+    return fields.model === undefined
+      ? directory.live(service)
+      : directory.replicas(service, fields.model, fields.adapter, now);
+  }
+
+  /** Whether a stream that its client may take up can begin at the endpoint; true for other requests. */
+  private mayBeginAt({ service, softwareVersion }: EndpointRecord): boolean {
+    const { streamVersions } = this.context;
+    return !this.request.route.resumable || streamVersions.mayBegin(service, softwareVersion);
+  }
+
+  private hasSettlingEndpoint(now: number): boolean {
+    const isNew = this.position.softwareVersion === undefined;
+    return isNew && this.holders(now).some((record) => !this.mayBeginAt(record));
   }
 
   /** Usable endpoints that this process can reach. */
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -24,6 +24,8 @@
   readonly prefillHoldShare: number;
   /** Interval between searches for an endpoint below that limit, in ms. */
   readonly prefillPollMs: number;
+  /** Interval between checks whether streams may begin at a new software version, in ms. */
+  readonly settlingPollMs: number;
   /** Retry time given to a client when no better estimate is known, in ms. */
   readonly defaultRetryAfterMs: number;
   /** Retry time given to a client when this process shuts down; it may try another one, in ms. */
@@ -48,6 +50,7 @@
   maxPrefillTokens: 2_000,
   prefillHoldShare: 0.4,
   prefillPollMs: 15,
+  settlingPollMs: 100,
   defaultRetryAfterMs: 1_000,
   shutdownRetryAfterMs: 50,
   minRetrySpreadMs: 200,
--- a/packages/request/forward/src/stream-versions.ts
+++ b/packages/request/forward/src/stream-versions.ts
@@ -18,4 +18,6 @@
    * if that is not certain. `request` is the id of the attempt, if the client states it.
    */
   find(request: string | undefined, service: string): Promise<string | undefined>;
+  /** Whether streams may begin at endpoints of the version, or all processes have yet to learn of it. */
+  mayBegin(service: string, softwareVersion: string): boolean;
 }
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -200,6 +200,9 @@
 
   readonly streamVersions = new Map<string, string>();
 
+  /** Software versions at which no stream may begin yet. */
+  readonly settling = new Set<string>();
+
   budget = RetryBudget.create({ minRetries: 10 });
 
   /** The controller's answer for a model that no endpoint holds. */
@@ -327,6 +330,7 @@
       streamVersions: {
         record: (stream) => this.begunStreams.push(stream),
         find: async (attempt) => this.streamVersions.get(attempt ?? ''),
+        mayBegin: (_, softwareVersion) => !this.settling.has(softwareVersion),
       },
       permits,
       crashes,
--- a/packages/request/forward/test/software-versions.test.ts
+++ b/packages/request/forward/test/software-versions.test.ts
@@ -103,3 +103,20 @@
   await start(['v1', 'v2'], whole, whole);
   expect((await stream({ resumes: 'r9' })).status).toBe(200);
 });
+
+// Guards against streams of a version of which another process has not heard: it would go on with them at its own.
+test('a stream begins at a new version only once that may be', async () => {
+  await start(['v1', 'v2'], whole, whole);
+  harness.settling.add('v2');
+  const served = [await stream(), await stream(), await stream()];
+  expect(served.map(({ status }) => status)).toEqual([200, 200, 200]);
+  expect(harness.arrivals).toEqual([3, 0]);
+  // No other endpoint is left: the request waits, and other kinds of requests do not.
+  harness.directory.remove('e1');
+  const waiting = stream();
+  expect((await harness.call('/once/x', {})).status).toBe(200);
+  expect(harness.arrivals).toEqual([3, 1]);
+  harness.settling.clear();
+  expect((await waiting).status).toBe(200);
+  expect(harness.arrivals).toEqual([3, 2]);
+});
