A stream that the end of the process cuts does not look complete

Cause: the relay mirrored that framing. An exit, also by SIGKILL, closes connections in order, which marks such an answer as complete. Ruled out: that the stop ended the responses itself (they are open until the exit), or that the relay took the end of a send for the end of the answer.

Change: streams go to clients in chunks. For clients of HTTP/1.0, and for other answers without a length, the process resets what it has not sent to its end before it exits.

Tried and not kept: chunks for answers that are read whole, too.

Tests: the three on a stopped or killed process failed before. No sound caller loses: whole answers stay whole, which a test checks for both kinds of clients.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -298,6 +298,7 @@
       openRequests: this.forwarder.openRequests,
       elapsedMs: Math.round(this.clock.now() - startedAt),
     });
+    this.forwarder.cutAll();
   }
 
   /** Whether a configuration and at least one endpoint are known, and the process is not stopping. */
--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -20,20 +20,12 @@
   | { readonly kind: 'timeout' }
   | { readonly kind: 'gone' };
 
-/** How the end of a response is marked if its length is not known at its start. */
-export const Framing = {
-  /** Chunked transfer coding. */
-  chunks: 'chunks',
-  /** The end of the connection. */
-  connection: 'connection',
-} as const;
-export type Framing = (typeof Framing)[keyof typeof Framing];
-
 /** A client's request and the response to it. */
 export class ClientExchange {
   private readonly leaving = new AbortController();
 
-  private framing: Framing = Framing.chunks;
+  /** Whether only the end of the connection marks the end of the response. */
+  private endsWithConnection = false;
 
   private constructor(
     readonly request: IncomingMessage,
@@ -53,6 +45,11 @@
     return this.leaving.signal;
   }
 
+  /** Calls `listener` once the response is complete or its connection closed. */
+  onClose(listener: () => void): void {
+    this.response.once('close', listener);
+  }
+
   /** Whether the head of the response was sent. */
   get started(): boolean {
     return this.response.headersSent;
@@ -138,17 +135,37 @@
   }
 
   /**
-   * Begins a response. With `Framing.connection` it is delimited by the end of the connection, as the
-   * endpoint's response was. Whether that was complete cannot be determined, so the response must not
-   * have a length or chunked coding, which would mark it as complete.
+   * Begins a response without a length, in chunks. A process that is killed closes its connections in
+   * order, so a response that ends with its connection would look complete. Clients of HTTP/1.0 know no
+   * chunks.
    */
-  begin(status: number, headers: Record<string, string | string[]>, framing: Framing): void {
+  begin(status: number, headers: Record<string, string | string[]>): void {
+    this.beginWith(status, headers, this.request.httpVersion === '1.0');
+  }
+
+  /**
+   * Sends a response that ends with its connection, as the endpoint's response did. Whether that was
+   * complete cannot be determined, so neither a length nor chunks may mark it as complete.
+   */
+  async answerUnmarked(
+    status: number,
+    headers: Record<string, string | string[]>,
+    body: Buffer,
+  ): Promise<void> {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+    this.beginWith(status, headers, true);
+    await this.write(body);
+    this.end();
+  }
+
+  private beginWith(
+    status: number,
+    headers: Record<string, string | string[]>,
+    endsWithConnection: boolean,
+  ): void {
     if (this.gone.aborted) return;
-    if (framing === Framing.connection) {
-      this.response.useChunkedEncodingByDefault = false;
-      this.response.shouldKeepAlive = false;
-    }
-    this.framing = framing;
+    this.endsWithConnection = endsWithConnection;
     this.response.writeHead(status, headers);
   }
 
@@ -167,8 +184,8 @@
 
   /** Closes the connection in a way that marks the response as incomplete. */
   cut(): void {
-    // A response that ends with its connection counts as complete unless the connection is reset.
-    if (this.framing === Framing.connection) this.response.socket?.resetAndDestroy();
+    // A reset may cost the client what it has not read yet, so it is left to responses that need it.
+    if (this.endsWithConnection) this.response.socket?.resetAndDestroy();
     this.response.destroy();
   }
 }
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -17,6 +17,9 @@
 
   private openCount = 0;
 
+  /** Requests whose response has not been sent to its end. */
+  private readonly unsent = new Set<ClientExchange>();
+
   private constructor(private readonly context: ForwardContext) {}
 
   static create(context: ForwardContext): Forwarder {
@@ -28,10 +31,17 @@
     return this.openCount;
   }
 
+  /** Marks all responses that have not been sent to their end as incomplete, before the process ends. */
+  cutAll(): void {
+    this.unsent.forEach((client) => client.cut());
+  }
+
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.now();
     const client = ClientExchange.create(request, response);
     this.openCount += 1;
+    this.unsent.add(client);
+    client.onClose(() => this.unsent.delete(client));
     const fields = this.context.protocol.requestFields(request.headers);
     const result = await this.serve(client, fields, arrivedAt);
     this.openCount -= 1;
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -1,7 +1,7 @@
 import type { Head, OpenAnswer } from '@currantdrift/http';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import { RequestKind } from '@currantdrift/routes';
-import { type ClientExchange, Framing } from './client-exchange';
+import type { ClientExchange } from './client-exchange';
 import type { ClientRequest } from './client-request';
 import type { SelectedEndpoint } from './endpoint-selector';
 import { EventSplitter } from './event-splitter';
@@ -15,11 +15,9 @@
   readonly body: Buffer;
 }
 
-/** Returns how the end of an endpoint's answer is marked. */
-const framingOf = ({ headers }: Head): Framing =>
-  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
-    ? Framing.connection
-    : Framing.chunks;
+/** Whether only the end of its connection marks the end of an endpoint's answer. */
+const endsWithConnection = ({ headers }: Head): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 
 /** How far an endpoint has answered a send. */
 export const AnswerProgress = {
@@ -176,23 +174,11 @@
         reason: `status ${status} instead of the remaining stream`,
       };
     }
-    await this.deliver(held, framingOf(answer));
+    if (endsWithConnection(answer)) await this.client.answerUnmarked(status, held.headers, body);
+    else this.client.answer(status, held.headers, body);
     return { kind: 'delivered', status };
   }
 
-  private async deliver(
-    { status, headers, body }: BufferedAnswer,
-    framing: Framing,
-  ): Promise<void> {
-    if (framing === Framing.chunks) {
-      this.client.answer(status, headers, body);
-      return;
-    }
-    this.client.begin(status, headers, framing);
-    await this.client.write(body);
-    this.client.end();
-  }
-
   /** Relays complete events as they arrive. */
   private async relay(answer: OpenAnswer): Promise<SendResult> {
     const { clock } = this.context;
@@ -227,7 +213,7 @@
     if (splitter.remainder.length > 0) return this.broken('the stream ended within an event');
     // The end of a connection does not tell a complete answer from a crash before the first event.
     const isEmpty = this.answerProgress !== AnswerProgress.streaming;
-    if (isEmpty && framingOf(answer) === Framing.connection) {
+    if (isEmpty && endsWithConnection(answer)) {
       return this.broken('the stream ended before its first event');
     }
     this.begin(answer);
@@ -247,7 +233,7 @@
     this.position.hasBegun = true;
     this.position.softwareVersion = this.selected.record.softwareVersion;
     const headers = this.context.protocol.responseHeaders(answer.headers);
-    this.client.begin(answer.status, headers, framingOf(answer));
+    this.client.begin(answer.status, headers);
   }
 
   private broken(reason: string): SendResult {
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -71,11 +71,14 @@
     expect((await harness.call('/unsafe/', { body: 'b' })).status).toBe(502);
   });
 
-  // Guards against adding a length, which would claim that an answer of unknown length is complete.
+  // Guards against adding a length or chunks, which would claim that an answer of unknown length is complete.
   test('an answer without a length is relayed without one', async () => {
     await withEndpoints(answers(`${head(200)}\r\nends with the connection`));
     const seen = await harness.call('/unsafe/', { body: 'b' });
     expect(summaryOf(seen)).toMatchObject({ status: 200, body: 'ends with the connection' });
+    const text = 'GET /safe/x HTTP/1.1\r\nHost: a.example\r\nId: r2\r\n\r\n';
+    const raw = await harness.callRaw(text, () => {});
+    expect(raw.text).not.toMatch(/transfer-encoding|content-length/iu);
   });
 
   test('no route is 404, no identifier is 400, a body above the limit is 413', async () => {
@@ -265,3 +268,47 @@
     expect(harness.arrivals).toEqual([1]);
   });
 });
+
+describe('answers of a process that ends', () => {
+  const unframed = `${head(200, 'Content-Type: text/event-stream\r\n')}\r\n${event(1)}`;
+  const halfStream: Behaviour = (socket) => socket.write(unframed);
+
+  // Guards against a stream whose end only its connection marks: a process closes that in order when it ends.
+  test.each([
+    ['is killed', true],
+    ['has been stopped', false],
+  ])(
+    'a stream without a length is seen to be incomplete when the process %s',
+    async (_name, isKilled) => {
+      await withEndpoints(halfStream);
+      setTimeout(() => harness.endProcess(isKilled), 100);
+      expect(summaryOf(await harness.call('/once/x'))).toEqual({
+        status: 200,
+        body: event(1),
+        complete: false,
+      });
+    },
+  );
+
+  // Guards against the same for clients that know no chunks: only a reset tells them.
+  test('a stream to a client of HTTP/1.0 is reset when the process has been stopped', async () => {
+    await withEndpoints(halfStream);
+    const text = 'GET /once/x HTTP/1.0\r\nHost: a.example\r\nId: r1\r\n\r\n';
+    const seen = await harness.callRaw(text, () => setTimeout(() => harness.endProcess(false), 50));
+    expect(seen).toMatchObject({ isReset: true });
+    expect(seen.text).not.toMatch(/transfer-encoding/iu);
+  });
+
+  // What the chunks must not change: whole answers without a length stay whole, for both kinds of clients.
+  test('a whole stream without a length is complete', async () => {
+    await withEndpoints((socket) => socket.end(unframed + event(2)));
+    expect(summaryOf(await harness.call('/once/x'))).toEqual({
+      status: 200,
+      body: event(1) + event(2),
+      complete: true,
+    });
+    const text = 'GET /once/x HTTP/1.0\r\nHost: a.example\r\nId: r2\r\n\r\n';
+    const seen = await harness.callRaw(text, () => {});
+    expect([seen.isReset, seen.text.endsWith(event(1) + event(2))]).toEqual([false, true]);
+  });
+});
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
-import { type AddressInfo, createServer as createTcpServer, type Socket } from 'node:net';
+import { type AddressInfo, connect, createServer as createTcpServer, type Socket } from 'node:net';
 import { SeededRandom, NoopTelemetry, MonotonicClock, type WakeRefusal } from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
 import { endpointRecord } from '@currantdrift/fakes';
@@ -213,6 +213,10 @@
 
   private requestCount = 0;
 
+  private readonly connections = new Set<Socket>();
+
+  private served: Forwarder | undefined;
+
   private constructor(
     private readonly server: Server,
     private readonly endpoints: readonly RawEndpoint[],
@@ -225,6 +229,8 @@
     const server = createServer();
     const harness = new ForwardHarness(server, endpoints);
     const forwarder = harness.forwarder();
+    harness.served = forwarder;
+    server.on('connection', (socket) => harness.connections.add(socket));
     server.on('request', (incoming, response) => {
       forwarder.handle(incoming, response).catch(() => response.destroy());
     });
@@ -290,6 +296,32 @@
     });
   }
 
+  /** Ends like a process after a planned stop, or like one that is killed: its connections end in order. */
+  endProcess(isKilled: boolean): void {
+    if (!isKilled) this.served?.cutAll();
+    this.connections.forEach((socket) => socket.end());
+  }
+
+  /** Sends a request as text and returns all that comes back, and whether the connection was reset. */
+  async callRaw(text: string, onData: () => void): Promise<{ text: string; isReset: boolean }> {
+    const [host, port] = this.address.split(':');
+    const socket = connect({ host, port: Number(port) });
+    let received = '';
+    let isReset = false;
+    socket.on('error', () => {
+      isReset = true;
+    });
+    socket.on('data', (data) => {
+      received += data.toString();
+      onData();
+    });
+    socket.write(text);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    return { text: received, isReset };
+  }
+
   close(): void {
     this.server.closeAllConnections();
     this.server.close();
