An engine's status is no promise that the request has not run

Cause: which statuses promise that was decided at one of the places that return an answer, for 503 only; answers below 500 were passed on as they are. Ruled out: that a status counts as a statement of the engine (only the header and 421 do).

Change: impliesNotRun names the statuses (408, 421, 425, 429, 503) once, for both programs, which ask it where an endpoint's answer is read. Without a statement of the endpoint the request may have run: callers get 502 (in currantdriftd outcome_unknown), idempotent requests are sent again.

The same tests count what callers lose: other statuses and true refusals stay, and eight of eight idempotent requests beside an engine that answers 429 are served.

--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -14,7 +14,13 @@
   type ServiceCallRequest,
   type StreamPart,
 } from '@currantdrift/core';
-import { type Head, HttpClient, type WholeAnswer, type WholeCall } from '@currantdrift/http';
+import {
+  type Head,
+  HttpClient,
+  impliesNotRun,
+  type WholeAnswer,
+  type WholeCall,
+} from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
 import { cacheEventsSchema, reportSchema } from './schemas';
 import type { EndpointSettings } from './settings';
@@ -29,7 +35,7 @@
 const jsonHeaders = { 'content-type': 'application/json' };
 
 /** Statuses that an HTTP gateway may return whether or not the service ran the call. */
-const gatewayStatuses: readonly number[] = [502, 503, 504];
+const gatewayStatuses: readonly number[] = [502, 504];
 
 /** Adapter for one engine or plain service over HTTP. */
 export class HttpEndpoint implements Endpoint {
@@ -103,7 +109,8 @@
 
   /**
    * Returns any response of the service, whatever its status, except an error body stating that the
-   * call did not run (`refused`) and a gateway status without a stated outcome (`unknown`).
+   * call did not run (`refused`), and a status of a gateway, or by which callers would take it that the
+   * call did not run, without a stated outcome (`unknown`).
    */
   async call(
     call: ServiceCallRequest,
@@ -222,7 +229,10 @@
     const { status, headers, body } = answer;
     const reported = this.client.reportedFailure(step, answer);
     if (reported?.kind === FailureKind.refused) return err(reported);
-    if (gatewayStatuses.includes(status)) return err(this.client.responseFailure(step, answer));
+    if (gatewayStatuses.includes(status) || impliesNotRun(status)) {
+      const message = `status ${status} without a stated outcome`;
+      return err(reported ?? this.client.failure(step, FailureKind.unknown, message));
+    }
     const contentType = String(headers['content-type'] ?? '');
     return ok({ status, contentType, body: new Uint8Array(body) });
   }
--- a/packages/connection/endpoint/test/http-endpoint.test.ts
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -243,6 +243,35 @@
   expect(seen).toMatchSnapshot();
 });
 
+// Guards against a service's status by which callers would book again, although the call may have run.
+test('a status that implies that a call did not run is unknown without a stated outcome', async () => {
+  const kindOf = async (status: number, body: string) => {
+    const address = await serve((_, response) => response.writeHead(status).end(body));
+    const answer = await connect(address).call(call, neverAborted);
+    return answer.match(
+      ({ status: passedOn }) => passedOn,
+      ({ kind }) => kind,
+    );
+  };
+  const stated = JSON.stringify({ error: { message: 'full', outcome: 'not_run' } });
+  const seen: Record<number, unknown[]> = {};
+  for (const status of [400, 404, 408, 409, 421, 422, 425, 429, 503]) {
+    seen[status] = [await kindOf(status, 'failed'), await kindOf(status, stated)];
+  }
+  // True refusals stay refusals, and other answers reach their callers.
+  expect(seen).toEqual({
+    400: [400, 'refused'],
+    404: [404, 'refused'],
+    408: ['unknown', 'refused'],
+    409: [409, 'refused'],
+    421: ['unknown', 'refused'],
+    422: [422, 'refused'],
+    425: ['unknown', 'refused'],
+    429: ['unknown', 'refused'],
+    503: ['unknown', 'refused'],
+  });
+});
+
 // Guards against differences between the protocol of the adapter and that of the engine stand-in.
 test('an engine accepts orders, reports, generates and resumes', async () => {
   const engine = EngineStandin.create({ msPerToken: 0, prefillMs: 0, loadLagMs: 0 });
--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -9,3 +9,4 @@
 } from './http-client';
 export { errorSchema, parseJson } from './json';
 export type { HttpSettings } from './settings';
+export { impliesNotRun } from './not-run-status';
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -242,9 +242,7 @@
       return this.answer('refused', httpStatus.unavailable, result.reason, defaultRetryAfterMs);
     }
     const { held } = result;
-    // Clients take a 503 as a guarantee that the request did not run.
-    const impliesNotRun = held?.status === 503;
-    if (held === undefined || impliesNotRun) {
+    if (held === undefined) {
       return this.answer('failed', httpStatus.badGateway, result.reason);
     }
     this.client.answer(held.status, held.headers, held.body);
--- a/packages/request/forward/src/retry.ts
+++ b/packages/request/forward/src/retry.ts
@@ -6,7 +6,7 @@
   notRun: 'notRun',
   /** The endpoint may have run the request; no byte of its answer was relayed. */
   unknown: 'unknown',
-  /** The endpoint answered with a server error. */
+  /** The endpoint answered with an error after it may have run the request. */
   failed: 'failed',
   /** The stream broke after part of it was relayed. */
   broken: 'broken',
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -1,4 +1,4 @@
-import type { Head, OpenAnswer } from '@currantdrift/http';
+import { type Head, impliesNotRun, type OpenAnswer } from '@currantdrift/http';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import { RequestKind } from '@currantdrift/routes';
 import type { ClientExchange } from './client-exchange';
@@ -167,6 +167,8 @@
     if (read.isErr()) return { kind: SendFailure.unknown, reason: read.error.message };
     const { status, body } = read.value;
     const held = { status, headers: protocol.responseHeaders(answer.headers), body };
+    // An endpoint that did not run the request says so in a header of its own; the status says nothing.
+    if (impliesNotRun(status)) return { kind: SendFailure.failed, reason: `status ${status}` };
     if (status >= 500) return { kind: SendFailure.failed, reason: `status ${status}`, held };
     if (this.position.hasBegun) {
       return {
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -137,10 +137,34 @@
     expect(harness.arrivals.reduce((sum, count) => sum + count)).toBe(6);
   });
 
-  // Guards against a 503 for a request that ran: clients take a 503 as "not run".
-  test('a 503 of an endpoint that ran the request becomes 502', async () => {
-    await withEndpoints(answers(whole(503, 'ran and failed')));
-    expect((await harness.call('/unsafe/', { body: 'b' })).status).toBe(502);
+  // Guards against statuses that clients take as "not run" for a request that ran: they would book twice.
+  test.each([408, 425, 429, 503])(
+    'a %s of an endpoint that ran the request becomes 502',
+    async (status) => {
+      await withEndpoints(answers(whole(status, 'ran and failed')));
+      expect((await harness.call('/unsafe/', { body: 'b' })).status).toBe(502);
+      expect(harness.arrivals).toEqual([1]);
+      expect((await harness.call('/once/', { body: 'b' })).status).toBe(502);
+    },
+  );
+
+  // What that must not cost callers: true refusals and all other answers stay, and what may run again does.
+  test('other answers of endpoints keep their status, and idempotent requests are sent again', async () => {
+    const seen = [];
+    for (const status of [400, 404, 409, 422, 500]) {
+      await withEndpoints(answers(whole(status, 'as it is')));
+      seen.push(await harness.call('/unsafe/', { body: 'b' }));
+      harness.close();
+    }
+    expect(seen.map(({ status, body }) => `${status} ${body}`)).toEqual(
+      [400, 404, 409, 422, 500].map((status) => `${status} as it is`),
+    );
+    await withEndpoints(answers(whole(429, 'full', 'Not-Run: 1\r\n')));
+    expect((await harness.call('/unsafe/', { body: 'b' })).status).toBe(503);
+    harness.close();
+    await withEndpoints(answers(whole(429, 'failed')), good);
+    const safe = await Promise.all(Array.from({ length: 8 }, () => harness.call('/safe/')));
+    expect(safe.map(({ status }) => status)).toEqual(Array.from({ length: 8 }, () => 200));
   });
 });
 
