A gap in the feed between members is no outage of the store

Cause: after an outage of the store removed engines are kept for two seconds, since their entries may come back. Any gap of more than half of the bound was taken for an outage, but a member whose feed has become stale always has one: the two readers of the store were killed. Ruled out: that noticing the silence takes too long by itself (all members know a removal within the bound, also when all relays end).

Change: each process keeps its calls to the store. A gap is an outage only if one of them has failed or come late since, or is late now. In an outage that lets entries lapse each process has tried by then.

The same tests count what callers lose: an outage is still seen by 24 of 24 members, and endpoints whose entries lapse in it stay, also at a process whose first call has not been answered yet.

--- a/packages/process/gateway/src/process/prefix-follower.ts
+++ b/packages/process/gateway/src/process/prefix-follower.ts
@@ -4,12 +4,15 @@
   describeFailure,
   type Entry,
   eraOf,
+  type Failure,
   type Listing,
   type PrefixStore,
   type Random,
   type Telemetry,
 } from '@currantdrift/core';
+import type { Result } from 'neverthrow';
 import type { FreshnessLimits } from '../version/freshness';
+import type { StoreCalls } from './store-calls';
 
 /** Receives the entries and changes that a follower reads. */
 export interface EntryListener {
@@ -45,6 +48,8 @@
   /** Records that the store responded to a call sent at `sentAt`, or that a call failed at `now`. */
   storeResponded(sentAt: number): void;
   failed(now: number): void;
+  /** The calls of this process to the store, for all prefixes. */
+  readonly calls: StoreCalls;
   /** Whether to call the store again after recent failures. */
   mayCallStore(now: number): boolean;
   /** Longest delay between calls to the store while they fail, in ms. */
@@ -235,7 +240,7 @@
       return true;
     }
     const sentAt = clock.now();
-    const listing = await store.listing(prefix);
+    const listing = await this.track(sentAt, store.listing(prefix));
     if (listing.isErr()) return this.failed(describeFailure(listing.error));
     const { revision } = listing.value;
     if (revision < this.revision) {
@@ -281,7 +286,8 @@
     const { store, prefix, feed, clock } = this.options;
     const sentAt = clock.now();
     const maxWaitMs = this.maxWaitMs(sentAt);
-    const result = await store.changes(prefix, this.revision, maxWaitMs, signal);
+    const changes = store.changes(prefix, this.revision, maxWaitMs, signal);
+    const result = await this.track(sentAt + maxWaitMs, changes);
     if (signal.aborted) return true;
     if (result.isErr()) return this.failed(describeFailure(result.error));
     if (result.value.kind === 'compacted') {
@@ -297,16 +303,28 @@
       this.isListed = false;
       return this.list();
     }
-    const { changes, revision } = result.value;
+    const { changes: received, revision } = result.value;
     // The store waited for the full time without a change, so the entries are current until then.
-    const hasWaited = changes.length === 0 && clock.now() - sentAt >= maxWaitMs;
+    const hasWaited = received.length === 0 && clock.now() - sentAt >= maxWaitMs;
     this.recordStoreResponse(hasWaited ? sentAt + maxWaitMs : sentAt);
     const before = this.revision;
-    const newer = this.applyChanges(changes, revision);
+    const newer = this.applyChanges(received, revision);
     feed.passOn({ prefix, after: before, revision: this.revision, changes: newer });
     return true;
   }
 
+  /** Awaits a call to the store whose answer is due at `dueAt`. */
+  private async track<T>(
+    dueAt: number,
+    call: Promise<Result<T, Failure>>,
+  ): Promise<Result<T, Failure>> {
+    const { feed, clock } = this.options;
+    const begun = feed.calls.begin(dueAt);
+    const result = await call;
+    feed.calls.end(begun, result.isErr(), clock.now());
+    return result;
+  }
+
   /** Limits a wait so that it ends before the entries are too old: nothing is received during a wait. */
   private maxWaitMs(now: number): number {
     // After a failure a short wait shows whether the store responds at all.
@@ -351,10 +369,11 @@
 
   private recordCurrent(at: number, source: string): void {
     if (at <= this.currentAsOf) return;
-    const { limits, onStoreRecovery } = this.options;
+    const { limits, feed, clock, onStoreRecovery } = this.options;
     const isFirst = this.currentAsOf === -Infinity;
-    // No member got a response for longer than messages take, so the store had an outage.
-    if (!isFirst && at - this.currentAsOf > limits.relayMaxAgeMs) onStoreRecovery?.(at);
+    const hasGap = !isFirst && at - this.currentAsOf > limits.relayMaxAgeMs;
+    // A gap without a failed call is one of the feed: the members that read the store have ended, say.
+    if (hasGap && feed.calls.hasFailedSince(this.currentAsOf, clock.now())) onStoreRecovery?.(at);
     this.currentAsOf = at;
     this.source = source;
   }
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -2,6 +2,7 @@
 import { type FeedMessage, PeerMessageKind } from '../connection/peer-messages';
 import type { FreshnessLimits } from '../version/freshness';
 import type { Member, Members } from '../version/members';
+import { StoreCalls } from './store-calls';
 import type { Batch, Feed, PeerListing, PrefixFollower, AgedListing } from './prefix-follower';
 
 /**
@@ -45,6 +46,8 @@
  * store itself.
  */
 export class StoreFeed implements Feed {
+  readonly calls = StoreCalls.create();
+
   private readonly followers = new Map<string, PrefixFollower>();
 
   private readonly progress = new Map<string, Progress>();
--- a/packages/process/gateway/test/controller-election.test.ts
+++ b/packages/process/gateway/test/controller-election.test.ts
@@ -66,7 +66,7 @@
       listener: members,
       pauseMs: 20,
       limits: freshnessLimits(2_500),
-      feed: noFeed,
+      feed: noFeed(),
       startsFromFeed: false,
     });
     follower.run(process.stop.signal).catch(() => {});
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -27,7 +27,7 @@
   return ok(record);
 };
 
-const start = (feed: Feed = noFeed) => {
+const start = (feed: Feed = noFeed()) => {
   const clock = VirtualClock.create();
   const store = MemoryPrefixStore.create(clock);
   const handle = PrefixStoreHandle.create(store, clock);
@@ -83,7 +83,7 @@
     let isRestarted = false;
     const given = { ...old, ageMs: 0, host: 'lagging', requestedAt: 0 };
     const snapshot = () => Promise.resolve(isRestarted ? given : undefined);
-    const { clock, store, ids } = start({ ...noFeed, snapshot });
+    const { clock, store, ids } = start({ ...noFeed(), snapshot });
     store.write('e/1', bytes('x'));
     await clock.advance(100);
     store.write('e/1', undefined);
@@ -188,7 +188,10 @@
 
   // Guards against dropping live endpoints at a member that learns from others that an outage has ended.
   test('expired entries have two seconds to reappear if only the feed shows the recovery', async () => {
-    const { clock, store, handle, ids, follower } = start({ ...noFeed, maxFeedAgeMs: () => 1_650 });
+    const { clock, store, handle, ids, follower } = start({
+      ...noFeed(),
+      maxFeedAgeMs: () => 1_650,
+    });
     store.write('e/1', bytes('x'));
     store.write('e/2', bytes('y'));
     await clock.advance(100);
@@ -222,6 +225,59 @@
     expect(ids()).toEqual([]);
   });
 
+  // Guards against a gap in the feed that is taken for an outage of the store: an endpoint that has gone got
+  // requests for two seconds more.
+  test('an entry that is removed while the feed has a gap is removed at the first read', async () => {
+    const { clock, store, ids, follower } = start({ ...noFeed(), maxFeedAgeMs: () => 1_250 });
+    store.write('e/1', bytes('x'));
+    store.write('e/2', bytes('y'));
+    await clock.advance(100);
+    const { revision } = store;
+    for (let step = 0; step < 12; step += 1) {
+      await clock.advance(250);
+      follower.receive(
+        { prefix: 'e/', after: revision, revision, changes: [], ageMs: 600 },
+        'relay',
+      );
+    }
+    store.write('e/2', undefined);
+    const goneAt = clock.now();
+    while (ids().length > 1 && clock.now() < goneAt + 10_000) await clock.advance(10);
+    expect(clock.now() - goneAt).toBeLessThan(2_000);
+    expect(ids()).toEqual(['1 x']);
+  });
+
+  // What that must not cost callers: endpoints that live through an outage stay, also one that this process
+  // notices only by a call which has not been answered yet.
+  test.each([
+    ['a call has failed', 5_000],
+    ['the first call is under way', 1_900],
+  ])(
+    'expired entries have two seconds to reappear after an outage in which %s',
+    async (_, outageMs) => {
+      const { clock, store, handle, ids, follower } = start({
+        ...noFeed(),
+        maxFeedAgeMs: () => 1_250,
+      });
+      store.write('e/1', bytes('x'));
+      await clock.advance(100);
+      const { revision } = store;
+      follower.receive(
+        { prefix: 'e/', after: revision, revision, changes: [], ageMs: 50 },
+        'relay',
+      );
+      handle.cut = true;
+      await clock.advance(outageMs);
+      const removed: Change = { kind: 'removed', key: 'e/1', revision: revision + 1 };
+      follower.receive(
+        { prefix: 'e/', after: revision, revision: revision + 1, changes: [removed], ageMs: 50 },
+        'relay',
+      );
+      await clock.advance(1_500);
+      expect(ids()).toEqual(['1 x']);
+    },
+  );
+
   // Guards against a malformed entry that removes or replaces a valid one.
   test('a malformed entry is ignored', async () => {
     const { clock, store, ids } = start();
--- a/packages/process/gateway/test/no-feed.ts
+++ b/packages/process/gateway/test/no-feed.ts
@@ -1,7 +1,9 @@
+import { StoreCalls } from '../src/process/store-calls';
 import type { Feed } from '../src/process/prefix-follower';
 
 /** A feed without other members: the follower always reads the store itself. */
-export const noFeed: Feed = {
+export const noFeed = (): Feed => ({
+  calls: StoreCalls.create(),
   maxFeedAgeMs: () => 0,
   storeResponded: () => {},
   failed: () => {},
@@ -9,4 +11,4 @@
   maxRetryDelayMs: () => 800,
   passOn: () => {},
   snapshot: () => Promise.resolve(undefined),
-};
+});
--- a/packages/process/gateway/test/store-feed.test.ts
+++ b/packages/process/gateway/test/store-feed.test.ts
@@ -34,6 +34,8 @@
   const telemetry = NoopTelemetry.create();
   const feeds = new Map<string, StoreFeed>();
   const silent = new Set<string>();
+  /** Members that have taken a gap for an outage of the store. */
+  const recovered = new Set<string>();
   const neverAborted = new AbortController().signal;
   const start = (index: number) => {
     const host = `h${index}`;
@@ -62,7 +64,8 @@
     ];
     followers.forEach((each) => {
       const common = { store: handle, clock, random, telemetry, feed, pauseMs: 100, limits };
-      const follower = PrefixFollower.create({ ...common, ...each });
+      const onStoreRecovery = () => recovered.add(host);
+      const follower = PrefixFollower.create({ ...common, ...each, onStoreRecovery });
       feed.attach(each.prefix, follower);
       follower.run(neverAborted).catch(() => {});
     });
@@ -99,6 +102,7 @@
     relays,
     others,
     silent,
+    recovered,
     write,
     values,
     reads,
@@ -358,4 +362,41 @@
     expect(values('b')).toEqual(repeated(6, 'kept'));
     expect(others.every(({ feed }) => feed.isFeedCurrent(clock.now()))).toBe(true);
   });
+
+  // Guards against members that take the end of those which read for them for an outage of the store.
+  test.each([
+    ['both watchers', false],
+    ['all watchers and relays', true],
+  ])(
+    'a removal is known in time when %s have ended, and no outage is seen',
+    async (_, includesRelays) => {
+      const { clock, store, processes, watchers, relays, silent, recovered, write } =
+        await startMembers(24, 3);
+      write('a', 'old');
+      await clock.advance(20_000);
+      const ended = includesRelays ? [...watchers, ...relays] : watchers;
+      ended.forEach(({ host, handle }) => {
+        silent.add(host);
+        Object.assign(handle, { cut: true });
+      });
+      store.write(`${dataPrefix}a`, undefined);
+      await clock.advance(propagationLimitMs);
+      const others = processes.filter((each) => !ended.includes(each));
+      expect(others.map(({ entries }) => entries.values.size)).toEqual(others.map(() => 0));
+      expect(others.filter(({ host }) => recovered.has(host)).map(({ host }) => host)).toEqual([]);
+    },
+  );
+
+  // What that must not cost: an outage is seen by all members, also by those that the feed tells of its end.
+  test('all members see an outage of the store', async () => {
+    const { clock, processes, recovered } = await startMembers(24, 3);
+    await clock.advance(20_000);
+    const setCut = (cut: boolean) =>
+      processes.forEach(({ handle }) => Object.assign(handle, { cut }));
+    setCut(true);
+    await clock.advance(4_000);
+    setCut(false);
+    await clock.advance(4_000);
+    expect(recovered.size).toBe(24);
+  });
 });
--- a/packages/process/gateway/test/store-restore.test.ts
+++ b/packages/process/gateway/test/store-restore.test.ts
@@ -58,7 +58,7 @@
       },
       pauseMs: 20,
       feed: {
-        ...noFeed,
+        ...noFeed(),
         snapshot: async () =>
           isRestored && peerListing !== undefined
             ? { ...peerListing, ageMs: 0, host: 'peer', requestedAt: 0 }
