The largest answer yields when all answers together are too large

Change: the largest answer is abandoned in place of the next one, and the endpoints of currantdriftd share a limit of 64 MB. Ruled out: heads without a limit; a sum without a limit in the gateway.

Test: "does not cost the answers of other servers" failed before. What it costs is counted there: one of five oversized answers makes room.

--- a/packages/connection/endpoint/src/http-endpoint-connector.ts
+++ b/packages/connection/endpoint/src/http-endpoint-connector.ts
@@ -6,6 +6,7 @@
   type LimitSource,
   SystemClock,
 } from '@currantdrift/core';
+import { ByteBudget } from '@currantdrift/http';
 import { HttpEndpoint } from './http-endpoint';
 import { defaultEndpointSettings, type EndpointSettings } from './settings';
 
@@ -30,10 +31,15 @@
 
   private readonly limitListeners: LimitListener[] = [];
 
+  /** Shared by all endpoints, so that many large answers cannot exhaust the memory of the process. */
+  private readonly heldBytes: ByteBudget;
+
   private constructor(
     private readonly settings: EndpointSettings,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.heldBytes = ByteBudget.create(settings.maxHeldBytes);
+  }
 
   /** Missing settings default to `defaultEndpointSettings`. */
   static create(
@@ -53,7 +59,7 @@
     existing?.endpoint.close().catch(() => {});
     const onLimit: LimitListener = (...stated) =>
       this.limitListeners.forEach((listener) => listener(...stated));
-    const endpoint = HttpEndpoint.create(host, this.settings, onLimit, this.clock);
+    const endpoint = HttpEndpoint.create(host, this.settings, this.heldBytes, onLimit, this.clock);
     this.endpoints.set(host.name, { host, endpoint });
     return endpoint;
   }
--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -15,6 +15,7 @@
   type StreamPart,
 } from '@currantdrift/core';
 import {
+  type ByteBudget,
   type Head,
   HttpClient,
   impliesNotRun,
@@ -60,14 +61,19 @@
     this.fencing = host.fencing;
   }
 
-  /** `onLimit` receives the request limit that each response states. */
+  /**
+   * `heldBytes` is shared by all endpoints; `onLimit` receives the request limit that each response
+   * states.
+   */
   static create(
     host: Host,
     settings: EndpointSettings,
+    heldBytes: ByteBudget,
     onLimit: LimitListener,
     clock: Clock,
   ): HttpEndpoint {
-    const client = HttpClient.create(host.address, `${host.name} ${host.address}`, settings);
+    const peer = `${host.name} ${host.address}`;
+    const client = HttpClient.create(host.address, peer, { ...settings, heldBytes });
     return new HttpEndpoint(host, client, settings, onLimit, clock);
   }
 
--- a/packages/connection/endpoint/src/settings.ts
+++ b/packages/connection/endpoint/src/settings.ts
@@ -17,6 +17,8 @@
   readonly highWaterBytes: number;
   /** Largest response of a plain service, report or list of cache events, in bytes. */
   readonly maxAnswerBytes: number;
+  /** Total size of the responses of all endpoints that are being read, in bytes. */
+  readonly maxHeldBytes: number;
 }
 
 export const defaultEndpointSettings: EndpointSettings = {
@@ -27,4 +29,5 @@
   controlTimeoutMs: 1000,
   highWaterBytes: 65_536,
   maxAnswerBytes: 16_000_000,
+  maxHeldBytes: 64_000_000,
 };
--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { Exchange, type Head } from './exchange';
 import { errorSchema, parseJson } from './json';
+import type { ByteBudget, HeldBytes } from './byte-budget';
 import type { HttpSettings } from './settings';
 
 /** One HTTP request. */
@@ -60,10 +61,15 @@
   readonly body: Buffer;
 }
 
+const totalLimitReason = ({ limitBytes }: ByteBudget): string =>
+  `the responses being read exceed ${limitBytes} bytes in total`;
+
 /** The part of a body that has been read so far. */
 interface PartialBody {
   readonly chunks: Buffer[];
   size: number;
+  /** The part's share of the budget for all responses, if there is one. */
+  readonly held: HeldBytes | undefined;
 }
 
 /** HTTP client of one server. After a timeout, later requests use new connections. */
@@ -120,9 +126,14 @@
 
   /** Reads the body of an open response. */
   async body(step: string, answer: OpenAnswer): Promise<Result<WholeAnswer, Failure>> {
-    const partial: PartialBody = { chunks: [], size: 0 };
-    const read = await this.readBody(step, answer, partial);
-    this.settings.heldBytes?.release(partial.size);
+    const { heldBytes } = this.settings;
+    const chunks: Buffer[] = [];
+    const held = heldBytes?.hold(() => {
+      chunks.length = 0;
+      answer.exchange.stop(new Error(totalLimitReason(heldBytes)));
+    });
+    const read = await this.readBody(step, answer, { chunks, size: 0, held });
+    held?.release();
     return read;
   }
 
@@ -151,8 +162,8 @@
     if (partial.size + chunk.length > maxAnswerBytes) {
       return `the response exceeds ${maxAnswerBytes} bytes`;
     }
-    if (heldBytes?.tryReserve(chunk.length) === false) {
-      return `the responses being read exceed ${heldBytes.limitBytes} bytes in total`;
+    if (heldBytes !== undefined && partial.held?.tryAdd(chunk.length) === false) {
+      return totalLimitReason(heldBytes);
     }
     partial.chunks.push(chunk);
     partial.size += chunk.length;
--- a/packages/connection/http/test/endless-answers.test.ts
+++ b/packages/connection/http/test/endless-answers.test.ts
@@ -63,6 +63,19 @@
   return { address, client: HttpClient.create(address, 'endpoint', limits), seen };
 };
 
+/** Starts a server that answers each request with `body`; returns its address. */
+const serveWhole = async (body: string): Promise<string> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end(`${head}Content-Length: ${body.length}\r\n\r\n${body}`));
+  });
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
 const get = { step: 'test', method: 'GET', path: '/' } as const;
 
 const settle = () =>
@@ -113,12 +126,37 @@
     const messages = answers.map(({ answer }) => answer._unsafeUnwrapErr().message);
     const reasons = new Set(messages.map((message) => message.replace(/\d+/u, 'N')));
     expect(reasons).toContain('the responses being read exceed N bytes in total');
-    // All reserved bytes have been released.
-    expect(heldBytes.tryReserve(4_000_000)).toBe(true);
+    // All held bytes have been released.
+    expect(heldBytes.totalBytes).toBe(0);
     await settle();
     expect(answers.every(({ seen }) => seen.isClosed)).toBe(true);
   });
 
+  // Guards against one server's endless answers that cost the answers of the others.
+  test('does not cost the answers of other servers', async () => {
+    const heldBytes = ByteBudget.create(1_000_000);
+    const clientOf = (address: string) =>
+      HttpClient.create(address, 'endpoint', { ...limits, heldBytes });
+    const large = `${head}\r\n${'x'.repeat(198_000)}`;
+    const endless = await Promise.all(
+      Array.from({ length: 5 }, async () => {
+        const { address } = await serveEndless(large, 'x', 50);
+        return clientOf(address).whole(get, 1_500);
+      }).concat(
+        (async () => {
+          while (heldBytes.totalBytes < 900_000) await settle();
+          const sound = await serveWhole('x'.repeat(100_000));
+          return clientOf(sound).whole(get, 1_500);
+        })(),
+      ),
+    );
+    const sound = endless.pop()?._unsafeUnwrap();
+    expect(sound?.body.length).toBe(100_000);
+    // One large answer was enough to make room; the others ran into their own limits.
+    const reasons = endless.map((answer) => answer._unsafeUnwrapErr().message);
+    expect(reasons.filter((reason) => reason.includes('in total'))).toHaveLength(1);
+  });
+
   // Guards against a slow trickle of bytes, which a progress timeout alone does not end.
   test.each([
     ['in its head', head, 'A'],
