An endpoint that goes on after the end of its stream is cut off

Change: the rest of a response is discarded up to the limit of unread bytes, then its connection is closed. Test: "bytes after the end of a stream are not read without end", failed before. Engines that end in order lose nothing: their connections are used again as before.

--- a/packages/connection/endpoint/test/http-endpoint.test.ts
+++ b/packages/connection/endpoint/test/http-endpoint.test.ts
@@ -214,6 +214,28 @@
   expect(parts.map((part) => part.slice(0, 14))).toEqual(['{"kind":"token', '{"kind":"end",']);
 });
 
+// Guards against an engine that sends on after the end of its stream: all of it was read.
+test('bytes after the end of a stream are not read without end', async () => {
+  let isClosed = false;
+  const address = await serve((_, response) => {
+    response.writeHead(200, streamHead).write(tokens(0, 'a', 'b', 'c', 'd') + end);
+    const piece = ':'.repeat(16_384);
+    const send = () => {
+      if (isClosed) return;
+      if (response.write(piece)) setImmediate(send);
+      else response.once('drain', send);
+    };
+    response.once('close', () => {
+      isClosed = true;
+    });
+    send();
+  });
+  const parts = await collect(connect(address));
+  expect(parts.at(-1)).toMatch(/^\{"kind":"end"/u);
+  await sleep(300);
+  expect(isClosed).toBe(true);
+});
+
 // Guards against losing the idempotency key or trace of a call, and against a wrong outcome for its
 // response.
 test('plain calls send their headers and report the outcome', async () => {
--- a/packages/connection/http/src/exchange.ts
+++ b/packages/connection/http/src/exchange.ts
@@ -30,6 +30,9 @@
   /** Whether the rest of the response is discarded. */
   isDraining = false;
 
+  /** Bytes of the rest of the response that were discarded. */
+  private discardedBytes = 0;
+
   private controller: Dispatcher.DispatchController | undefined;
 
   private responseHead: Head | undefined;
@@ -112,7 +115,10 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.lastProgressAt = performance.now();
-    if (this.isDraining) return;
+    if (this.isDraining) {
+      this.discard(chunk);
+      return;
+    }
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
     if (this.bufferedBytes > this.limits.highWaterBytes) controller.pause();
@@ -129,6 +135,14 @@
     this.fail(error);
   }
 
+  /** Reusing a connection is worth a short rest of a response only. */
+  private discard(chunk: Buffer): void {
+    this.discardedBytes += chunk.length;
+    if (this.discardedBytes > this.limits.highWaterBytes) {
+      this.stop(new Error('the rest of the response is too long to discard'));
+    }
+  }
+
   private takeChunks(): Buffer {
     const bytes = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
     this.chunks = [];
