A planned stop refuses requests whose body is still coming

Cause: whether a request is taken was decided when its head came. Ruled out: kept connections, which are refused from three seconds on, and waits for a place or a model, which end as the stop begins.

Change: as soon as no more requests are taken, those whose body is still coming are refused as not run, with a retry time; and it is asked once more before a request is passed on for the first time, also after a wait for a permit. currantdriftd the same: there a body could begin a request until the last connection was closed.

What callers lose is counted beside them: five of five bookings that were passed on before are answered, and an idempotent request is sent again.

--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { HttpEndpointConnector } from '@currantdrift/endpoint';
 import { type Clock, SystemClock, SystemRandom } from '@currantdrift/core';
 import { TrustedKeys } from '@currantdrift/bundle';
@@ -16,6 +17,8 @@
   readonly clock: Clock;
   readonly telemetry: ProcessTelemetry;
   readonly node: Node;
+  /** Aborted once callers' requests are refused. */
+  readonly closing: AbortController;
   readonly callers: HttpServer;
   readonly operators: HttpServer;
 }
@@ -82,12 +85,16 @@
       tracer: SpanTracer.create(settings.telemetry.traces),
     });
     const node = createNode(settings, trusted.value, clock, telemetry);
+    const closing = new AbortController();
+    // Every request adds a listener, so the default limit would print warnings.
+    setMaxListeners(0, closing.signal);
     const callers = CallersInterface.create({
       entry: node.entry,
       clock,
       telemetry,
       body: { maxBytes: settings.callers.maxBodyBytes, timeoutMs: settings.callers.bodyTimeoutMs },
       deadlines: settings.callers,
+      closing: closing.signal,
     });
     const operators = OperatorsInterface.create({
       operations: node,
@@ -101,6 +108,7 @@
         clock,
         telemetry,
         node,
+        closing,
         callers: HttpServer.create(callers.routes().fetch, settings.callers.address),
         operators: HttpServer.create(operators.routes().fetch, settings.operators.address),
       }),
@@ -134,6 +142,7 @@
     // The load balancer notices the failed readiness check with a delay; until then, new
     // connections are still served.
     await clock.sleep(settings.stopping.drainDelayMs);
+    this.parts.closing.abort();
     await node.leave();
     const cut = await callers.close(clock, Math.max(0, end - clock.now()));
     const open = await node.stop(Math.max(0, end - clock.now()));
--- a/packages/process/daemon/src/request/callers-interface.ts
+++ b/packages/process/daemon/src/request/callers-interface.ts
@@ -30,6 +30,8 @@
   readonly telemetry: Telemetry;
   readonly body: BodyLimits;
   readonly deadlines: DeadlineLimits;
+  /** Aborted once this daemon takes no more requests. */
+  readonly closing: AbortSignal;
 }
 
 const requestIdPattern = /^[\w.-]{1,64}$/;
@@ -106,7 +108,8 @@
     const received = clock.now();
     const limits = this.limits(context);
     if (limits.isErr()) return this.refuse(context, limits.error);
-    const body = (await readBody(incoming, this.options.body, clock)).andThen(readChatBody);
+    const read = await readBody(incoming, this.options.body, clock, this.options.closing);
+    const body = read.andThen(readChatBody);
     if (body.isErr()) return this.refuse(context, body.error);
     const { model, stream, ...rest } = body.value;
     const requestId = context.get('requestId');
@@ -130,7 +133,12 @@
     const { entry, clock } = this.options;
     const limits = this.limits(context);
     if (limits.isErr()) return this.refuse(context, limits.error);
-    const body = await readBody(context.env.incoming, this.options.body, clock);
+    const body = await readBody(
+      context.env.incoming,
+      this.options.body,
+      clock,
+      this.options.closing,
+    );
     if (body.isErr()) return this.refuse(context, body.error);
     const { service, call } = context.req.param() as { service: string; call: string };
     const idempotencyKey = context.req.header('idempotency-key');
--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -13,11 +13,16 @@
 const errorBody = (outcome: string, message: string): Buffer =>
   Buffer.from(JSON.stringify({ error: { message, outcome } }));
 
+const errorHeaders = (retryAfterMs: number | undefined): Record<string, string> => ({
+  'content-type': 'application/json',
+  ...(retryAfterMs !== undefined && { 'retry-after': (retryAfterMs / 1000).toFixed(2) }),
+});
+
 /** Result of reading a client's request body. */
 export type BodyRead =
   | { readonly kind: 'complete'; readonly body: Buffer }
   | { readonly kind: 'too_large' }
-  | { readonly kind: 'timeout' }
+  | { readonly kind: 'stopped' }
   | { readonly kind: 'gone' };
 
 /** A client's request and the response to it. */
@@ -56,10 +61,10 @@
   }
 
   /**
-   * Reads the body until `timeoutSignal` aborts. After `too_large` and `timeout` nothing more is read, so
-   * the response has to close the connection.
+   * Reads the body until `signal` aborts. After `too_large` and `stopped` nothing more is read, so the
+   * response has to close the connection.
    */
-  body(maxBytes: number, timeoutSignal: AbortSignal): Promise<BodyRead> {
+  body(maxBytes: number, signal: AbortSignal): Promise<BodyRead> {
     const { request } = this;
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
@@ -67,7 +72,7 @@
       const done = new AbortController();
       const finish = (read: BodyRead) => {
         done.abort();
-        if (read.kind === 'too_large' || read.kind === 'timeout') request.pause();
+        if (read.kind === 'too_large' || read.kind === 'stopped') request.pause();
         resolve(read);
       };
       request.on('data', (chunk: Buffer) => {
@@ -80,9 +85,8 @@
       // The stream emits an error only if the client's connection fails.
       request.once('error', () => finish({ kind: 'gone' }));
       request.once('close', () => finish({ kind: 'gone' }));
-      timeoutSignal.addEventListener('abort', () => finish({ kind: 'timeout' }), {
-        signal: done.signal,
-      });
+      signal.addEventListener('abort', () => finish({ kind: 'stopped' }), { signal: done.signal });
+      if (signal.aborted) finish({ kind: 'stopped' });
     });
   }
 
@@ -99,20 +103,18 @@
    */
   fail(status: number, outcome: string, reason: string, retryAfterMs?: number): void {
     if (!this.request.complete) this.limitUnreadBody();
-    const headers: Record<string, string> = { 'content-type': 'application/json' };
-    if (retryAfterMs !== undefined) headers['retry-after'] = (retryAfterMs / 1000).toFixed(2);
-    this.answer(status, headers, errorBody(outcome, reason));
+    this.answer(status, errorHeaders(retryAfterMs), errorBody(outcome, reason));
   }
 
   /**
    * Sends an error without reading the remaining body, and closes the connection after `lingerMs`:
    * closing with unread bytes resets the connection, and a client may discard the response on a reset.
    */
-  refuseBody(status: number, reason: string): void {
+  refuseBody(status: number, reason: string, retryAfterMs?: number): void {
     if (this.gone.aborted) return;
     const body = errorBody('refused', reason);
     this.response.writeHead(status, {
-      'content-type': 'application/json',
+      ...errorHeaders(retryAfterMs),
       'content-length': String(body.length),
       connection: 'close',
     });
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -70,15 +70,12 @@
     let nextRequestAt = -Infinity;
     for (;;) {
       const now = clock.now();
-      const ended = this.checkEnd(now);
+      const ended = this.checkEnd(tried, now);
       if (ended !== undefined) return ended;
       const selected = this.tryReserve(tried, now);
       if (selected !== undefined) return selected;
       if (this.pauseEndsAt !== undefined) return this.refuseDuringPause(this.pauseEndsAt, now);
-      if (this.context.stopping.aborted) {
-        const retryAfterMs = settings.shutdownRetryAfterMs;
-        return { kind: 'refused', reason: 'this process is shutting down', retryAfterMs };
-      }
+      if (this.context.stopping.aborted) return this.refuseDuringStop();
       if (this.isPrefillLimited) {
         await clock.sleep(settings.prefillPollMs, this.gone);
         continue;
@@ -104,12 +101,10 @@
   }
 
   /** Why the request has ended before an endpoint was selected; undefined if it has not. */
-  private checkEnd(now: number): NoEndpoint | undefined {
+  private checkEnd(tried: ReadonlySet<string>, now: number): NoEndpoint | undefined {
     const { settings } = this.context;
-    if (this.gone.aborted)
-      return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
-    const quarantined = this.checkQuarantine(now);
-    if (quarantined !== undefined) return quarantined;
+    const forbidden = this.checkForbidden(tried, now);
+    if (forbidden !== undefined) return forbidden;
     if (this.position.softwareVersion !== undefined && this.usableEndpoints(now).length === 0) {
       const { defaultRetryAfterMs: retryAfterMs } = settings;
       return { kind: 'refused', reason: versionReason, retryAfterMs };
@@ -119,6 +114,16 @@
     return { kind: 'expired', reason: 'the time left is too short', retryAfterMs };
   }
 
+  /** Why the request must not be sent, whatever time is left. */
+  private checkForbidden(tried: ReadonlySet<string>, now: number): NoEndpoint | undefined {
+    if (this.gone.aborted) {
+      return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
+    }
+    // What is passed on for the first time so late might be cut when the process exits.
+    if (this.context.closing.aborted && tried.size === 0) return this.refuseDuringStop();
+    return this.checkQuarantine(now);
+  }
+
   /** Refuses the request if it, or its prompt, is known to crash engines. */
   private checkQuarantine(now: number): NoEndpoint | undefined {
     const { crashes, telemetry } = this.context;
@@ -232,10 +237,9 @@
     }
     const maxWaitMs = this.request.firstByteDeadline - now - settings.minTimeLeftMs;
     await this.permitWait.acquire(limited, maxWaitMs);
-    if (this.gone.aborted) return undefined;
     const at = clock.now();
-    const quarantined = this.checkQuarantine(at);
-    if (quarantined !== undefined) return quarantined;
+    const forbidden = this.checkForbidden(tried, at);
+    if (forbidden !== undefined) return forbidden;
     const selected = this.usePermit(tried, at);
     if (selected !== undefined || !isPlain) return selected;
     const { retryAt, usableAt } = this.permitWait;
@@ -276,6 +280,11 @@
     return { kind: 'refused', reason, retryAfterMs: this.context.retrySpread.next(retryAt - now) };
   }
 
+  private refuseDuringStop(): NoEndpoint {
+    const retryAfterMs = this.context.settings.shutdownRetryAfterMs;
+    return { kind: 'refused', reason: 'this process is shutting down', retryAfterMs };
+  }
+
   /** Refuses the request at once if all replicas ask for a pause. */
   private refuseDuringPause(endsAt: number, now: number): NoEndpoint {
     const reason = 'all endpoints ask for a pause';
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -7,7 +7,9 @@
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
 
-const httpStatus = { timeout: 408, tooLarge: 413 } as const;
+const httpStatus = { timeout: 408, tooLarge: 413, unavailable: 503 } as const;
+
+const shutdownReason = 'this process is shutting down';
 
 /** Handles clients' requests: validates each, reads its body and forwards it to an endpoint. */
 export class Forwarder {
@@ -60,7 +62,7 @@
     }
     if (this.context.closing.aborted) {
       const { shutdownRetryAfterMs } = this.context.settings;
-      return this.refuse(client, 503, 'this process is shutting down', shutdownRetryAfterMs);
+      return this.refuse(client, httpStatus.unavailable, shutdownReason, shutdownRetryAfterMs);
     }
     const { url = '/', method = 'GET', headers } = client.request;
     const route = this.tableFor(configuration).match(headers.host ?? '', url);
@@ -99,15 +101,21 @@
     return this.table;
   }
 
+  /** Reads the body until the deadline, or until this process takes no more requests. */
   private async readBody(
     client: ClientExchange,
     maxBytes: number,
     deadline: number,
   ): Promise<BodyRead> {
-    const late = new AbortController();
-    const timer = setTimeout(() => late.abort(), Math.max(0, deadline - this.context.clock.now()));
-    const read = await client.body(maxBytes, late.signal);
+    const { clock, closing } = this.context;
+    const stopped = new AbortController();
+    const stop = () => stopped.abort();
+    const timer = setTimeout(stop, Math.max(0, deadline - clock.now()));
+    closing.addEventListener('abort', stop, { once: true });
+    if (closing.aborted) stop();
+    const read = await client.body(maxBytes, stopped.signal);
     clearTimeout(timer);
+    closing.removeEventListener('abort', stop);
     return read;
   }
 
@@ -117,14 +125,19 @@
     kind: Exclude<BodyRead['kind'], 'complete'>,
   ): ForwardResult {
     if (kind === 'gone') return { outcome: 'gone', status: 0, reason: 'the client disconnected' };
-    const [status, reason] =
-      kind === 'timeout'
-        ? [httpStatus.timeout, 'the body did not arrive in time']
-        : [httpStatus.tooLarge, 'the body is too large'];
-    client.refuseBody(status, reason);
+    const [status, reason, retryAfterMs] = this.bodyRefusal(kind);
+    client.refuseBody(status, reason, retryAfterMs);
     return { outcome: 'refused', status, reason };
   }
 
+  private bodyRefusal(kind: 'too_large' | 'stopped'): [number, string, number?] {
+    const { closing, settings } = this.context;
+    if (kind === 'too_large') return [httpStatus.tooLarge, 'the body is too large'];
+    return closing.aborted
+      ? [httpStatus.unavailable, shutdownReason, settings.shutdownRetryAfterMs]
+      : [httpStatus.timeout, 'the body did not arrive in time'];
+  }
+
   private refuse(
     client: ClientExchange,
     status: number,
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -293,6 +293,40 @@
   });
 });
 
+describe('a planned stop', () => {
+  const withBody = (id: string, sent: string) =>
+    `POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nId: ${id}\r\nContent-Length: 10\r\n\r\n${sent}`;
+
+  // Guards against requests whose head comes in time and whose body does not: they were passed on late in the
+  // grace period and cut as the process exited.
+  test('a request whose body is still coming is refused at once when no more are taken', async () => {
+    await withEndpoints(good);
+    const startedAt = performance.now();
+    setTimeout(() => harness.closing.abort(), 100);
+    const seen = await harness.callRaw(withBody('r1', 'half'), () => {});
+    expect(seen.text).toMatch(/^HTTP\/1.1 503 [^]*retry-after: 0\.\d+\r\n/iu);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+    expect(harness.arrivals).toEqual([0]);
+  });
+
+  // What that must not cost callers: requests that were passed on, and their repeats, go on.
+  test('requests that were passed on before are answered', async () => {
+    const slow: Behaviour = (socket) => setTimeout(() => socket.end(whole(200, 'fine')), 300);
+    await withEndpoints(slow);
+    setTimeout(() => harness.closing.abort(), 100);
+    const seen = await Promise.all(
+      Array.from({ length: 5 }, () => harness.call('/unsafe/', { body: 'b' })),
+    );
+    expect(seen.map(({ status }) => status)).toEqual([200, 200, 200, 200, 200]);
+    harness.close();
+    const fails: Behaviour = (socket) => setTimeout(() => socket.end(whole(500, 'no')), 300);
+    await withEndpoints(fails, fails, fails);
+    setTimeout(() => harness.closing.abort(), 100);
+    expect((await harness.call('/safe/')).status).toBe(500);
+    expect(harness.arrivals.reduce((sum, count) => sum + count)).toBe(2);
+  });
+});
+
 describe('answers of a process that ends', () => {
   const unframed = `${head(200, 'Content-Type: text/event-stream\r\n')}\r\n${event(1)}`;
   const halfStream: Behaviour = (socket) => socket.write(unframed);
