A second SIGTERM does not end a planned stop

Cause: the listener stood for one signal (process.once); the next one had its default effect. Ruled out: a second stop that closes what the first one serves; a SIGKILL (none is sent).

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -25,3 +25,4 @@
   parseStatedLimit,
   type StatedLimit,
 } from './request-limit';
+export { awaitStopSignal } from './stop-signal';
--- a/packages/process/daemon/src/process/main.ts
+++ b/packages/process/daemon/src/process/main.ts
@@ -1,4 +1,5 @@
 import { parseArgs } from 'node:util';
+import { awaitStopSignal } from '@currantdrift/core';
 import {
   formatValidationIssue,
   readSettings,
@@ -51,9 +52,7 @@
     writeLine(daemon.error);
     return exitCodes.usage;
   }
-  const stopped = new Promise<void>((resolve) => {
-    ['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => resolve()));
-  });
+  const stopped = awaitStopSignal();
   const started = await daemon.value.start();
   if (started.isErr()) {
     writeLine(`cannot listen on ${started.error.address}: ${started.error.message}`);
