currantdriftd does not end by SIGHUP

It had no listener, whose default effect is the end of the process.

Change: SIGHUP is logged and ignored; settings are read at the start only.

Test: "SIGHUP does not end a daemon", new.

--- a/packages/process/daemon/src/process/main.ts
+++ b/packages/process/daemon/src/process/main.ts
@@ -17,7 +17,7 @@
   --check-settings   report every mistake in the settings and exit
   --help             show this help
 
-Signals: SIGTERM and SIGINT stop the daemon without cutting requests.
+Signals: SIGTERM and SIGINT stop the daemon without cutting requests, SIGHUP is ignored.
 Exit codes: 0 stopped or settings valid, 1 failed to start, 2 wrong usage or settings.
 
 Example:
@@ -53,6 +53,8 @@
     return exitCodes.usage;
   }
   const stopped = awaitStopSignal();
+  // Without a listener, SIGHUP would end the daemon: the kernel sends it to processes whose session ends.
+  process.on('SIGHUP', () => writeLine('SIGHUP is ignored: settings are read at the start only'));
   const started = await daemon.value.start();
   if (started.isErr()) {
     writeLine(`cannot listen on ${started.error.address}: ${started.error.message}`);
--- a/packages/tooling/demo/test/processes.test.ts
+++ b/packages/tooling/demo/test/processes.test.ts
@@ -104,6 +104,14 @@
   expect(load.answers.length).toBeGreaterThan(50);
 });
 
+// Guards against a daemon that ends when its session does: the kernel sends SIGHUP to its processes.
+test('SIGHUP does not end a daemon', async () => {
+  const { process } = daemonNamed('vake-2');
+  process.signal('SIGHUP');
+  await sleep(500);
+  expect(process.isRunning).toBe(true);
+});
+
 // Guards against a booking that runs twice when its daemon dies and its caller repeats it (G6).
 test('a booking whose daemon is killed runs at most once', async () => {
   await postStandin(ledger, '/faults', { delayMs: 10_000 });
