--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -2,7 +2,7 @@
 import { clearedPartsSchema, crashReportSchema } from '@currantdrift/quarantine';
 import { permitDecisionSchema } from '@currantdrift/rate-limit';
 import { z } from 'zod';
-import type { AgedListing } from '../process/prefix-follower';
+import type { AgedListing } from '../process/feed';
 import { encodeEntry, entrySchema } from './entry-codec';
 
 /** Kinds of messages between gateways. */
--- a/packages/process/gateway/src/process/store-cache.ts
+++ b/packages/process/gateway/src/process/store-cache.ts
@@ -19,7 +19,8 @@
 } from '../version/endpoint-directory-updater';
 import { freshnessLimits } from '../version/freshness';
 import { type Member, Members, daemonPrefix } from '../version/members';
-import { type AgedListing, type EntryListener, PrefixFollower } from './prefix-follower';
+import type { AgedListing, EntryListener } from './feed';
+import { PrefixFollower } from './prefix-follower';
 import { StoreFeed } from './store-feed';
 
 /** Pause between waits for changes, in ms; changes in between arrive together. */
--- a/packages/process/gateway/src/process/store-feed.ts
+++ b/packages/process/gateway/src/process/store-feed.ts
@@ -3,7 +3,8 @@
 import type { FreshnessLimits } from '../version/freshness';
 import type { Member, Members } from '../version/members';
 import { StoreCalls } from './store-calls';
-import type { Batch, Feed, PeerListing, PrefixFollower, AgedListing } from './prefix-follower';
+import type { Batch, Feed, PeerListing, AgedListing } from './feed';
+import type { PrefixFollower } from './prefix-follower';
 
 /**
  * Longest delay between calls to a store that does not respond, in ms. Members behind relays retry less
--- a/packages/process/gateway/src/version/configuration-holder.ts
+++ b/packages/process/gateway/src/version/configuration-holder.ts
@@ -1,7 +1,7 @@
 import type { Change, Entry, Telemetry } from '@currantdrift/core';
 import type { Configuration } from '@currantdrift/routes';
 import type { Result } from 'neverthrow';
-import type { EntryListener } from '../process/prefix-follower';
+import type { EntryListener } from '../process/feed';
 
 /** Decodes the operator's configuration; the error names the invalid field and the reason. */
 export type ConfigurationDecoder = (value: Uint8Array) => Result<Configuration, string>;
--- a/packages/process/gateway/src/version/endpoint-directory-updater.ts
+++ b/packages/process/gateway/src/version/endpoint-directory-updater.ts
@@ -8,7 +8,7 @@
 } from '@currantdrift/core';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { Result } from 'neverthrow';
-import type { EntryListener } from '../process/prefix-follower';
+import type { EntryListener } from '../process/feed';
 
 /** Decodes an endpoint's entry; the error names the invalid field and the reason. */
 export type EndpointDecoder = (entry: Entry) => Result<EndpointRecord, string>;
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -6,7 +6,7 @@
   type Telemetry,
 } from '@currantdrift/core';
 import { z } from 'zod';
-import type { EntryListener } from '../process/prefix-follower';
+import type { EntryListener } from '../process/feed';
 import { relaysOf } from './relays';
 import { watchersOf } from './watchers';
 
--- a/packages/process/gateway/src/version/software-versions.ts
+++ b/packages/process/gateway/src/version/software-versions.ts
@@ -8,7 +8,7 @@
   type Telemetry,
 } from '@currantdrift/core';
 import type { EndpointDirectory } from '@currantdrift/fleet';
-import type { EntryListener } from '../process/prefix-follower';
+import type { EntryListener } from '../process/feed';
 import { SuspensionDetector } from '../process/suspension-detector';
 import {
   decodeSoftwareRecord,
--- a/packages/process/gateway/src/version/stored-quarantines.ts
+++ b/packages/process/gateway/src/version/stored-quarantines.ts
@@ -15,7 +15,7 @@
   type Quarantine,
   quarantineSchema,
 } from '@currantdrift/quarantine';
-import type { EntryListener } from '../process/prefix-follower';
+import type { EntryListener } from '../process/feed';
 import { daemonPrefix } from './members';
 
 export const quarantinePrefix = `${daemonPrefix}quarantine/`;
--- a/packages/process/gateway/test/followers.test.ts
+++ b/packages/process/gateway/test/followers.test.ts
@@ -8,7 +8,8 @@
 } from '@currantdrift/fakes';
 import type { Configuration } from '@currantdrift/routes';
 import { err, ok } from 'neverthrow';
-import { type Feed, PrefixFollower } from '../src/process/prefix-follower';
+import type { Feed } from '../src/process/feed';
+import { PrefixFollower } from '../src/process/prefix-follower';
 import { ConfigurationHolder } from '../src/version/configuration-holder';
 import { EndpointDirectoryUpdater } from '../src/version/endpoint-directory-updater';
 import { freshnessLimits } from '../src/version/freshness';
--- a/packages/process/gateway/test/no-feed.ts
+++ b/packages/process/gateway/test/no-feed.ts
@@ -1,5 +1,5 @@
 import { StoreCalls } from '../src/process/store-calls';
-import type { Feed } from '../src/process/prefix-follower';
+import type { Feed } from '../src/process/feed';
 
 /** A feed without other members: the follower always reads the store itself. */
 export const noFeed = (): Feed => ({
