Customers' API keys: authorize requests, name the customer to the endpoint, obey withdrawals

Cause: the gateway knew no customers. It passed API keys on to endpoints, let any key in, and served withdrawn keys for as long as it ran.

A request to a route that is not public needs a known key; an unknown one gets 401, or 503 while the configuration may be too old to tell. The key is checked again before each send. A customer's priority goes before the route's.

Ruled out: a check on arrival only (a request may wait ten seconds for its model); the steady clock alone (it does not advance during a suspension).

--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -20,6 +20,8 @@
   readonly graceMs: number;
   /** Time within which a change in the store must take effect in this process. */
   readonly changeBoundMs: number;
+  /** Time within which a withdrawn API key must be refused, on any host; undefined for no bound. */
+  readonly revocationBoundMs?: number;
   /** Shortest time between orders of two successive controllers to the same engine. */
   readonly holderPauseMs: number;
   /** Limits on retries: a share of the requests, plus a fixed number per window. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -9,6 +9,7 @@
 } from '@currantdrift/core';
 import { EndpointDirectory, LimitObserver } from '@currantdrift/fleet';
 import {
+  Authorizer,
   defaultForwardSettings,
   type EndpointProtocol,
   EndpointSignals,
@@ -27,6 +28,7 @@
 import { PauseAwareEngineControl } from '../connection/pause-aware-engine-control';
 import { PeerMessageKind } from '../connection/peer-messages';
 import { PeerInbox } from '../connection/peer-inbox';
+import { StallAwareAge } from '../version/stall-aware-age';
 import { DomainNotices } from '../version/domain-notices';
 import { membersByRolePriority } from '../version/role-priority';
 import { RoundTrips } from '../version/round-trips';
@@ -70,6 +72,9 @@
 /** Interval between checks whether the process is ready, in ms. */
 const readyPollMs = 100;
 
+/** Interval between observations of stalls of this process, in ms. */
+const stallCheckIntervalMs = 100;
+
 /** A gateway process: serves clients and takes part in the control of the engines. */
 export class Gateway {
   private readonly clock: Clock = MonotonicClock.create();
@@ -86,6 +91,8 @@
 
   private readonly closing = new AbortController();
 
+  private readonly stalls = StallAwareAge.create();
+
   private readonly storeCache: StoreCache;
 
   private readonly self: Member;
@@ -319,6 +326,7 @@
       telemetry,
       settings: defaultForwardSettings,
       protocol: platform.protocol,
+      authorizer: this.createAuthorizer(),
       directory: this.directory,
       signals: this.signals,
       balancer: this.balancer,
@@ -343,6 +351,23 @@
     });
   }
 
+  private createAuthorizer(): Authorizer {
+    const { changeBoundMs, revocationBoundMs } = this.options.settings;
+    return Authorizer.create({
+      configuration: () => this.storeCache.configuration,
+      ageMs: (now) => this.stalls.correct(this.storeCache.configurationAgeMs(now), now, Date.now()),
+      changeBoundMs,
+      revocationBoundMs,
+    });
+  }
+
+  private async observeStalls(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.stalls.observe(this.clock.now(), Date.now());
+      await this.clock.sleep(stallCheckIntervalMs, signal);
+    }
+  }
+
   private createPermitService(): PermitService {
     const { clock, peers, self, members, directory } = this;
     return PermitService.create({
@@ -400,6 +425,7 @@
     this.runInBackground(this.storeCache.run(forever));
     this.runInBackground(this.createUsageReporter().run(forever));
     this.runInBackground(this.pruneEndpointStates(forever));
+    this.runInBackground(this.observeStalls(forever));
     this.runInBackground(this.crashHandling.stored.run(forever));
     this.runInBackground(this.streamHandling.run(forever));
     this.runInBackground(this.registration.run(signal));
--- a/packages/request/forward/src/client-request.ts
+++ b/packages/request/forward/src/client-request.ts
@@ -1,6 +1,7 @@
 import { digest } from '@currantdrift/core';
 import type { Headers } from '@currantdrift/http';
 import type { Route } from '@currantdrift/routes';
+import type { Authorized } from './authorizer';
 import type { RequestFields } from './endpoint-protocol';
 
 /** A client's request with its route and its complete body. */
@@ -15,6 +16,10 @@
   readonly digest: string;
   readonly route: Route;
   readonly service: string;
+  /** The customer and the key by which the request was authorized. */
+  readonly authorized: Authorized;
+  /** The customer's priority or the route's; 0 is the most urgent. */
+  readonly priority: number;
   /** Arrival, and deadline of the complete answer, in ms of the steady clock. */
   readonly arrivedAt: number;
   readonly deadline: number;
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -9,6 +9,8 @@
   readonly deadlineMs: number | undefined;
   /** Credentials of the client; undefined if it states none. */
   readonly caller: string | undefined;
+  /** API key that the client presents; undefined if it presents none or its header is malformed. */
+  readonly apiKey: string | undefined;
   readonly model: string | undefined;
   readonly adapter: string | undefined;
   /** Tokens of the prompt, and the maximum number to generate; 0 if unknown. */
@@ -22,6 +24,12 @@
   readonly promptParts: readonly string[];
 }
 
+/** Identity of a request's sender, as the endpoint sees it. */
+export interface ForwardedIdentity {
+  /** Name of the customer; undefined on public routes. */
+  readonly customer: string | undefined;
+}
+
 /** Values that are added to the headers of a request sent to an endpoint. */
 export interface ForwardingFields {
   /** Id of the only endpoint that may run the request. */
@@ -30,6 +38,8 @@
   readonly deadlineMs: number;
   /** Requests with lower values are served first; 0 is the most urgent. */
   readonly urgency: number | undefined;
+  /** Replaces the client's credentials; undefined if these are forwarded. */
+  readonly identity: ForwardedIdentity | undefined;
   /** Id of the last stream event that the client has received. */
   readonly resumeAfter: string | undefined;
 }
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -25,6 +25,8 @@
 export interface NoEndpoint {
   readonly kind: 'refused' | 'expired' | 'gone';
   readonly reason: string;
+  /** Status of the refusal, if it is not the usual one. */
+  readonly status?: number;
   /** Time after which a retry by the client may succeed, in ms. */
   readonly retryAfterMs: number;
 }
@@ -121,7 +123,15 @@
     }
     // What is passed on for the first time so late might be cut when the process exits.
     if (this.context.closing.aborted && tried.size === 0) return this.refuseDuringStop();
-    return this.checkQuarantine(now);
+    return this.checkAuthorization(now) ?? this.checkQuarantine(now);
+  }
+
+  /** Refuses the request if its API key was withdrawn, or cannot be verified any more. */
+  private checkAuthorization(now: number): NoEndpoint | undefined {
+    const refusal = this.context.authorizer.recheck(this.request.authorized, now);
+    if (refusal === undefined) return undefined;
+    const { status, reason, retryAfterMs = 0 } = refusal;
+    return { kind: 'refused', status, reason, retryAfterMs };
   }
 
   /** Refuses the request if it, or its prompt, is known to crash engines. */
@@ -315,7 +325,6 @@
       .replicas(service, model, adapter, now)
       .map(({ id: endpoint }) => endpoint)
       .filter((endpoint) => balancer.isUnreachable(endpoint, now));
-    const { priority } = route;
     const onTimeLeftMs = arrivedAt + route.firstByteTargetMs - now;
     const loadRequest = {
       service,
@@ -323,7 +332,7 @@
       adapter,
       timeLeftMs,
       onTimeLeftMs,
-      priority,
+      priority: this.request.priority,
       limited: this.permitWait.isWaiting,
       request: id,
       unreachable,
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch } from '@currantdrift/quarantine';
 import type { RequestPermits } from '@currantdrift/rate-limit';
 import type { PredictiveBalancer } from '@currantdrift/routing';
+import type { Authorizer } from './authorizer';
 import type { EndpointProtocol } from './endpoint-protocol';
 import type { EndpointSignals } from './endpoint-signals';
 import type { ForwardSettings } from './forward-settings';
@@ -20,6 +21,8 @@
   readonly telemetry: Telemetry;
   readonly settings: ForwardSettings;
   readonly protocol: EndpointProtocol;
+  /** Decides whose requests may be sent, by the newest configuration. */
+  readonly authorizer: Authorizer;
   readonly directory: EndpointDirectory;
   readonly signals: EndpointSignals;
   readonly balancer: PredictiveBalancer;
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -221,12 +221,12 @@
     return budget(this.request.service).withdraw(clock.now());
   }
 
-  private giveUp({ kind, reason, retryAfterMs }: NoEndpoint): ForwardResult {
+  private giveUp({ kind, reason, status, retryAfterMs }: NoEndpoint): ForwardResult {
     if (kind === 'gone') return { outcome: 'gone', status: 0, reason };
     if (this.client.started) return this.cut(reason);
     return this.runs > 0
       ? this.answer('failed', httpStatus.badGateway, reason)
-      : this.answer('refused', httpStatus.unavailable, reason, retryAfterMs);
+      : this.answer('refused', status ?? httpStatus.unavailable, reason, retryAfterMs);
   }
 
   private timeOut({ reason }: FailedSend): ForwardResult {
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -70,6 +70,11 @@
       return this.refuse(client, 404, `no route matches in configuration ${configuration.version}`);
     }
     if (fields === undefined) return this.refuse(client, 400, 'the request has no identifier');
+    const authorized = this.context.authorizer.authorize(route, fields.apiKey, arrivedAt);
+    if (authorized.isErr()) {
+      const { status, reason, retryAfterMs } = authorized.error;
+      return this.refuse(client, status, reason, retryAfterMs);
+    }
     // A stream goes on at the service that began it, so the attempt that began it decides.
     const service = selectService(route, fields.resumes ?? fields.id);
     if (fields.model !== undefined) {
@@ -85,6 +90,8 @@
       digest: digestOf(content, fields),
       route,
       service,
+      authorized: authorized.value,
+      priority: authorized.value.customer?.priority ?? route.priority,
       arrivedAt,
       deadline,
       firstByteDeadline: Math.min(deadline, arrivedAt + (route.clientTimeoutMs ?? Infinity)),
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -1,5 +1,12 @@
+export {
+  Authorizer,
+  type Authorized,
+  type AuthorizationRefusal,
+  type ConfigurationCurrency,
+} from './authorizer';
 export type {
   EndpointProtocol,
+  ForwardedIdentity,
   ForwardingFields,
   ReportedLoad,
   RequestFields,
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -118,7 +118,7 @@
   private open(signal: AbortSignal, now: number) {
     const { protocol, client } = this.context;
     const { record } = this.selected;
-    const { headers, body, method, path, deadline, route } = this.request;
+    const { headers, body, method, path, deadline } = this.request;
     const deadlineMs = Math.max(1, Math.floor(deadline - now));
     return client(record).open({
       step: 'request.send',
@@ -127,7 +127,8 @@
       headers: protocol.requestHeaders(headers, {
         endpoint: record.id,
         deadlineMs,
-        urgency: this.request.fields.model === undefined ? undefined : route.priority,
+        urgency: this.request.fields.model === undefined ? undefined : this.request.priority,
+        identity: this.request.authorized.identity,
         resumeAfter: this.position.lastEventId,
       }),
       body: body.length > 0 ? body : undefined,
--- a/packages/request/forward/test/client-request.test.ts
+++ b/packages/request/forward/test/client-request.test.ts
@@ -6,6 +6,7 @@
   id: 'r1',
   deadlineMs: undefined,
   caller: undefined,
+  apiKey: undefined,
   model: undefined,
   adapter: undefined,
   promptTokens: 0,
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -10,12 +10,18 @@
   type LoadedModel,
 } from '@currantdrift/fleet';
 import { type Head, type Headers, HttpClient } from '@currantdrift/http';
-import { type Configuration, RequestKind, type Route } from '@currantdrift/routes';
+import {
+  type Configuration,
+  type CustomerTable,
+  RequestKind,
+  type Route,
+} from '@currantdrift/routes';
 import { CrashLedger, type CrashReport, CrashWatch, EngineState } from '@currantdrift/quarantine';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
 import {
+  Authorizer,
   type BegunStream,
   defaultForwardSettings,
   type EndpointProtocol,
@@ -39,6 +45,7 @@
           id,
           deadlineMs: Number(first(headers.deadline) ?? 2_000),
           caller: first(headers.authorization),
+          apiKey: first(headers.authorization),
           model: first(headers.model),
           adapter: undefined,
           promptTokens: 10,
@@ -52,6 +59,7 @@
     host: first(headers.host) ?? '',
     id: first(headers.id) ?? '',
     only: envelope.endpoint,
+    ...(envelope.identity?.customer === undefined ? {} : { customer: envelope.identity.customer }),
     deadline: String(envelope.deadlineMs),
     ...(headers.prompt === undefined ? {} : { prompt: first(headers.prompt) ?? '' }),
     ...(headers['last-event-id'] === undefined
@@ -173,6 +181,7 @@
     route('unsafe', RequestKind.unsafe),
     route('once', RequestKind.stream),
     route('resumable', RequestKind.stream, { resumable: true }),
+    route('public', RequestKind.safe, { isPublic: true }),
     route('short', RequestKind.unsafe, { timeoutMs: 200 }),
   ],
   services: new Map(),
@@ -203,6 +212,12 @@
   /** Software versions at which no stream may begin yet. */
   readonly settling = new Set<string>();
 
+  /** Replaces the configuration's customers. */
+  customers: CustomerTable | undefined;
+
+  /** Time since the configuration was last known to be current, in ms. */
+  configurationAgeMs = 0;
+
   budget = RetryBudget.create({ minRetries: 10 });
 
   /** The controller's answer for a model that no endpoint holds. */
@@ -249,6 +264,10 @@
     return this.endpoints[index];
   }
 
+  private configuration(): Configuration {
+    return { ...configuration, customers: this.customers };
+  }
+
   /** Number of requests that arrived at each endpoint. */
   get arrivals(): number[] {
     return this.endpoints.map(({ requests }) => requests.length);
@@ -385,8 +404,14 @@
       retrySpread: RetrySpread.create(defaultForwardSettings, random),
       stopping: this.closing.signal,
       closing: this.closing.signal,
-      configuration: () => configuration,
-      configurationAgeMs: () => 0,
+      authorizer: Authorizer.create({
+        configuration: () => this.configuration(),
+        ageMs: () => this.configurationAgeMs,
+        changeBoundMs: 4_000,
+        revocationBoundMs: 5_000,
+      }),
+      configuration: () => this.configuration(),
+      configurationAgeMs: () => this.configurationAgeMs,
       client: ({ address }) =>
         HttpClient.create(address, address, {
           connectTimeoutMs: 300,
--- a/packages/version/routes/src/configuration.ts
+++ b/packages/version/routes/src/configuration.ts
@@ -1,3 +1,5 @@
+import type { CustomerTable } from './customers';
+
 /** Whether and how a request may be repeated. */
 export const RequestKind = {
   /** May run more than once. */
@@ -36,6 +38,8 @@
   readonly priority: number;
   /** Maximum number of times that one request may run. */
   readonly maxAttempts: number;
+  /** Whether requests need no API key although the configuration has customers. */
+  readonly isPublic?: boolean;
   /** Contains at least one target. */
   readonly targets: readonly RouteTarget[];
 }
@@ -91,4 +95,6 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   readonly limits: ClientLimits;
+  /** Undefined if the deployment has no customers: requests carry no API keys. */
+  readonly customers?: CustomerTable;
 }
--- a/packages/version/routes/src/index.ts
+++ b/packages/version/routes/src/index.ts
@@ -1,2 +1,3 @@
 export * from './configuration';
+export * from './customers';
 export { RouteTable, selectService } from './route-table';
