Soak: customers' keys are added and withdrawn while clients go on using them

Cause: the soak knew no customers, so nothing checked with real processes that a key stays here, that the endpoint learns its customer, and that a withdrawn key is not used later than its bound.

Change: requests carry the keys of two customers, a fault adds a key and takes it away; key-check.ts judges the runs. The checks of answers moved to a file of their own.

--- a/packages/tooling/soak/src/checker.ts
+++ b/packages/tooling/soak/src/checker.ts
@@ -1,3 +1,4 @@
+import { answerViolations, isSuccess } from './answer-check';
 import {
   type CrashingRequests,
   lostSoundViolations,
@@ -5,6 +6,7 @@
   type SoundRequest,
 } from './crash-check';
 import type { Disturbances } from './disturbances';
+import { keyViolations } from './key-check';
 import { limitViolations } from './limit-check';
 import {
   type Arrival,
@@ -29,6 +31,8 @@
   readonly drainMs: number;
   /** Time after which a configuration is in force. */
   readonly configurationMs: number;
+  /** Time after which a withdrawn API key must not be used on any process. */
+  readonly revocationMs: number;
   /** Shortest time between orders of two holders to one engine. */
   readonly holderPauseMs: number;
   /** Time after the end of a disturbance within which orders arrive that were held up by it. */
@@ -54,9 +58,6 @@
 /** Requests and orders of one process that may reach an endpoint in its pause. */
 const maxInPause = 2;
 
-const isSuccess = ({ status }: Attempt): boolean =>
-  status !== undefined && status >= 200 && status < 300;
-
 /** Checks what callers and endpoints saw against what the system promises. */
 export class Checker {
   private readonly attempts: Attempt[] = [];
@@ -78,6 +79,9 @@
   /** Time at which each configuration version was acknowledged. */
   private readonly versions = new Map<number, number>();
 
+  /** Time at which each withdrawn API key had gone from the configuration. */
+  private readonly withdrawals = new Map<string, number>();
+
   private constructor(
     private readonly bounds: CheckerBounds,
     private readonly disturbances: Disturbances,
@@ -126,6 +130,11 @@
     this.versions.set(version, at);
   }
 
+  /** An API key has gone from the configuration, which the store has acknowledged. */
+  withdrawn(apiKey: string, at: number): void {
+    this.withdrawals.set(apiKey, at);
+  }
+
   /** Number of requests by outcome. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = { orders: this.orders.length };
@@ -139,7 +148,7 @@
   /** All broken promises. The requests sent after `calmFrom` show whether the system recovers. */
   violations(calmFrom: number): Violation[] {
     return [
-      ...this.attempts.flatMap((attempt) => this.ofAnswer(attempt)),
+      ...answerViolations(this.attempts),
       ...this.attempts.flatMap((attempt) => this.ofRuns(attempt)),
       ...this.attempts.flatMap((attempt) => this.ofConfiguration(attempt)),
       ...this.attempts.flatMap((attempt) => this.ofLoss(attempt)),
@@ -152,28 +161,11 @@
       ...this.ofCrashingRequests(),
       ...mixedStreamViolations(this.attempts),
       ...this.ofTakenUpStreams(),
+      ...keyViolations(this.attempts, this.runs, this.withdrawals, this.bounds.revocationMs),
       ...this.ofRecovery(calmFrom),
     ].sort((a, b) => a.at - b.at);
   }
 
-  private ofAnswer(attempt: Attempt): Violation[] {
-    const { endedAt: at, id, events, expectedEvents, resumedAfter } = attempt;
-    const found: Violation[] = [];
-    if (!isSuccess(attempt)) return found;
-    if (!attempt.sealed || (attempt.complete && !attempt.ownBody)) {
-      found.push({ at, rule: 'own answer', text: `${id} got an answer that is not its own` });
-    }
-    if (events.some((event, index) => event !== resumedAfter + index + 1)) {
-      found.push({ at, rule: 'order', text: `${id} got the events ${events.join(' ')}` });
-    }
-    const received = resumedAfter + events.length;
-    if (attempt.complete && received !== expectedEvents) {
-      const text = `${id} ended as complete after ${received} of ${expectedEvents} events`;
-      found.push({ at, rule: 'order', text });
-    }
-    return found;
-  }
-
   private ofRuns({ id, kind, status, endedAt }: Attempt): Violation[] {
     const runs = this.runs.get(id) ?? [];
     const where = runs.map(({ endpoint, at }) => `${endpoint} at ${Math.round(at)}`).join(', ');
@@ -392,7 +384,9 @@
   }
 
   private ofRecovery(calmFrom: number): Violation[] {
-    const calm = this.attempts.filter(({ sentAt }) => sentAt >= calmFrom);
+    const calm = this.attempts.filter(
+      ({ sentAt, apiKey }) => sentAt >= calmFrom && !this.withdrawals.has(apiKey),
+    );
     const served = calm.filter((attempt) => isSuccess(attempt) && attempt.complete).length;
     if (calm.length > 0 && served >= this.bounds.recoveredShare * calm.length) return [];
     const text = `${served} of ${calm.length} requests were served after the last fault`;
--- a/packages/tooling/soak/src/index.ts
+++ b/packages/tooling/soak/src/index.ts
@@ -9,6 +9,7 @@
 } from './crash-check';
 export { Disturbances } from './disturbances';
 export { FaultSeries, type Fault } from './fault-series';
+export { keyViolations } from './key-check';
 export { limitViolations } from './limit-check';
 export { MemoryWatch } from './memory-watch';
 export { LoopbackProxy } from './loopback-proxy';
--- a/packages/tooling/soak/src/observations.ts
+++ b/packages/tooling/soak/src/observations.ts
@@ -42,6 +42,9 @@
   readonly canGoOn: boolean;
   /** Parts of its prompt; empty without one. */
   readonly promptParts: readonly string[];
+  /** API key that it carries, and the customer that holds it. */
+  readonly apiKey: string;
+  readonly customer: string;
   /** What of it crashes engines; undefined for a sound request. */
   readonly crashCause: string | undefined;
 }
@@ -69,6 +72,9 @@
   readonly id: string;
   readonly endpoint: string;
   readonly at: number;
+  /** Customer that the request named to the endpoint, and whether it carried an API key. */
+  readonly customer: string | undefined;
+  readonly showsKey: boolean;
   /** Time at which the endpoint made its leaving known; undefined if it did not. */
   readonly leavingSince: number | undefined;
 }
--- a/packages/tooling/soak/test/stream-check.test.ts
+++ b/packages/tooling/soak/test/stream-check.test.ts
@@ -21,6 +21,8 @@
   softwareVersions: ['v1'],
   canGoOn: false,
   promptParts: [],
+  apiKey: 'k1',
+  customer: 'c1',
   crashCause: undefined,
   ...change,
 });
