Routing: open started, returned and recovered endpoints by their answers

Cause: an endpoint that no daemon had used was predicted to answer within 50 ms with nothing in flight, so all daemons chose it at the same time until reports showed its load. After an ejection it was held back by a schedule of 10 s, whatever it answered. The mean of an endpoint that had been slow stayed bad in daemons that no longer used it, so it was left idle. The prefill rate was a constant, and the speed that endpoints report was not read.

Ruled out: a fixed share for each daemon (below one request, and held by daemons that want nothing); a daemon's own answers alone (about one a minute with 84 daemons); permissions of the controller (messages); twice the reported load as the limit (it grows while an endpoint hangs).

Change: EndpointPace is the adaptive limit of an endpoint in both programs. It takes the place of ConcurrencyLimit and of the ramp of OutlierDetector. Answers in time open it, no clock does. In the gateway the limit is that of all daemons, and each uses an opening endpoint with a probability such that the expected sum stays within it. A request is never refused for the pace. Endpoints that were running when a daemon started count as settled. The reported speed counts for 500 ms, each endpoint's prefill rate is a bounded median, and samples of many daemons are drawn in proportion to slots.

The test of an endpoint's return after an ejection expected the schedule: a limit of 4 after 5 s without any answer. It now expects that time alone does not raise the limit, and that answers do.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -44,6 +44,7 @@
 import { ControllerModelWaker } from './controller-model-waker';
 import { ControllerTerms } from './controller-terms';
 import { registerPeerHandlers } from './peer-handlers';
+import { PaceTelemetry } from './pace-telemetry';
 import { PermitService } from './permit-service';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
@@ -141,6 +142,8 @@
     this.balancer = PredictiveBalancer.create(
       SystemRandom.create(),
       () => this.members.all().length,
+      {},
+      PaceTelemetry.create(telemetry),
     );
     this.peers = PeerConnections.create({
       network: WebSocketNetwork.create(),
@@ -449,9 +452,10 @@
   private async pruneEndpointStates(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleep(pruneIntervalMs, signal);
-      const present = new Set(this.directory.all().map(({ id }) => id));
-      this.balancer.retain(present);
-      this.directory.limits.retain(present, this.clock.now());
+      const records = this.directory.all();
+      const now = this.clock.now();
+      this.balancer.observeEndpoints(records, now);
+      this.directory.limits.retain(new Set(records.map(({ id }) => id)), now);
     }
   }
 
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -127,6 +127,16 @@
     help: 'Calls of this process to endpoints that limit their requests, by kind of call',
     labels: ['kind'],
   },
+  currantdrift_paced_endpoints_total: {
+    type: 'counter',
+    help: 'Endpoints that began to open gradually, by cause',
+    labels: ['cause'],
+  },
+  currantdrift_paced_requests_total: {
+    type: 'counter',
+    help: 'Choices of an endpoint that its pace did not allow, by cause',
+    labels: ['cause'],
+  },
   currantdrift_prefix_age_seconds: {
     type: 'gauge',
     help: 'Time since the store last said, directly or through members, that no newer entry exists',
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -1,5 +1,6 @@
 import type { StatedLimit } from '@currantdrift/core';
 import type { Head, Headers } from '@currantdrift/http';
+import type { ReportedLoad } from '@currantdrift/routing';
 
 /** Fields that are parsed from the headers of a client's request. */
 export interface RequestFields {
@@ -44,12 +45,6 @@
   readonly resumeAfter: string | undefined;
 }
 
-/** Load that an endpoint reports in the headers of an answer. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-}
-
 /** Maps between header names and formats of a platform and the fields used for forwarding. */
 export interface EndpointProtocol {
   /** Returns undefined if the request has no valid id. */
@@ -69,6 +64,7 @@
   responseRequestId(head: Head): string | undefined;
   /** Whether the answer carries the seal with which an endpoint marks its own answers. */
   isSealed(head: Head): boolean;
+  /** Load that the endpoint reports in the headers of an answer. */
   reportedLoad(head: Head): ReportedLoad | undefined;
   /** Id of the endpoint that answered; undefined if the answer does not state it. */
   respondingEndpoint(head: Head): string | undefined;
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -8,9 +8,9 @@
   EndpointProtocol,
   ForwardedIdentity,
   ForwardingFields,
-  ReportedLoad,
   RequestFields,
 } from './endpoint-protocol';
+export type { ReportedLoad } from '@currantdrift/routing';
 export { EndpointSignals, type EndpointSignalsOptions } from './endpoint-signals';
 export { EventSplitter } from './event-splitter';
 export type { ForwardContext } from './forward-context';
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -108,7 +108,7 @@
     this.answerProgress = AnswerProgress.begun;
     this.watched.recordBegin(clock.now());
     const firstByteMs = clock.now() - startedAt;
-    this.selected.place.observeFirstByte(firstByteMs);
+    this.selected.place.observeFirstByte(firstByteMs, clock.now());
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
     const isStream = this.request.route.kind === RequestKind.stream && answer.status === 200;
     if (isStream && this.request.route.resumable) this.recordStream();
@@ -140,7 +140,7 @@
   private recordLoad(head: Head): void {
     const load = this.context.protocol.reportedLoad(head);
     if (load === undefined) return;
-    this.selected.place.observeLoad(load.running, load.waiting, this.context.clock.now());
+    this.selected.place.observeLoad(load, this.context.clock.now());
   }
 
   /** Returns the result of the send if the answer must not be relayed. */
--- a/packages/request/routing/src/balancer.ts
+++ b/packages/request/routing/src/balancer.ts
@@ -1,7 +1,7 @@
 import { type EndpointState, HostState, type Random } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import type { Lease, NoEndpoint, LeaseOutcome } from './lease';
-import { ConcurrencyLimit } from './concurrency-limit';
+import { EndpointPace, PaceCause } from './endpoint-pace';
 import { OutlierDetector } from './outlier-detector';
 import type { PrefixIndex } from './prefix-index';
 import { type BalancerSettings, defaultBalancerSettings } from './settings';
@@ -47,7 +47,7 @@
   slots: number;
   inFlight: number;
   usedAt: number;
-  limit: ConcurrencyLimit;
+  pace: EndpointPace;
   outlier: OutlierDetector;
 }
 
@@ -143,7 +143,7 @@
     const leased = stats;
     leased.inFlight += 1;
     leased.usedAt = now;
-    const { limit, outlier } = leased;
+    const { pace, outlier } = leased;
     let observed = false;
     let released = false;
     return {
@@ -151,7 +151,8 @@
       observe: (latencyMs, at) => {
         if (observed || released) return;
         observed = true;
-        limit.observe(latencyMs, leased.inFlight, leased.slots, at);
+        const { inFlight, slots } = leased;
+        pace.observe({ latencyMs, inFlight, slots }, at);
       },
       release: (result, at) => {
         if (released) return false;
@@ -173,12 +174,13 @@
   ): void {
     if (result === 'succeeded') stats.outlier.succeeded(startedAt, now);
     // An endpoint that is overloaded even at its lowest limit cannot serve this daemon at all.
-    const atLowest = stats.limit.current(stats.slots) <= this.settings.minLimit;
-    if (result === 'overloaded') stats.limit.reduceForOverload(now);
+    const atLowest = stats.pace.current(stats.slots) <= this.settings.minLimit;
+    if (result === 'overloaded') stats.pace.reduceForOverload(now);
     if (result !== 'failed' && !(result === 'overloaded' && atLowest)) return;
     if (!stats.outlier.failed(startedAt, now)) return;
     if (!this.mayEject(stats, now)) return;
     stats.outlier.eject(now);
+    stats.pace.open(PaceCause.return, stats.pace.current(stats.slots), 0, now);
     this.options.onEject?.(stats.name, stats.outlier.until);
   }
 
@@ -190,8 +192,13 @@
 
   private limitOf(stats: EndpointStats, now: number): number {
     if (stats.outlier.isEjected(now)) return 1;
-    const limit = stats.limit.current(stats.slots);
-    return Math.max(1, Math.floor(limit * stats.outlier.ramp(now)));
+    return stats.pace.current(stats.slots);
+  }
+
+  private createPace(slots: number): EndpointPace {
+    const { initialLimit, initialSlotShare } = this.settings;
+    const share = Math.floor(slots * initialSlotShare());
+    return EndpointPace.create(this.settings, Math.max(initialLimit, share));
   }
 
   private statsOf(state: EndpointState, now: number): EndpointStats {
@@ -207,14 +214,14 @@
         slots,
         inFlight: 0,
         usedAt: now,
-        limit: ConcurrencyLimit.create(this.settings, slots),
+        pace: this.createPace(slots),
         outlier: OutlierDetector.create(this.settings),
       };
       this.statsByEndpoint.set(host.name, stats);
     } else if (stats.bootId !== bootId && bootId !== '') {
       // A restarted process has neither the failures nor the cache of the previous one.
       stats.bootId = bootId;
-      stats.limit = ConcurrencyLimit.create(this.settings, slots);
+      stats.pace = this.createPace(slots);
       stats.outlier = OutlierDetector.create(this.settings);
       this.options.prefixes?.forget(host.name);
     }
--- a/packages/request/routing/src/index.ts
+++ b/packages/request/routing/src/index.ts
@@ -3,8 +3,11 @@
 export type { Lease, NoEndpoint, LeaseOutcome } from './lease';
 export { PrefixIndex } from './prefix-index';
 export { type BalancerSettings, defaultBalancerSettings } from './settings';
+export type { Candidate, ReportedLoad } from './endpoint-stats';
+export { PaceCause } from './endpoint-pace';
+export type { EndpointStart } from './known-starts';
+export type { PaceObserver } from './pace-log';
 export {
-  type Candidate,
   type EndpointLoad,
   type Reservation,
   type ReservationOutcome,
--- a/packages/request/routing/src/outlier-detector.ts
+++ b/packages/request/routing/src/outlier-detector.ts
@@ -1,8 +1,5 @@
 import type { BalancerSettings } from './settings';
 
-/** Share of the limit that an endpoint may use when its ejection ends. */
-const rampStart = 0.1;
-
 /**
  * Counts the failures of one endpoint and ejects it (circuit breaking). An endpoint is in service,
  * ejected until a given time, or returning. A failure while it is returning ejects it again, for
@@ -38,18 +35,12 @@
     return this.ejectedUntil;
   }
 
-  /** Share of its limit that the endpoint may use, above 0 and up to 1. */
-  ramp(now: number): number {
-    if (this.isEjected(now)) return rampStart;
-    return Math.min(1, rampStart + (now - this.ejectedUntil) / this.settings.rampMs);
-  }
-
   succeeded(startedAt: number, now: number): void {
     this.rollWindow(now);
     this.successes += 1;
     // A request that started before the ejection says nothing about the endpoint after it.
     if (startedAt >= this.ejectedAt) this.failuresInRow = 0;
-    if (this.ejections > 0 && now - this.ejectedUntil > this.settings.rampMs) {
+    if (this.ejections > 0 && now - this.ejectedUntil > this.settings.probationMs) {
       this.ejections = Math.max(0, this.ejections - this.forgivenEjections(now));
     }
   }
@@ -60,7 +51,7 @@
     this.rollWindow(now);
     this.failures += 1;
     this.failuresInRow += 1;
-    if (this.ejections > 0 && this.ramp(now) < 1) return true;
+    if (this.ejections > 0 && now - this.ejectedUntil < this.settings.probationMs) return true;
     if (this.failuresInRow >= this.settings.consecutiveFailures) return true;
     const samples = this.successes + this.failures;
     return (
@@ -81,10 +72,10 @@
   /** Number of ejections to forget: one if full service has lasted as long as the last ejection. */
   private forgivenEjections(now: number): number {
     const lastMs = this.ejectedUntil - this.ejectedAt;
-    if (now - this.ejectedUntil < lastMs + this.settings.rampMs) return 0;
+    if (now - this.ejectedUntil < lastMs + this.settings.probationMs) return 0;
     // Restarts the time in service for the next one.
     this.ejectedAt = now - lastMs;
-    this.ejectedUntil = now - this.settings.rampMs;
+    this.ejectedUntil = now - this.settings.probationMs;
     return 1;
   }
 
--- a/packages/request/routing/src/predictive-balancer.ts
+++ b/packages/request/routing/src/predictive-balancer.ts
@@ -1,16 +1,11 @@
 import type { Random } from '@currantdrift/core';
-import { OutlierDetector } from './outlier-detector';
+import { ArrivalRate } from './arrival-rate';
+import { PaceCause } from './endpoint-pace';
+import { type Candidate, EndpointStats, type ReportedLoad, type Sharing } from './endpoint-stats';
+import { type EndpointStart, KnownStarts } from './known-starts';
+import { PaceLog, type PaceObserver } from './pace-log';
 import { type BalancerSettings, defaultBalancerSettings } from './settings';
-
-/** An endpoint that can serve a request. */
-export interface Candidate {
-  readonly id: string;
-  /** Distinguishes successive processes with the same id. */
-  readonly bornAt: number;
-  readonly slots: number;
-  /** Network round trip time, in ms. */
-  readonly roundTripMs: number;
-}
+import { weightedSample } from './weighted-sample';
 
 /**
  * How a use of an endpoint ended. `refused`: it did not run the request; `failed`: it failed while
@@ -24,9 +19,9 @@
   /** Predicted time to the first byte, in ms. */
   readonly predictedMs: number;
   /** Records that the first byte of the answer arrived after `elapsedMs`. */
-  observeFirstByte(elapsedMs: number): void;
+  observeFirstByte(elapsedMs: number, now: number): void;
   /** Records the load that the endpoint reported. */
-  observeLoad(running: number, waiting: number, now: number): void;
+  observeLoad(load: ReportedLoad, now: number): void;
   release(end: ReservationOutcome, now: number): void;
 }
 
@@ -40,55 +35,43 @@
 const minSamplingDaemons = 20;
 const sampleSize = 3;
 
-/** Time for which a reported load is used, in ms. */
-const reportedLoadLifetimeMs = 1_000;
+/** Assumed time for which a request stays in flight, in ms, where no candidate has shown one. */
+const usualHoldMs = 1_000;
 
-/** Weight of a new sample in the mean time to the first byte. */
-const sampleWeight = 0.1;
+/** Weight of a new sample in the mean number of candidates. */
+const candidatesWeight = 0.05;
 
-/** Assumed time to the first byte of an endpoint that has not answered yet, in ms. */
-const initialFirstByteMs = 50;
+const mean = (values: readonly number[]): number | undefined =>
+  values.length > 0 ? values.reduce((a, b) => a + b, 0) / values.length : undefined;
 
-/**
- * Share of the mean time to the first byte that each running request adds, and its minimum in ms.
- */
-const runningRequestShare = 0.1;
-const minRunningRequestMs = 12;
-
-/** Prompt tokens that an engine processes per ms. */
-const promptTokensPerMs = 20;
-
-/** Time added to the prediction right after a refusal, in ms; it falls to 0 over as long a time. */
-const refusalPenaltyMs = 150;
-
-/** Time for which an endpoint counts as unreachable after a connection failure, in ms. */
-const unreachableMs = 1_500;
-
-interface EndpointStats {
-  readonly bornAt: number;
-  readonly outlier: OutlierDetector;
-  inFlight: number;
-  /** Prompt tokens of own requests whose first byte has not arrived. */
-  unreadTokens: number;
-  meanMs: number;
-  refusedAt: number;
-  unreachableAt: number;
-  reportedLoad: { readonly others: number; readonly at: number } | undefined;
+/** A candidate with what is known and predicted of it. */
+interface Option {
+  readonly candidate: Candidate;
+  readonly stats: EndpointStats;
+  /** Predicted time to the first byte, in ms. */
+  readonly ms: number;
 }
 
 /**
  * Chooses the endpoint with the lowest predicted time to the first byte. The prediction adds the
  * network round trip, the endpoint's mean and the cost of each running request. Own requests in
  * flight are counted exactly, those of other daemons are taken from the load that endpoints
- * report.
+ * report. An endpoint that started, returned or recovered is chosen only as far as its pace allows.
  */
 export class PredictiveBalancer {
   private readonly statsByEndpoint = new Map<string, EndpointStats>();
 
+  private readonly starts = KnownStarts.create();
+
+  private readonly arrivals = ArrivalRate.create();
+
+  private meanCandidates = 1;
+
   private constructor(
     private readonly random: Random,
     private readonly daemons: () => number,
     private readonly settings: BalancerSettings,
+    private readonly paceLog: PaceLog,
   ) {}
 
   /** `daemons` returns the number of daemons that choose among the same endpoints. */
@@ -96,8 +79,10 @@
     random: Random,
     daemons: () => number,
     settings: Partial<BalancerSettings> = {},
+    observer?: PaceObserver,
   ): PredictiveBalancer {
-    return new PredictiveBalancer(random, daemons, { ...defaultBalancerSettings, ...settings });
+    const all = { ...defaultBalancerSettings, ...settings };
+    return new PredictiveBalancer(random, daemons, all, PaceLog.create(observer));
   }
 
   /**
@@ -111,22 +96,15 @@
     maxUnreadTokens: number,
     now: number,
   ): Reservation | undefined {
-    const withStats = candidates.map((candidate) => ({
-      candidate,
-      stats: this.statsOf(candidate),
-    }));
-    const notEjected = withStats.filter((one) => !one.stats.outlier.isEjected(now));
-    const eligible = (notEjected.length > 0 ? notEjected : withStats).filter(
-      ({ stats: { unreadTokens } }) =>
-        unreadTokens === 0 || unreadTokens + promptTokens <= maxUnreadTokens,
+    this.arrivals.record(now);
+    this.meanCandidates += (candidates.length - this.meanCandidates) * candidatesWeight;
+    const options = candidates.map((candidate) => this.option(candidate, now));
+    const notEjected = options.filter((one) => !one.stats.outlier.isEjected(now));
+    const eligible = (notEjected.length > 0 ? notEjected : options).filter(({ stats }) =>
+      stats.mayTakePrompt(promptTokens, maxUnreadTokens),
     );
-    const predicted = this.sample(eligible).map((one) => ({
-      ...one,
-      ms: PredictiveBalancer.predict(one.candidate, one.stats, now),
-    }));
-    if (predicted.length === 0) return undefined;
-    const best = predicted.reduce((a, b) => (b.ms < a.ms ? b : a));
-    return this.createReservation(best, promptTokens, now);
+    const best = this.choose(eligible, now);
+    return best && this.createReservation(best, promptTokens, now);
   }
 
   /** Records the numbers of requests in flight at endpoints, over all daemons. */
@@ -134,20 +112,24 @@
     loads.forEach(({ endpoint, inFlight }) => {
       const stats = this.statsByEndpoint.get(endpoint);
       if (stats === undefined) return;
-      stats.reportedLoad = { others: Math.max(0, inFlight - stats.inFlight), at: now };
+      stats.observeFleetLoad(inFlight, now);
+      this.paceLog.note(endpoint, stats.pace.cause, now);
     });
   }
 
   /**
-   * Returns a random sample of the candidates if there are many daemons. Otherwise daemons that
-   * choose at the same time from the same reported loads would all send to the same best endpoint.
+   * Records the endpoints that exist, so that one that starts from now on opens gradually, and forgets
+   * those that do not exist and have no request in flight.
    */
-  private sample<T>(candidates: readonly T[]): readonly T[] {
-    if (candidates.length <= sampleSize || this.daemons() < minSamplingDaemons) return candidates;
-    const left = [...candidates];
-    return Array.from({ length: sampleSize }, () => {
-      const [taken] = left.splice(Math.floor(this.random.next() * left.length), 1);
-      return taken;
+  observeEndpoints(endpoints: readonly EndpointStart[], now: number): void {
+    const ids = new Set(endpoints.map(({ id }) => id));
+    this.statsByEndpoint.forEach(({ inFlight }, id) => {
+      if (inFlight > 0 || ids.has(id)) return;
+      this.statsByEndpoint.delete(id);
+      this.paceLog.forget(id);
+    });
+    this.starts.observe(endpoints, now).forEach((start) => {
+      this.beginStart(this.statsOf(start, now), start, now);
     });
   }
 
@@ -160,88 +142,126 @@
     return this.statsByEndpoint.get(id)?.outlier.isEjected(now) ?? false;
   }
 
-  /** Whether a connection to the endpoint failed within the last `unreachableMs`. */
+  /** Whether a connection to the endpoint failed recently. */
   isUnreachable(id: string, now: number): boolean {
-    const stats = this.statsByEndpoint.get(id);
-    return stats !== undefined && now - stats.unreachableAt < unreachableMs;
+    return this.statsByEndpoint.get(id)?.isUnreachable(now) ?? false;
   }
 
-  /** Removes endpoints that are not in `ids` and have no request in flight. */
-  retain(ids: ReadonlySet<string>): void {
-    this.statsByEndpoint.forEach(({ inFlight }, id) => {
-      if (inFlight === 0 && !ids.has(id)) this.statsByEndpoint.delete(id);
-    });
+  /** The best option that the pace of its endpoint allows; the best of all if none allows it. */
+  private choose(eligible: readonly Option[], now: number): Option | undefined {
+    const sampled = [...this.sample(eligible)].sort((a, b) => a.ms - b.ms);
+    const allowed = sampled.find((option) => this.isAllowed(option, eligible, now));
+    if (allowed !== undefined) return allowed;
+    const open = eligible.filter(({ stats }) => stats.pace.cause === undefined);
+    if (open.length === 0) return sampled.at(0);
+    return [...this.sample(open)].sort((a, b) => a.ms - b.ms).at(0);
+  }
+
+  private isAllowed({ stats }: Option, all: readonly Option[], now: number): boolean {
+    if (stats.pace.cause === undefined) return true;
+    const chance = stats.chanceOfUse(this.sharing(all, now), now);
+    if (chance >= 1 || this.random.next() < chance) return true;
+    this.paceLog.countDeferral(stats.pace.cause);
+    return false;
   }
 
-  private static predict(candidate: Candidate, stats: EndpointStats, now: number): number {
-    const { reportedLoad } = stats;
-    const trusted = reportedLoad !== undefined && now - reportedLoad.at < reportedLoadLifetimeMs;
-    const running = stats.inFlight + (trusted ? reportedLoad.others : 0);
-    const excess = Math.max(0, running + 1 - candidate.slots);
-    const runningMs = Math.max(minRunningRequestMs, runningRequestShare * stats.meanMs);
-    const load = stats.meanMs * (1 + excess / candidate.slots) + runningMs * running;
-    const sinceRefusal = now - stats.refusedAt;
-    const penalty = Math.max(0, refusalPenaltyMs - sinceRefusal);
-    const ramp = 1 / stats.outlier.ramp(now);
-    // An engine processes prompts one after the other, so unread ones delay this request.
-    const unreadMs = stats.unreadTokens / promptTokensPerMs;
-    return candidate.roundTripMs + load * ramp + unreadMs + penalty;
+  private sharing(options: readonly Option[], now: number): Sharing {
+    const settled = options.filter(({ stats }) => stats.pace.cause === undefined);
+    const daemons = this.daemons();
+    const considered =
+      daemons < minSamplingDaemons
+        ? this.meanCandidates
+        : Math.min(sampleSize, this.meanCandidates);
+    const expectedShare = Math.min(1, considered / Math.max(1, this.statsByEndpoint.size));
+    return {
+      daemons,
+      expectedPerMs: this.arrivals.perMs(now) * expectedShare,
+      holdMs: mean(settled.flatMap(({ stats }) => stats.holdMs ?? [])) ?? usualHoldMs,
+      firstByteMs: mean(settled.flatMap(({ stats }) => stats.firstByteMs ?? [])),
+    };
+  }
+
+  /**
+   * Returns a random sample of the options if there are many daemons. Otherwise daemons that
+   * choose at the same time from the same reported loads would all send to the same best endpoint.
+   */
+  private sample(options: readonly Option[]): readonly Option[] {
+    if (this.daemons() < minSamplingDaemons) return options;
+    return weightedSample(options, sampleSize, ({ candidate }) => candidate.slots, this.random);
+  }
+
+  private option(candidate: Candidate, now: number): Option {
+    const stats = this.statsOf(candidate, now);
+    return { candidate, stats, ms: stats.predict(candidate, now) };
   }
 
   private createReservation(
-    { candidate, stats, ms }: { candidate: Candidate; stats: EndpointStats; ms: number },
+    { candidate, stats, ms }: Option,
     promptTokens: number,
     startedAt: number,
   ): Reservation {
-    const one = stats;
-    one.inFlight += 1;
-    one.unreadTokens += promptTokens;
+    const { id, slots } = candidate;
+    const isOnlyPrompt = stats.unreadTokens === 0;
+    stats.begin(promptTokens);
     let unread = promptTokens;
+    let mayWait = true;
     const markPromptRead = () => {
-      one.unreadTokens -= unread;
+      stats.readPrompt(unread);
       unread = 0;
     };
+    const note = (now: number) => {
+      if (this.statsByEndpoint.get(id) === stats) this.paceLog.note(id, stats.pace.cause, now);
+    };
     let released = false;
     return {
-      endpoint: candidate.id,
+      endpoint: id,
       predictedMs: ms,
-      observeFirstByte: (elapsedMs) => {
+      observeFirstByte: (elapsedMs, now) => {
         markPromptRead();
-        one.meanMs += (elapsedMs - one.meanMs) * sampleWeight;
+        stats.observeFirstByte(elapsedMs, promptTokens, candidate, this.daemons(), now);
+        if (isOnlyPrompt && !mayWait) {
+          stats.observePrefill(promptTokens, elapsedMs, candidate.roundTripMs, now);
+        }
+        note(now);
       },
-      observeLoad: (running, waiting, now) => {
-        one.reportedLoad = { others: Math.max(0, running + waiting - one.inFlight), at: now };
+      observeLoad: (load, now) => {
+        mayWait = load.waiting > 0;
+        stats.observeLoad(load, slots, now);
+        note(now);
       },
       release: (end, now) => {
         if (released) return;
         released = true;
         markPromptRead();
-        one.inFlight -= 1;
-        if (end === 'served') one.outlier.succeeded(startedAt, now);
-        if (end === 'refused') one.refusedAt = now;
+        stats.end();
+        if (end === 'served') {
+          stats.outlier.succeeded(startedAt, now);
+          stats.observeEnd(now - startedAt);
+        }
+        if (end === 'refused') stats.observeRefusal(now);
         if (end === 'unreachable') {
-          one.unreachableAt = now;
-          one.outlier.eject(now);
+          stats.observeUnreachable(now);
+          stats.eject(slots, now);
         }
-        if (end === 'failed' && one.outlier.failed(startedAt, now)) one.outlier.eject(now);
+        if (end === 'failed' && stats.outlier.failed(startedAt, now)) stats.eject(slots, now);
+        note(now);
       },
     };
   }
 
-  private statsOf({ id, bornAt }: Candidate): EndpointStats {
+  private statsOf(candidate: EndpointStart, now: number): EndpointStats {
+    const { id, bornAt } = candidate;
     const found = this.statsByEndpoint.get(id);
     if (found !== undefined && found.bornAt === bornAt) return found;
-    const stats: EndpointStats = {
-      bornAt,
-      outlier: OutlierDetector.create(this.settings),
-      inFlight: 0,
-      unreadTokens: 0,
-      meanMs: initialFirstByteMs,
-      refusedAt: -Infinity,
-      unreachableAt: -Infinity,
-      reportedLoad: undefined,
-    };
+    const stats = EndpointStats.create(bornAt, this.settings);
     this.statsByEndpoint.set(id, stats);
+    this.paceLog.forget(id);
+    if (this.starts.observeCandidate(candidate, now)) this.beginStart(stats, candidate, now);
     return stats;
   }
+
+  private beginStart(stats: EndpointStats, { id, slots }: EndpointStart, now: number): void {
+    stats.open(PaceCause.start, slots, 0, now);
+    this.paceLog.note(id, stats.pace.cause, now);
+  }
 }
--- a/packages/request/routing/src/settings.ts
+++ b/packages/request/routing/src/settings.ts
@@ -23,8 +23,8 @@
   /** Duration of the first ejection, in ms; doubles with each further one up to `maxEjectionMs`. */
   readonly ejectionMs: number;
   readonly maxEjectionMs: number;
-  /** Time over which an endpoint returns to its full limit after an ejection, in ms. */
-  readonly rampMs: number;
+  /** Time after an ejection in which one failure ejects the endpoint again, in ms. */
+  readonly probationMs: number;
   /** Largest share of a pool that may be ejected at once. */
   readonly maxEjectedShare: number;
   /**
@@ -49,7 +49,7 @@
   windowMs: 10_000,
   ejectionMs: 5_000,
   maxEjectionMs: 300_000,
-  rampMs: 10_000,
+  probationMs: 10_000,
   maxEjectedShare: 0.5,
   levelWeight: 0.25,
   affinityWeight: 0.2,
--- a/packages/request/routing/test/limits.test.ts
+++ b/packages/request/routing/test/limits.test.ts
@@ -113,7 +113,8 @@
   expect(limits.at(-1)).toBeGreaterThanOrEqual(20);
 });
 
-// Guards against a failed endpoint that keeps its traffic, or that regains all of it at once.
+// Guards against a failed endpoint that keeps its traffic, that regains all of it at once, or that
+// regains it without having answered.
 test('an ejected endpoint returns gradually, and is ejected longer after each failure', () => {
   const { balancer } = createBalancer();
   const candidates = [endpoint('a'), endpoint('b')];
@@ -121,20 +122,28 @@
     const lease = balancer.acquire({ candidates, tried: ['b'] }, now)._unsafeUnwrap();
     lease.release('failed', now);
   };
+  const answer = (now: number, count: number) => {
+    for (let index = 0; index < count; index += 1) {
+      const lease = balancer.acquire({ candidates, tried: ['b'] }, now)._unsafeUnwrap();
+      lease.observe(100, now + 100);
+      lease.release('succeeded', now + 100);
+    }
+  };
   const describeState = (now: number) => {
     const [a] = balancer.status(now);
     return `${now}: limit ${a.limit}, ejected until ${a.ejectedUntil ?? '-'}`;
   };
   balancer.freeCapacity(candidates, 0);
   for (let index = 0; index < 5; index += 1) fail(0);
-  const seen = [describeState(0), describeState(5_000), describeState(10_000)];
+  const seen = [describeState(0), describeState(5_000), describeState(9_000)];
+  answer(9_000, 3);
+  seen.push(describeState(10_000));
   fail(10_000);
-  seen.push(
-    describeState(10_000),
-    describeState(20_000),
-    describeState(25_000),
-    describeState(30_000),
-  );
+  seen.push(describeState(10_000), describeState(20_000), describeState(25_000));
+  answer(25_000, 3);
+  seen.push(describeState(26_000));
+  answer(26_000, 4);
+  seen.push(describeState(30_000));
   expect(seen).toMatchSnapshot();
 });
 
--- a/packages/request/routing/test/predictive-balancer.test.ts
+++ b/packages/request/routing/test/predictive-balancer.test.ts
@@ -70,7 +70,7 @@
 test('a reported load counts for a limited time', () => {
   const balancer = create();
   const reservation = balancer.reserve([candidate('a')], 0, Infinity, 0);
-  reservation?.observeLoad(40, 10, 0);
+  reservation?.observeLoad({ running: 40, waiting: 10 }, 0);
   reservation?.release('served', 0);
   const both = [candidate('a', 0.5), candidate('b', 1)];
   expect(balancer.reserve(both, 0, Infinity, 10)?.endpoint).toBe('b');
@@ -85,7 +85,7 @@
   const reservation = balancer.reserve(one, 3_000, 2_000, 0);
   expect(reservation).toBeDefined();
   expect(balancer.reserve(one, 100, 2_000, 0)).toBeUndefined();
-  reservation?.observeFirstByte(50);
+  reservation?.observeFirstByte(50, 50);
   expect(balancer.reserve(one, 1_500, 2_000, 0)).toBeDefined();
   expect(balancer.reserve(one, 400, 2_000, 0)).toBeDefined();
   expect(balancer.reserve(one, 400, 2_000, 0)).toBeUndefined();
