Loads: forecast all queued loads, promise by it, order by benefit per time

Cause: a request for a model with a copy was promised the time of one load, whatever other models waited for the same engines and whether these could unload anything.

One forecast places every needed model on the engine where it is ready first. It accounts for operations in progress, models in use, unloads and the weight store's capacity. Requests that it shows to be too late are refused with it as Retry-After. Needed models are served in the order of urgency per time that their load occupies an engine; models that only refused requests wait for go last unless these are about to return. Under contention a loaded model is kept for a multiple of its reload time. Promises are corrected by the moving quantile of the actual times, by source, and reported as currantdrift_load_promise_ratio and load.promise. Without queued models, plans and estimates are as before.

Ruled out: to drain models in use for others.

--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -6,7 +6,6 @@
   type EngineView,
   planAdapter,
   planLoad,
-  estimateReadyMs,
   type ResidencySettings,
   type PlanInput,
   type Step,
@@ -17,6 +16,7 @@
 import type { UsageMessage, LoadRequestResponse } from '../connection/peer-messages';
 import { Announcer, type Announcement } from './announcer';
 import type { Term } from './controller-election';
+import { LoadPromiseRecorder } from './load-promise-recorder';
 import { ManagedEngine } from './managed-engine';
 import { UnloadDelayEstimator } from './unload-delay-estimator';
 import { UsageLedger } from './usage-ledger';
@@ -73,6 +73,8 @@
 
   private readonly announcer: Announcer;
 
+  private readonly promises: LoadPromiseRecorder;
+
   private readonly stopped = new AbortController();
 
   private wake: (() => void) | undefined;
@@ -86,6 +88,7 @@
     private readonly options: ControllerOptions,
     private readonly term: Term,
   ) {
+    this.promises = LoadPromiseRecorder.create(options.telemetry);
     this.announcer = Announcer.create(options.directory.limits, (announcement) =>
       options.announce(term.fence, announcement),
     );
@@ -137,7 +140,7 @@
       };
     }
     want.unreachable.forEach((id) => this.managedEngines.get(id)?.probe());
-    const readyInMs = estimateReadyMs(planInput, want, now);
+    const readyInMs = this.promises.promise(planInput, want, now);
     if (readyInMs === undefined) {
       return {
         kind: 'refused',
@@ -333,6 +336,8 @@
 
   private plan(service: string, now: number): void {
     this.views = undefined;
+    const planInput = this.getPlanInput(service, now);
+    if (planInput !== undefined) this.promises.settle(planInput, now);
     this.order(service, now, planLoad, (managed, step) => managed.load(step));
     this.order(service, now, planAdapter, (managed, step) => managed.adapter(step));
   }
--- a/packages/process/gateway/src/process/managed-engine.ts
+++ b/packages/process/gateway/src/process/managed-engine.ts
@@ -57,6 +57,9 @@
 
   private copies: ModelCopies;
 
+  /** Ends of the ordered loads by model, in ms. */
+  private readonly loadedAt = new Map<string, number>();
+
   private operation: EngineOperation | undefined;
 
   private readonly orders: EngineOrderQueue;
@@ -130,6 +133,7 @@
       models: this.models,
       unloading: this.unloading,
       copies: this.copies,
+      loadedAt: this.loadedAt,
       operation: this.isReady
         ? this.operation
         : { kind: 'pause', model: '', endsAt: readyAt, remote: false },
@@ -186,16 +190,18 @@
     const now = this.options.clock.now();
     const leaving = this.models.filter(({ name }) => step.unload.includes(name));
     this.models = this.models.filter(({ name }) => !step.unload.includes(name));
+    step.unload.forEach((name) => this.loadedAt.delete(name));
     this.unloading = [...this.unloading, ...leaving];
     this.operation = {
       kind: 'load',
       model: step.model,
-      endsAt: now + step.orderMs + step.loadMs + step.unload.length * pollMs,
+      endsAt: now + step.drainMs + step.orderMs + step.loadMs + step.unload.length * pollMs,
       remote: step.source === 'remote',
     };
     this.options.onChange();
     this.enqueue(async () => {
       await this.performLoad(step);
+      this.loadedAt.set(step.model, this.options.clock.now());
       this.operation = undefined;
       this.unloading = [];
       this.options.onChange();
--- a/packages/process/gateway/test/managed-engine.test.ts
+++ b/packages/process/gateway/test/managed-engine.test.ts
@@ -207,6 +207,7 @@
     source: 'disk',
     loadMs: 1_000,
     orderMs: 0,
+    drainMs: 0,
     reason: 'waiting',
   }) as const;
 
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -142,6 +142,12 @@
     help: 'Loads of models that this process ordered, by reason and source of the weights',
     labels: ['reason', 'source'],
   },
+  currantdrift_load_promise_ratio: {
+    type: 'histogram',
+    help: 'Actual time until a model was ready as a multiple of the promised time, by source of the weights',
+    labels: ['source'],
+    buckets: [0.25, 0.5, 0.75, 0.9, 1, 1.1, 1.2, 1.5, 2, 3, 5, 10],
+  },
   currantdrift_log_lines_dropped_total: {
     type: 'counter',
     help: 'Log lines that were dropped because their reader was slow',
--- a/packages/version/residency/src/demand.ts
+++ b/packages/version/residency/src/demand.ts
@@ -48,6 +48,9 @@
   /** Rates by service, then by model. */
   private readonly rates = new Map<string, Map<string, Rate>>();
 
+  /** Time of the first arrival at a service. */
+  private readonly startedAt = new Map<string, number>();
+
   private readonly decayedRates = new Map<string, DecayedRates>();
 
   private readonly waiting = new Map<string, WaitingRequest>();
@@ -63,6 +66,7 @@
   recordArrivals(service: string, model: string, count: number, now: number): void {
     const rates = this.rates.get(service) ?? new Map<string, Rate>();
     this.rates.set(service, rates);
+    if (!this.startedAt.has(service)) this.startedAt.set(service, now);
     const before = rates.get(model);
     const remaining = before === undefined ? 0 : decayedRate(before, now);
     rates.set(model, { perSecond: remaining + count / (rateTimeConstantMs / 1000), at: now });
@@ -89,6 +93,15 @@
     return perSecond;
   }
 
+  /**
+   * Share of the arrivals that the rates of a service include, from 0 to 1. It is low in the first
+   * seconds, when the averages still rise.
+   */
+  coverage(service: string, now: number): number {
+    const ageMs = now - (this.startedAt.get(service) ?? now);
+    return 1 - Math.exp(-ageMs / rateTimeConstantMs);
+  }
+
   /** Models that received at least one request. */
   models(service: string): readonly string[] {
     return [...(this.rates.get(service)?.keys() ?? [])];
--- a/packages/version/residency/src/engine-memory.ts
+++ b/packages/version/residency/src/engine-memory.ts
@@ -26,6 +26,8 @@
   readonly victims: readonly string[];
   /** Expected additional waiting time of requests, in ms. */
   readonly costMs: number;
+  /** Expected time until the running requests of the victims have ended, in ms. */
+  readonly drainMs: number;
 }
 
 /** A loaded model that may be unloaded, with the cost of its eviction. */
@@ -33,6 +35,7 @@
   readonly name: string;
   readonly sizeMb: number;
   readonly costMs: number;
+  readonly drainMs: number;
 }
 
 /**
@@ -46,11 +49,13 @@
   const taken: string[] = [];
   let missing = missingMb;
   let costMs = 0;
+  let drainMs = 0;
   for (const victim of victims) {
     if (missing <= 0) break;
     taken.push(victim.name);
     costMs += victim.costMs;
+    drainMs = Math.max(drainMs, victim.drainMs);
     missing -= victim.sizeMb;
   }
-  return missing <= 0 ? { victims: taken, costMs } : undefined;
+  return missing <= 0 ? { victims: taken, costMs, drainMs } : undefined;
 };
--- a/packages/version/residency/src/engine-view.ts
+++ b/packages/version/residency/src/engine-view.ts
@@ -26,6 +26,8 @@
   /** Models that receive no more requests but occupy memory until their unload is complete. */
   readonly unloading: readonly LoadedModel[];
   readonly copies: ModelCopies;
+  /** Ends of the loads that this controller ordered, by model, on its clock, in ms. */
+  readonly loadedAt: ReadonlyMap<string, number>;
   /** Load in progress or about to be ordered, including its unloads; an engine runs one at a time. */
   readonly operation: EngineOperation | undefined;
   /** Adapters with a load in progress, as `model/adapter`. */
--- a/packages/version/residency/src/evictions.ts
+++ b/packages/version/residency/src/evictions.ts
@@ -8,27 +8,56 @@
   type Victim,
 } from './engine-memory';
 import { type EngineView, loadSource } from './engine-view';
-import { loadTimeMs, type PlanInput } from './plan-input';
-import { effectiveReplicas, replicaWeight } from './request-limits';
+import { neededModels, type NeededModel } from './needed-models';
+import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
+import { effectiveReplicas, enginesForLoads, replicaWeight } from './request-limits';
+import { drainTimeMs, idleAfterMs, meanRunMs } from './run-time';
 import { targetReplicas } from './target-replicas';
 
 const plannerCache = new WeakMap<PlanInput, EvictionPlanner>();
 
-/** Free memory of an engine and the models that it may unload, the cheapest first. */
-interface EvictionCandidates {
+/** A loaded model as a candidate for an unload. */
+export interface HeldModel {
+  readonly name: string;
+  readonly sizeMb: number;
+  /** Whether requests wait for it. */
+  readonly isAwaited: boolean;
+  /** Cost of unloading it without a drain, in ms; undefined if it is awaited or in use. */
+  readonly costMs: number | undefined;
+  /** Time for which it is kept after its load, in ms from now; 0 or less if that has passed. */
+  readonly leaseMs: number;
+  /** Expected time until its running requests have ended if it gets no further ones, in ms. */
+  readonly drainMs: number;
+  /** Expected time until it is idle if it still gets requests, in ms. */
+  readonly idleMs: number;
+}
+
+/** Free memory of an engine and the models that it holds. */
+export interface EngineContents {
   readonly freeMb: number;
-  readonly victims: readonly Victim[];
+  readonly held: readonly HeldModel[];
 }
 
 /**
  * Selects models to unload. The cost of an eviction is the waiting time that is expected from loading
  * the model again, in ms. A model that requests wait for is never evicted, even right after its load:
  * otherwise two models that compete for the same memory would evict each other before either is used.
+ *
+ * While more models are needed than engines can load, a model is also kept for a minimum time after its
+ * load, so that refused requests find it when they return.
  */
 export class EvictionPlanner {
+  /** The models that have to be loaded, in the order in which they are served. */
+  readonly needs: readonly NeededModel[];
+
+  /** Mean time that a request runs at an engine, in ms. */
+  readonly runMs: number;
+
   private readonly awaitedModels: ReadonlySet<string>;
 
-  private readonly choices = new Map<EngineView, EvictionCandidates>();
+  private readonly contents = new Map<EngineView, EngineContents>();
+
+  private contended: boolean | undefined;
 
   private constructor(
     private readonly input: PlanInput,
@@ -36,6 +65,8 @@
   ) {
     const waiting = input.demand.current(now).filter(({ refused }) => !refused);
     this.awaitedModels = new Set(waiting.map(({ model }) => model));
+    this.needs = neededModels(input, now);
+    this.runMs = this.needs.length === 0 ? input.settings.expectedRunMs : meanRunMs(input, now);
   }
 
   /** The cached planner of an input, which must not change afterwards. */
@@ -47,31 +78,69 @@
     return planner;
   }
 
+  /** Whether several models are needed, and more than engines could load now. */
+  get isContended(): boolean {
+    this.contended ??= this.needs.length > 1 && this.needs.length > this.countFreeEngines();
+    return this.contended;
+  }
+
   /** Selects models to unload to make room for `model` among idle models and surplus replicas. */
   planEviction(engine: EngineView, { sizeMb }: Model): Eviction | undefined {
-    const { victims, freeMb } = this.candidatesAt(engine);
+    const { freeMb, held } = this.contentsOf(engine);
+    const victims = held.flatMap((one): Victim[] => {
+      if (one.costMs === undefined || (this.isContended && one.leaseMs > 0)) return [];
+      return [{ ...one, costMs: one.costMs, drainMs: this.isContended ? one.drainMs : 0 }];
+    });
     return selectVictims(victims, sizeMb - freeMb);
   }
 
   /** Cached for each engine, because a plan considers many models per engine. */
-  private candidatesAt(engine: EngineView): EvictionCandidates {
-    const found = this.choices.get(engine);
+  contentsOf(engine: EngineView): EngineContents {
+    const found = this.contents.get(engine);
     if (found !== undefined) return found;
-    const { pool } = this.input;
-    const victims = engine.models
-      .flatMap((held): Victim[] => {
-        const costMs = this.evictionCostMs(engine, held);
-        const { name } = held;
-        return costMs === undefined ? [] : [{ name, sizeMb: modelMemoryMb(held, pool), costMs }];
-      })
-      .sort((one, other) => one.costMs - other.costMs);
-    const candidates = { freeMb: freeMemoryMb(engine, pool), victims };
-    this.choices.set(engine, candidates);
-    return candidates;
+    const held = engine.models
+      .map((one) => this.assess(engine, one))
+      .sort((one, other) => (one.costMs ?? Infinity) - (other.costMs ?? Infinity) || 0);
+    const contents = { freeMb: freeMemoryMb(engine, this.input.pool), held };
+    this.contents.set(engine, contents);
+    return contents;
   }
 
-  private evictionCostMs(engine: EngineView, held: LoadedModel): number | undefined {
+  /** Number of engines that could load the smallest needed model now. */
+  private countFreeEngines(): number {
+    const neededMb = Math.min(...this.needs.map(({ model }) => model.sizeMb));
+    const engines = [...enginesForLoads(this.input)];
+    return engines.filter((engine) => {
+      if (engine.operation !== undefined) return false;
+      const { freeMb, held } = this.contentsOf(engine);
+      const evictableMb = held.reduce(
+        (sum, { costMs, sizeMb }) => sum + (costMs === undefined ? 0 : sizeMb),
+        0,
+      );
+      return freeMb + evictableMb >= neededMb;
+    }).length;
+  }
+
+  private assess(engine: EngineView, held: LoadedModel): HeldModel {
+    const { pool, demand, service, settings } = this.input;
     const { name } = held;
+    const reloadMs = this.reloadMs(engine, name);
+    const drainMs = drainTimeMs(engine.inFlight.get(name) ?? 0, this.runMs);
+    const rate = demand.rate(service, name, this.now);
+    const leaseEndsAt = (engine.loadedAt.get(name) ?? -Infinity) + reloadMs * settings.leaseRatio;
+    const replicas = Math.max(1, fleetIndex(this.input).replicas(name).length);
+    return {
+      name,
+      sizeMb: modelMemoryMb(held, pool),
+      isAwaited: this.awaitedModels.has(name),
+      costMs: this.evictionCostMs(engine, name),
+      leaseMs: leaseEndsAt - this.now,
+      drainMs,
+      idleMs: idleAfterMs(drainMs, rate / replicas, this.runMs),
+    };
+  }
+
+  private evictionCostMs(engine: EngineView, name: string): number | undefined {
     if (this.awaitedModels.has(name)) return undefined;
     const { settings, demand, service } = this.input;
     const rate = demand.rate(service, name, this.now);
@@ -85,11 +154,15 @@
   /** Waiting time that is expected from loading the model again, in ms. */
   private reloadCostMs(engine: EngineView, name: string): number {
     const { pool, settings, demand, service } = this.input;
-    const model = pool.models.get(name);
-    if (model === undefined) return 0;
-    const reloadMs = loadTimeMs(model, loadSource(engine, name));
+    if (!pool.models.has(name)) return 0;
     const rate = demand.rate(service, name, this.now);
-    return rate * (settings.evictionHorizonMs / 1000) * reloadMs + 1;
+    return rate * (settings.evictionHorizonMs / 1000) * this.reloadMs(engine, name) + 1;
+  }
+
+  /** Time that the engine would take to load the model again, in ms. */
+  private reloadMs(engine: EngineView, name: string): number {
+    const model = this.input.pool.models.get(name);
+    return model === undefined ? 0 : loadTimeMs(model, loadSource(engine, name));
   }
 
   private isInUse(engine: EngineView, name: string): boolean {
--- a/packages/version/residency/src/index.ts
+++ b/packages/version/residency/src/index.ts
@@ -7,7 +7,14 @@
   LoadSource,
   loadSource,
 } from './engine-view';
-export { estimateReadyMs, type NeededReplica } from './ready-estimate';
+export {
+  estimateReady,
+  estimateReadyMs,
+  type NeededReplica,
+  type ReadyEstimate,
+} from './ready-estimate';
+export { LoadForecasts } from './load-forecasts';
+export { LoadPromises, type SettledPromise } from './load-promises';
 export { planAdapter } from './plan-adapter';
 export { planLoad } from './plan-load';
 export { defaultResidencySettings, type ResidencySettings } from './residency-settings';
--- a/packages/version/residency/src/load-options.ts
+++ b/packages/version/residency/src/load-options.ts
@@ -1,4 +1,5 @@
 import type { Model } from '@currantdrift/routes';
+import { unloadMs } from './engine-timeline';
 import { type EngineView, hasLoadedModel, type LoadSource, loadSource } from './engine-view';
 import { EvictionPlanner } from './evictions';
 import { fleetIndex, loadTimeMs, type PlanInput } from './plan-input';
@@ -13,6 +14,8 @@
   readonly orderMs: number;
   readonly victims: readonly string[];
   readonly evictionMs: number;
+  /** Expected time until the victims have no running requests, in ms. */
+  readonly drainMs: number;
   /** Sum of the load time and the costs of evictions and of disturbing the engine, in ms. */
   readonly costMs: number;
 }
@@ -23,6 +26,10 @@
     undefined,
   );
 
+/** Time until the model is ready by an option, in ms. */
+export const readyMsOf = ({ loadMs, orderMs, drainMs, victims }: LoadOption): number =>
+  drainMs + orderMs + victims.length * unloadMs + loadMs;
+
 /** Requests per second that an engine is expected to receive for its loaded models. */
 const expectedArrivalRate = (input: PlanInput, engine: EngineView, now: number): number =>
   engine.models.reduce((sum, { name }) => {
@@ -94,13 +101,13 @@
   ): LoadOption | undefined {
     const eviction = this.evictionPlanner.planEviction(engine, model);
     if (eviction === undefined) return undefined;
+    const { victims, costMs: evictionMs, drainMs } = eviction;
     const source = loadSource(engine, model.name);
     const loadMs = loadTimeMs(model, source);
     // During the load, the models whose only copy is on this engine cannot be loaded anywhere else.
     const soleMs = sole * loadMs * this.input.settings.soleCopyCostRatio;
-    const { victims, costMs: evictionMs } = eviction;
     const orderMs = orderTimeMs(engine, victims.length);
     const costMs = loadMs + orderMs + evictionMs + busyMs + soleMs;
-    return { engine, source, loadMs, orderMs, victims, evictionMs, costMs };
+    return { engine, source, loadMs, orderMs, victims, evictionMs, drainMs, costMs };
   }
 }
--- a/packages/version/residency/src/plan-input.ts
+++ b/packages/version/residency/src/plan-input.ts
@@ -40,6 +40,8 @@
   readonly loadMs: number;
   /** Expected time until the engine takes the order, in ms. */
   readonly orderMs: number;
+  /** Expected time until the models in `unload` have no running requests, in ms. */
+  readonly drainMs: number;
   readonly reason: LoadReason;
 }
 
--- a/packages/version/residency/src/plan-load.ts
+++ b/packages/version/residency/src/plan-load.ts
@@ -1,7 +1,9 @@
 import type { Model } from '@currantdrift/routes';
 import { LoadSource } from './engine-view';
-import { cheapest, type LoadOption, LoadOptions } from './load-options';
-import { neededModels, readyMsFromCopy } from './needed-models';
+import { EvictionPlanner } from './evictions';
+import { LoadForecast } from './load-forecast';
+import { cheapest, type LoadOption, LoadOptions, readyMsOf } from './load-options';
+import { type NeededModel, readyMsFromCopy } from './needed-models';
 import { fleetIndex, LoadReason, type LoadStep, type PlanInput } from './plan-input';
 import { effectiveReplicas } from './request-limits';
 import { targetReplicas } from './target-replicas';
@@ -14,13 +16,14 @@
   source: option.source,
   loadMs: option.loadMs,
   orderMs: option.orderMs,
+  drainMs: option.drainMs,
   reason,
 });
 
 /** The first step that `plan` returns for one of the models, in their order. */
-const firstStep = (
-  models: readonly Model[],
-  plan: (model: Model) => LoadStep | undefined,
+const firstStep = <T>(
+  models: readonly T[],
+  plan: (model: T) => LoadStep | undefined,
 ): LoadStep | undefined => {
   for (const model of models) {
     const step = plan(model);
@@ -29,20 +32,56 @@
   return undefined;
 };
 
-const planNeeded = (input: PlanInput, options: LoadOptions, now: number): LoadStep | undefined => {
-  const remoteAllowed = input.remoteLoads < input.remoteCapacity;
-  return firstStep(neededModels(input, now), (model) => {
-    const all = options.forModel(model);
-    const option = cheapest(
-      remoteAllowed ? all : all.filter(({ source }) => source !== LoadSource.remote),
-    );
+/** Plans the loads of models that requests wait for. */
+class NeededLoads {
+  private readonly planner: EvictionPlanner;
+
+  /** Present while more models are needed than engines can load. */
+  private readonly forecast: LoadForecast | undefined;
+
+  private constructor(
+    private readonly input: PlanInput,
+    private readonly options: LoadOptions,
+    private readonly now: number,
+  ) {
+    this.planner = EvictionPlanner.of(input, now);
+    this.forecast = this.planner.isContended ? LoadForecast.create(input, now) : undefined;
+  }
+
+  static create(input: PlanInput, options: LoadOptions, now: number): NeededLoads {
+    return new NeededLoads(input, options, now);
+  }
+
+  /** The first load that can be ordered now, in the order of the needed models. */
+  next(): LoadStep | undefined {
+    return firstStep(this.planner.needs, (need) => this.planNeed(need));
+  }
+
+  /** The load of a needed model; undefined if waiting for an engine that has a copy is faster. */
+  private planNeed({ model }: NeededModel): LoadStep | undefined {
+    const option = cheapest(this.allowed(this.options.forModel(model)));
     if (option === undefined) return undefined;
     // Waiting for an occupied engine that has a copy can be faster than loading now.
-    const byCopyMs = readyMsFromCopy(input, model, now);
-    if (byCopyMs !== undefined && byCopyMs < option.loadMs) return undefined;
+    const waitMs = this.forecast
+      ? this.forecastMs(model)
+      : readyMsFromCopy(this.input, model, this.now);
+    const loadMs = this.forecast ? readyMsOf(option) : option.loadMs;
+    if (waitMs !== undefined && waitMs < loadMs) return undefined;
     return loadStep(option, model, LoadReason.waiting);
-  });
-};
+  }
+
+  private allowed(options: readonly LoadOption[]): readonly LoadOption[] {
+    const { remoteLoads, remoteCapacity } = this.input;
+    return remoteLoads < remoteCapacity
+      ? options
+      : options.filter(({ source }) => source !== LoadSource.remote);
+  }
+
+  private forecastMs({ name }: Model): number | undefined {
+    const load = this.forecast?.load(name);
+    return load && load.readyAt - this.now;
+  }
+}
 
 /** Which shortages a plan considers when it adds replicas. */
 const Shortage = {
@@ -119,7 +158,7 @@
   if (options.isEmpty) return undefined;
   return (
     planBusy(input, options, Shortage.severe, now) ??
-    planNeeded(input, options, now) ??
+    NeededLoads.create(input, options, now).next() ??
     planBusy(input, options, Shortage.any, now) ??
     planCopy(input, options, now)
   );
--- a/packages/version/residency/test/plan-input.ts
+++ b/packages/version/residency/test/plan-input.ts
@@ -37,6 +37,7 @@
   models: [],
   unloading: [],
   copies: { inMemory: [], onDisk: [] },
+  loadedAt: new Map(),
   operation: undefined,
   adapterLoads: new Set(),
   requestLimitPerS: undefined,
