Loads: repeat the confirming order at growing intervals

Cause: past the expected end of a load, the order was repeated every 60 ms until the load was done; most orders confirmed loads.

The order is still repeated at the expected end, because reports lag. After that the interval grows by half from 60 to 250 ms, and a report is read before each order once the interval exceeds the lag's order of magnitude.

--- a/packages/process/gateway/src/process/managed-engine.ts
+++ b/packages/process/gateway/src/process/managed-engine.ts
@@ -18,9 +18,10 @@
 /** Interval between report requests to a busy engine, in ms. */
 const pollMs = 120;
 
-/** Interval between checks whether a load is done, in ms, and number of checks per report. */
-const confirmIntervalMs = 60;
-const confirmsPerReport = 5;
+/** Interval between the first checks whether a load is done, its growth, and its upper bound, in ms. */
+const firstConfirmIntervalMs = 60;
+const confirmIntervalGrowth = 1.5;
+const maxConfirmIntervalMs = 250;
 
 /** Interval between report requests to an engine that does not respond, in ms. */
 const unreachablePollMs = 400;
@@ -345,18 +346,26 @@
     });
   }
 
-  /** Waits until the engine confirms that it holds the model, then updates the state. */
+  /**
+   * Waits until the engine holds the model, then updates the state. The order is repeated at the expected
+   * end, because its response shows a finished load sooner than a lagging report. After that a report is
+   * read before each further order, and the intervals grow with the delay.
+   */
   private async awaitLoaded(model: string, expectedMs: number): Promise<void> {
     const { clock } = this.options;
     const endsAt = clock.now() + expectedMs * 3 + loadOverdueMs;
+    let intervalMs = firstConfirmIntervalMs;
     await clock.sleep(expectedMs);
-    for (let tries = 1; !this.closed && clock.now() < endsAt; tries += 1) {
+    while (!this.closed && clock.now() < endsAt) {
       if (await this.orders.confirm({ kind: 'load', model })) {
         this.recordLoaded(model);
         return;
       }
-      if (tries % confirmsPerReport === 0 && (await this.isReported(model))) return;
-      await clock.sleep(confirmIntervalMs);
+      await clock.sleep(intervalMs);
+      // Reports lag by more than the first intervals.
+      const isReportDue = intervalMs * confirmIntervalGrowth > maxConfirmIntervalMs;
+      if (isReportDue && (await this.isReported(model))) return;
+      intervalMs = Math.min(maxConfirmIntervalMs, intervalMs * confirmIntervalGrowth);
     }
     // The engine may have executed something else; the next plan must start from its actual state.
     await this.resync();
--- a/packages/process/gateway/test/managed-engine.test.ts
+++ b/packages/process/gateway/test/managed-engine.test.ts
@@ -52,6 +52,9 @@
   /** Number of orders refused because of an order in progress or a different count. */
   conflicts = 0;
 
+  /** Number of orders received. */
+  received = 0;
+
   private count = 0;
 
   private busyUntil = -1;
@@ -86,6 +89,7 @@
     order: EngineOrder,
   ): Promise<Result<OrderResponse, Failure>> {
     await this.clock.sleep(2);
+    this.received += 1;
     const fault = this.faults.shift();
     if (fault === 'lost') return err(failure(FailureKind.unknown));
     if (fault === 'late') {
@@ -244,6 +248,18 @@
   expect(engine.conflicts).toBeLessThanOrEqual(3);
 });
 
+// Guards against orders at a constant rate while a load takes longer than expected.
+test('the order is repeated less and less often until the model is loaded', async () => {
+  const { clock, engine, managed } = await start(['a']);
+  engine.reportLagMs = 500;
+  managed.load({ ...swap([], 'c'), loadMs: 100 });
+  await clock.advance(900);
+  expect(engine.received).toBeLessThanOrEqual(7);
+  await clock.advance(500);
+  expect(served(managed)).toEqual(['a', 'c']);
+  expect(engine.received).toBeLessThanOrEqual(9);
+});
+
 // Guards against a refused order after every unload.
 test('the delay after unloads is learned from refused orders', async () => {
   const { clock, engine, managed } = await start(['a', 'b']);
