Quotas of customers over all members: owners, leases and stand-ins

Cause: a customer's quota holds over all members together, and nothing counted its use. An even split over the members would refuse most of what one member receives, since each sees a request of a customer every few seconds.

Change: one member, the first for the customer by rendezvous hashing, keeps a token bucket for each customer. Other members ask it for the tokens of requests that have arrived, one question at a time, and for those of the next second if they see several. It acts only while its list of the members is current and after it has been first for longer than any other list may be out of date, so no two members grant the whole quota. While it does not respond, the member ranked second grants a small part. The allowances are derived from the bounds so that the sum in any window stays within them.

Ruled out: accepting every refund, as tokens that are granted, given back and granted again would add up to more than the quota.

--- /dev/null
+++ b/packages/request/quota/src/customer-account.ts
@@ -0,0 +1,141 @@
+import { type BucketLimits, type QuotaAllowances, refundTimeoutMs } from './allowances';
+import type { QuotaDecision, QuotaQuestion, QuotaReturn } from './messages';
+import { type HeldRole, QuotaRole } from './owner-ranks';
+import { QuotaBucket } from './quota-bucket';
+
+/** Time for which a member may use tokens that it was granted ahead, in ms. */
+export const leaseMs = 2_000;
+
+/** Part of the bucket that is left for requests that have arrived when tokens are granted ahead. */
+const minLevelShare = 0.5;
+
+/** A role in which a member grants tokens, and since when. */
+export interface GrantingRole extends HeldRole {
+  readonly role: Exclude<QuotaRole, 'none'>;
+}
+
+interface Held {
+  readonly tokens: number;
+  readonly until: number;
+}
+
+interface Granted {
+  /** Tokens that may still be given back. */
+  left: number;
+  readonly at: number;
+}
+
+/** The tokens of one customer at a member that grants them. */
+export class CustomerAccount {
+  private readonly bucket: QuotaBucket;
+
+  private readonly refunds: QuotaBucket;
+
+  /** Tokens that members may hold for requests to come. */
+  private readonly ahead = new Map<string, Held>();
+
+  private readonly grants = new Map<number, Granted>();
+
+  private constructor(
+    private allowances: QuotaAllowances,
+    private held: GrantingRole,
+    private nextGrant: number,
+  ) {
+    this.bucket = QuotaBucket.create(this.limits, held.since);
+    this.refunds = QuotaBucket.create(allowances.refunds, held.since);
+  }
+
+  /**
+   * An account whose bucket was empty when the role began. Grants are numbered from `firstGrant` on, so that
+   * those of an earlier process are not taken for them.
+   */
+  static create(
+    allowances: QuotaAllowances,
+    held: GrantingRole,
+    firstGrant: number,
+  ): CustomerAccount {
+    return new CustomerAccount(allowances, held, firstGrant);
+  }
+
+  private get isOwner(): boolean {
+    return this.held.role === QuotaRole.owner;
+  }
+
+  private get limits(): BucketLimits {
+    return this.isOwner ? this.allowances.owner : this.allowances.standIn;
+  }
+
+  /** Applies the quota and the role of the moment; what the bucket holds is kept up to the new capacity. */
+  update(allowances: QuotaAllowances, held: GrantingRole, now: number): void {
+    const isNewRole = held.role !== this.held.role || held.since !== this.held.since;
+    this.allowances = allowances;
+    this.held = held;
+    if (isNewRole) this.bucket.restart(this.limits, held.since);
+    else this.bucket.limit(this.limits, now);
+    this.refunds.limit(allowances.refunds, now);
+  }
+
+  lease(question: QuotaQuestion, now: number): QuotaDecision {
+    this.removeExpired(now);
+    this.takeBackAhead(question, now);
+    const waits = this.takeCosts(question.costs, now);
+    const isGranted = waits.every((waitMs) => waitMs === 0);
+    const ahead = isGranted && this.isOwner ? this.takeAhead(question, now) : 0;
+    const left = question.costs.reduce((sum, cost, at) => sum + (waits[at] === 0 ? cost : 0), 0);
+    const grant = this.nextGrant;
+    this.nextGrant += 1;
+    if (left > 0) this.grants.set(grant, { left, at: now });
+    const waitsMs = waits.map((waitMs) => (Number.isFinite(waitMs) ? waitMs : null));
+    return { kind: 'decided', role: this.held.role, grant, waitsMs, ahead };
+  }
+
+  /** Takes back the tokens of a request that was not sent; returns how many were accepted. */
+  takeBack({ grant, tokens }: QuotaReturn, now: number): number {
+    this.removeExpired(now);
+    const granted = this.grants.get(grant);
+    if (granted === undefined || !this.isOwner) return 0;
+    const returned = Math.min(tokens, granted.left);
+    granted.left -= returned;
+    const accepted = this.refunds.takeUpTo(returned, now);
+    this.bucket.give(accepted, now);
+    return accepted;
+  }
+
+  /** Takes each cost for which there are tokens; returns the waits as in `QuotaDecision`. */
+  private takeCosts(costs: readonly number[], now: number): number[] {
+    const { bucket, isOwner } = this;
+    let refused = 0;
+    return costs.map((cost) => {
+      if (bucket.take(cost, isOwner, now)) return 0;
+      const waitMs = bucket.waitMs(cost, refused, isOwner, now);
+      refused += cost;
+      return waitMs;
+    });
+  }
+
+  private takeAhead({ member, ahead }: QuotaQuestion, now: number): number {
+    const { maxAhead, owner } = this.allowances;
+    const held = [...this.ahead.values()].reduce((sum, { tokens }) => sum + tokens, 0);
+    const spare = this.bucket.available(now) - minLevelShare * owner.capacity;
+    const tokens = this.bucket.takeUpTo(Math.min(ahead, maxAhead - held, spare), now);
+    if (tokens > 0) this.ahead.set(member, { tokens, until: now + leaseMs });
+    return tokens;
+  }
+
+  /** Takes back what the member has not used of its last lease, which this question replaces. */
+  private takeBackAhead({ member, unused }: QuotaQuestion, now: number): void {
+    const held = this.ahead.get(member);
+    if (held === undefined) return;
+    this.ahead.delete(member);
+    if (this.isOwner) this.bucket.give(Math.min(unused, held.tokens), now);
+  }
+
+  private removeExpired(now: number): void {
+    this.ahead.forEach(({ until }, member) => {
+      if (now >= until) this.ahead.delete(member);
+    });
+    this.grants.forEach(({ at }, grant) => {
+      if (now - at > refundTimeoutMs) this.grants.delete(grant);
+    });
+  }
+}
