Gateway: requests beyond their customers' quotas are refused

Cause: customers' quotas were read from the configuration and not applied.

Change: the cost of a request is taken from its customer's quota after its body was read, and before an endpoint is selected. Over the quota it gets 429 with the time at which its tokens will be there; 503 if neither the owner nor the stand-in can tell. The tokens go back if no endpoint may have run the request.

Ruled out: 429 for a refusal by a stand-in, which does not know whether the customer has exceeded its quota; a deposit to the retry budget for requests that are refused.

--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -1,5 +1,6 @@
 import type { Message } from '@currantdrift/core';
 import { clearedPartsSchema, crashReportSchema } from '@currantdrift/quarantine';
+import { quotaDecisionSchema, quotaQuestionSchema, quotaReturnSchema } from '@currantdrift/quota';
 import { permitDecisionSchema } from '@currantdrift/rate-limit';
 import { z } from 'zod';
 import type { AgedListing } from '../process/feed';
@@ -13,6 +14,8 @@
   resigned: 'gateway.resigned',
   leaving: 'gateway.leaving',
   permit: 'gateway.permit',
+  quota: 'gateway.quota',
+  quotaReturn: 'gateway.quota-return',
   crash: 'gateway.crash',
   cleared: 'gateway.cleared',
   streams: 'gateway.streams',
@@ -55,6 +58,26 @@
 ]);
 export type PermitResponse = z.infer<typeof permitResponseSchema>;
 
+/** Asks the member that grants a customer's tokens. */
+export const quotaRequestSchema = quotaQuestionSchema.extend({
+  kind: z.literal(PeerMessageKind.quota),
+  customer: z.string(),
+});
+export type QuotaRequestMessage = z.infer<typeof quotaRequestSchema>;
+
+/** Response to that; `elsewhere` if the member grants none. */
+export const quotaResponseSchema = z.union([
+  quotaDecisionSchema,
+  z.object({ kind: z.literal('elsewhere') }),
+]);
+
+/** Gives back the tokens of a request that was not sent. */
+export const quotaReturnMessageSchema = quotaReturnSchema.extend({
+  kind: z.literal(PeerMessageKind.quotaReturn),
+  customer: z.string(),
+});
+export type QuotaReturnMessage = z.infer<typeof quotaReturnMessageSchema>;
+
 /** Sent to the controller for a request that waits for a model. */
 export const loadRequestSchema = z.object({
   kind: z.literal(PeerMessageKind.want),
--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -1,3 +1,5 @@
+import type { QuotaBounds } from '@currantdrift/quota';
+
 /** Settings of a gateway process. Times are in ms. */
 export interface GatewaySettings {
   /** Name of the host, unique in the deployment. */
@@ -22,6 +24,8 @@
   readonly changeBoundMs: number;
   /** Time within which a withdrawn API key must be refused, on any host; undefined for no bound. */
   readonly revocationBoundMs?: number;
+  /** Bounds on the use of customers' quotas over all members; undefined if the platform states none. */
+  readonly quotaBounds?: QuotaBounds;
   /** Shortest time between orders of two successive controllers to the same engine. */
   readonly holderPauseMs: number;
   /** Limits on retries: a share of the requests, plus a fixed number per window. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -45,6 +45,7 @@
 import { ControllerTerms } from './controller-terms';
 import { registerPeerHandlers } from './peer-handlers';
 import { PermitService } from './permit-service';
+import { QuotaHandling } from './quota-handling';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
@@ -121,6 +122,10 @@
 
   private readonly permits: MemberPermits;
 
+  private readonly retrySpread = RetrySpread.create(defaultForwardSettings, SystemRandom.create());
+
+  private readonly quotaHandling: QuotaHandling;
+
   private readonly crashHandling: CrashHandling;
 
   private readonly streamHandling: StreamHandling;
@@ -186,6 +191,17 @@
       clock,
     );
     this.permitService = this.createPermitService();
+    this.quotaHandling = QuotaHandling.create({
+      clock,
+      random: SystemRandom.create(),
+      telemetry,
+      peers: this.peers,
+      self,
+      settings,
+      storeCache: this.storeCache,
+      stalls: this.stalls,
+      retrySpread: this.retrySpread,
+    });
     this.permits = MemberPermits.create({
       clock,
       random: SystemRandom.create(),
@@ -259,6 +275,7 @@
     registerPeerHandlers(inbox, {
       controller: () => this.controller,
       permitService,
+      quotas: this.quotaHandling.service,
       inventoryBroadcaster,
       leavingNotices,
       crashNotices: this.crashHandling.notices,
@@ -342,7 +359,8 @@
         this.self,
         () => this.controller,
       ),
-      retrySpread: RetrySpread.create(defaultForwardSettings, SystemRandom.create()),
+      retrySpread: this.retrySpread,
+      quotas: this.quotaHandling.admission,
       configuration: () => this.storeCache.configuration,
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
       client: (record) => this.clients.of(record),
@@ -363,7 +381,9 @@
 
   private async observeStalls(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.stalls.observe(this.clock.now(), Date.now());
+      const now = this.clock.now();
+      this.stalls.observe(now, Date.now());
+      this.quotaHandling.service.observe(now);
       await this.clock.sleep(stallCheckIntervalMs, signal);
     }
   }
--- a/packages/process/gateway/src/process/peer-handlers.ts
+++ b/packages/process/gateway/src/process/peer-handlers.ts
@@ -8,6 +8,8 @@
   loadRequestSchema,
   PeerMessageKind,
   permitRequestSchema,
+  quotaRequestSchema,
+  quotaReturnMessageSchema,
   resignedSchema,
   streamRequestSchema,
   usageSchema,
@@ -18,6 +20,7 @@
 import type { InventoryBroadcaster } from './inventory-broadcaster';
 import type { LeavingNotices } from './leaving-notices';
 import type { PermitService } from './permit-service';
+import type { QuotaService } from './quota-service';
 import type { StreamLedger } from './stream-ledger';
 
 /** The components that receive messages from peers. */
@@ -25,6 +28,7 @@
   /** The controller in this process; undefined if it runs elsewhere. */
   readonly controller: () => Controller | undefined;
   readonly permitService: PermitService;
+  readonly quotas: QuotaService;
   readonly inventoryBroadcaster: InventoryBroadcaster;
   readonly leavingNotices: LeavingNotices;
   readonly crashNotices: CrashNotices;
@@ -37,6 +41,7 @@
   const {
     controller,
     permitService,
+    quotas,
     inventoryBroadcaster,
     leavingNotices,
     crashNotices,
@@ -47,6 +52,10 @@
   inbox.onRequest(PeerMessageKind.permit, permitRequestSchema, (request, from) =>
     permitService.respond(request, from),
   );
+  inbox.onRequest(PeerMessageKind.quota, quotaRequestSchema, (request) => quotas.respond(request));
+  inbox.onNotification(PeerMessageKind.quotaReturn, quotaReturnMessageSchema, (returned) =>
+    quotas.receiveReturn(returned),
+  );
   inbox.onRequest(PeerMessageKind.stream, streamRequestSchema, ({ request }) => {
     const known = streams.get(request);
     if (known === undefined) return undefined;
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -63,6 +63,8 @@
 
   private readonly listeners = new Set<() => void>();
 
+  private readonly memberListeners = new Set<() => void>();
+
   private constructor(
     private readonly telemetry: Telemetry,
     private readonly clock: Clock,
@@ -122,17 +124,24 @@
     return () => this.listeners.delete(listener);
   }
 
+  /** Calls `listener` when members may have been added or removed. */
+  onMembersChange(listener: () => void): void {
+    this.memberListeners.add(listener);
+  }
+
   onListing(entries: readonly Entry[]): void {
     const keys = new Set(entries.map(({ key }) => key));
     [...this.members.keys()].filter((key) => !keys.has(key)).forEach((key) => this.remove(key));
     this.holder = undefined;
     entries.forEach((entry) => this.put(entry));
     this.notify();
+    this.memberListeners.forEach((listener) => listener());
   }
 
   onChange(change: Change): void {
     if (change.kind === 'put') this.put(change.entry);
     else this.remove(change.key);
+    this.memberListeners.forEach((listener) => listener());
   }
 
   private put(entry: Entry): void {
--- a/packages/process/telemetry/src/metrics.ts
+++ b/packages/process/telemetry/src/metrics.ts
@@ -127,6 +127,11 @@
     help: 'Calls of this process to endpoints that limit their requests, by kind of call',
     labels: ['kind'],
   },
+  currantdrift_quota_tokens_total: {
+    type: 'counter',
+    help: "Units of customers' quotas: used, refused and refunded here; granted as the owner or as a stand-in",
+    labels: ['customer', 'kind'],
+  },
   currantdrift_prefix_age_seconds: {
     type: 'gauge',
     help: 'Time since the store last said, directly or through members, that no newer entry exists',
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -11,6 +11,7 @@
 import type { EndpointSignals } from './endpoint-signals';
 import type { ForwardSettings } from './forward-settings';
 import type { ModelUsage } from './model-usage';
+import type { QuotaAdmission } from './quota-admission';
 import type { RetrySpread } from './retry-spread';
 import type { StreamVersions } from './stream-versions';
 import type { ModelWaker } from './waker';
@@ -23,6 +24,8 @@
   readonly protocol: EndpointProtocol;
   /** Decides whose requests may be sent, by the newest configuration. */
   readonly authorizer: Authorizer;
+  /** Admits requests within their customers' quotas. */
+  readonly quotas: QuotaAdmission;
   readonly directory: EndpointDirectory;
   readonly signals: EndpointSignals;
   readonly balancer: PredictiveBalancer;
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -52,6 +52,11 @@
     return new ForwardRun(context, request, client);
   }
 
+  /** Whether an endpoint may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.runs > 0;
+  }
+
   async run(): Promise<ForwardResult> {
     const { clock } = this.context;
     const limit = new AbortController();
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -96,8 +96,25 @@
       deadline,
       firstByteDeadline: Math.min(deadline, arrivedAt + (route.clientTimeoutMs ?? Infinity)),
     };
-    this.context.budget(service).deposit(arrivedAt);
-    return ForwardRun.create(this.context, clientRequest, client).run();
+    return this.forward(clientRequest, client);
+  }
+
+  /** Forwards a request if its customer's quota allows it. */
+  private async forward(
+    clientRequest: ClientRequest,
+    client: ClientExchange,
+  ): Promise<ForwardResult> {
+    const { quotas, budget } = this.context;
+    const admitted = await quotas.admit(clientRequest);
+    if (admitted.isErr()) {
+      const { status, reason, retryAfterMs } = admitted.error;
+      return this.refuse(client, status, reason, retryAfterMs);
+    }
+    budget(clientRequest.service).deposit(clientRequest.arrivedAt);
+    const run = ForwardRun.create(this.context, clientRequest, client);
+    const result = await run.run();
+    if (admitted.value !== undefined && !run.mayHaveRun) quotas.refund(admitted.value);
+    return result;
   }
 
   private tableFor(configuration: Configuration): RouteTable {
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -22,6 +22,7 @@
   ModelUsage,
   type UsageReport,
 } from './model-usage';
+export { QuotaAdmission } from './quota-admission';
 export { isIdempotent, isRetryAllowed, type SendCounts, SendFailure } from './retry';
 export { RetrySpread } from './retry-spread';
 export type { BegunStream, StreamVersions } from './stream-versions';
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -17,6 +17,7 @@
   type Route,
 } from '@currantdrift/routes';
 import { CrashLedger, type CrashReport, CrashWatch, EngineState } from '@currantdrift/quarantine';
+import type { RequestQuotas } from '@currantdrift/quota';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
@@ -30,6 +31,7 @@
   type ForwardingFields,
   ModelUsage,
   type ModelWaker,
+  QuotaAdmission,
   RetrySpread,
 } from '../src';
 
@@ -215,6 +217,10 @@
   /** Replaces the configuration's customers. */
   customers: CustomerTable | undefined;
 
+  /** Decides on the quotas of customers. */
+  quotas: RequestQuotas['take'] = async (customer, _, tokens) =>
+    ok({ customer, tokens, refund: () => {} });
+
   /** Time since the configuration was last known to be current, in ms. */
   configurationAgeMs = 0;
 
@@ -377,6 +383,7 @@
       publishCleared: () => {},
       members: () => 1,
     });
+    const retrySpread = RetrySpread.create(defaultForwardSettings, random);
     return Forwarder.create({
       streamVersions: {
         record: (stream) => this.begunStreams.push(stream),
@@ -401,7 +408,13 @@
       balancer: PredictiveBalancer.create(SeededRandom.create(1), () => 1),
       usage: ModelUsage.create(),
       waker,
-      retrySpread: RetrySpread.create(defaultForwardSettings, random),
+      retrySpread,
+      quotas: QuotaAdmission.create({
+        telemetry,
+        quotas: { take: (customer, quota, cost) => this.quotas(customer, quota, cost) },
+        retrySpread,
+        defaultRetryAfterMs: 1_000,
+      }),
       stopping: this.closing.signal,
       closing: this.closing.signal,
       authorizer: Authorizer.create({
--- a/packages/version/routes/src/customers.ts
+++ b/packages/version/routes/src/customers.ts
@@ -40,13 +40,17 @@
 
 /** The customers of a configuration, by the digests of their API keys. */
 export class CustomerTable {
-  private constructor(private readonly byDigest: ReadonlyMap<string, Customer>) {}
+  private constructor(
+    private readonly byDigest: ReadonlyMap<string, Customer>,
+    private readonly byName: ReadonlyMap<string, Customer>,
+  ) {}
 
   static create(customers: readonly CustomerKeys[] = []): CustomerTable {
     const byDigest = customers.flatMap(({ customer, keyDigests }) =>
       keyDigests.map((keyDigest): [string, Customer] => [keyDigest, customer]),
     );
-    return new CustomerTable(new Map(byDigest));
+    const byName = customers.map(({ customer }): [string, Customer] => [customer.name, customer]);
+    return new CustomerTable(new Map(byDigest), new Map(byName));
   }
 
   /** Whether requests need no API key, since the configuration has no customers. */
@@ -58,4 +62,9 @@
   find(keyDigest: string): Customer | undefined {
     return this.byDigest.get(keyDigest);
   }
+
+  /** The customer with a name, even if it holds no key. */
+  named(name: string): Customer | undefined {
+    return this.byName.get(name);
+  }
 }
