Quotas: the owner of a customer hands its role over

Cause: a new owner waited until no other member could be the owner, whenever a member was added or stopped as planned, and an owner that lost contact with the store for a moment began to wait again.

Change: a member that has come to be first asks the former owner for its role, its bucket and the sum of what members hold ahead. A member that is first without the former owner's consent waits for 2.5 times the age of a current list, which covers a handover meanwhile and outages of 1.5 times that age after which an owner goes on. For customers that nobody has asked for before, ranks are found from the last lists of the members. Listeners of members are called only when the members change.

Ruled out: to route by members that have been known for some time; their lists differ, so two could act for the time of the difference. To take a refused connection as proof that an owner has ended: a partition may refuse connections too.

--- a/packages/process/gateway/src/connection/peer-inbox.ts
+++ b/packages/process/gateway/src/connection/peer-inbox.ts
@@ -32,11 +32,13 @@
   onRequest<T>(
     kind: string,
     schema: z.ZodType<T>,
-    respond: (parsed: T, from: string) => Message | undefined,
+    respond: (parsed: T, from: string) => Message | undefined | Promise<Message | undefined>,
   ): void {
+    const orElsewhere = (response: Message | undefined) => response ?? { kind: 'elsewhere' };
     this.peers.onRequest(kind, (message, from) => {
       const parsed = this.parse(schema, message, from);
-      return (parsed && respond(parsed, from)) ?? { kind: 'elsewhere' };
+      const response = parsed && respond(parsed, from);
+      return response instanceof Promise ? response.then(orElsewhere) : orElsewhere(response);
     });
   }
 
--- a/packages/process/gateway/src/connection/peer-messages.ts
+++ b/packages/process/gateway/src/connection/peer-messages.ts
@@ -1,6 +1,11 @@
 import type { Message } from '@currantdrift/core';
 import { clearedPartsSchema, crashReportSchema } from '@currantdrift/quarantine';
-import { quotaDecisionSchema, quotaQuestionSchema, quotaReturnSchema } from '@currantdrift/quota';
+import {
+  quotaDecisionSchema,
+  quotaHandoverSchema,
+  quotaQuestionSchema,
+  quotaReturnSchema,
+} from '@currantdrift/quota';
 import { permitDecisionSchema } from '@currantdrift/rate-limit';
 import { z } from 'zod';
 import type { AgedListing } from '../process/feed';
@@ -16,6 +21,7 @@
   permit: 'gateway.permit',
   quota: 'gateway.quota',
   quotaReturn: 'gateway.quota-return',
+  quotaHandover: 'gateway.quota-handover',
   crash: 'gateway.crash',
   cleared: 'gateway.cleared',
   streams: 'gateway.streams',
@@ -71,6 +77,18 @@
   z.object({ kind: z.literal('elsewhere') }),
 ]);
 
+/** Sent to the owner of a customer's quota by the member that has come to be ranked first. */
+export const quotaHandoverRequestSchema = z.object({
+  kind: z.literal(PeerMessageKind.quotaHandover),
+  customer: z.string(),
+});
+
+/** Response to that; `elsewhere` if the member is not the owner. */
+export const quotaHandoverResponseSchema = z.union([
+  quotaHandoverSchema.extend({ kind: z.literal('handed-over') }),
+  z.object({ kind: z.literal('elsewhere') }),
+]);
+
 /** Gives back the tokens of a request that was not sent. */
 export const quotaReturnMessageSchema = quotaReturnSchema.extend({
   kind: z.literal(PeerMessageKind.quotaReturn),
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -383,7 +383,7 @@
     while (!signal.aborted) {
       const now = this.clock.now();
       this.stalls.observe(now, Date.now());
-      this.quotaHandling.service.observe(now);
+      this.quotaHandling.service.tick(now);
       await this.clock.sleep(stallCheckIntervalMs, signal);
     }
   }
--- a/packages/process/gateway/src/process/peer-handlers.ts
+++ b/packages/process/gateway/src/process/peer-handlers.ts
@@ -8,6 +8,7 @@
   loadRequestSchema,
   PeerMessageKind,
   permitRequestSchema,
+  quotaHandoverRequestSchema,
   quotaRequestSchema,
   quotaReturnMessageSchema,
   resignedSchema,
@@ -53,6 +54,9 @@
     permitService.respond(request, from),
   );
   inbox.onRequest(PeerMessageKind.quota, quotaRequestSchema, (request) => quotas.respond(request));
+  inbox.onRequest(PeerMessageKind.quotaHandover, quotaHandoverRequestSchema, ({ customer }) =>
+    quotas.handOver(customer),
+  );
   inbox.onNotification(PeerMessageKind.quotaReturn, quotaReturnMessageSchema, (returned) =>
     quotas.receiveReturn(returned),
   );
--- a/packages/process/gateway/src/process/quota-handling.ts
+++ b/packages/process/gateway/src/process/quota-handling.ts
@@ -28,19 +28,17 @@
   private constructor(options: QuotaHandlingOptions) {
     const { clock, telemetry, settings, storeCache, stalls, retrySpread } = options;
     const correct = (ageMs: number, now: number) => stalls.correct(ageMs, now, Date.now());
+    const ageMs = (since: number, now: number) => correct(now - since, now);
     this.service = QuotaService.create({
       ...options,
       members: storeCache.members,
       bounds: settings.quotaBounds,
       changeBoundMs: settings.changeBoundMs,
       configuration: () => storeCache.configuration,
+      ageMs,
       membersAgeMs: (now) => correct(storeCache.daemonEntriesAgeMs(now), now),
     });
-    const quotas = QuotaLeases.create({
-      clock,
-      issuer: this.service,
-      ageMs: (since, now) => correct(now - since, now),
-    });
+    const quotas = QuotaLeases.create({ clock, issuer: this.service, ageMs });
     const { defaultRetryAfterMs } = defaultForwardSettings;
     this.admission = QuotaAdmission.create({ telemetry, quotas, retrySpread, defaultRetryAfterMs });
   }
--- a/packages/process/gateway/src/process/quota-service.ts
+++ b/packages/process/gateway/src/process/quota-service.ts
@@ -5,6 +5,7 @@
   type QuotaAnswer,
   type QuotaBounds,
   type QuotaDecision,
+  type QuotaHandover,
   type QuotaIssuer,
   QuotaOwner,
   type QuotaQuestion,
@@ -20,6 +21,7 @@
   type QuotaReturnMessage,
 } from '../connection/peer-messages';
 import type { Member, Members } from '../version/members';
+import { QuotaSuccession } from './quota-succession';
 
 /** Bounds where the platform states none. */
 const defaultBounds: QuotaBounds = { windowMs: 8_000, excess: 0.1, slack: 0 };
@@ -35,6 +37,8 @@
   readonly configuration: () => Configuration | undefined;
   /** Time since the list of the members was last certain to be current, in ms. */
   readonly membersAgeMs: (now: number) => number;
+  /** Time since `since`, in ms, with times in which the process or its host did not run. */
+  readonly ageMs: (since: number, now: number) => number;
   /** Time within which a change of the members reaches every member, in ms. */
   readonly changeBoundMs: number;
 }
@@ -45,13 +49,19 @@
 
   private readonly owner: QuotaOwner;
 
+  private readonly succession: QuotaSuccession;
+
   private constructor(private readonly options: QuotaServiceOptions) {
     const { bounds = defaultBounds, changeBoundMs, clock, members, random, self } = options;
     this.ranks = OwnerRanks.create({ self: self.host, maxViewAgeMs: changeBoundMs });
     this.owner = QuotaOwner.create(bounds, random);
+    const { ranks, owner } = this;
+    this.succession = QuotaSuccession.create({ ...options, ranks, owner });
     members.onMembersChange(() => {
+      const now = clock.now();
       const hosts = members.all().map(({ host }) => host);
-      this.ranks.update(hosts, clock.now());
+      this.observe(now);
+      this.ranks.update(hosts, now);
     });
   }
 
@@ -59,9 +69,19 @@
     return new QuotaService(options);
   }
 
-  /** Records whether the list of the members is current; call this regularly. */
-  observe(now: number): void {
-    this.ranks.observe(this.options.membersAgeMs(now), now);
+  /**
+   * Records whether the list of the members is current, and takes over the roles of owners that this member
+   * has come to precede; call this regularly.
+   */
+  tick(now: number): void {
+    this.observe(now);
+    const customers = this.options.configuration()?.customers?.all() ?? [];
+    customers.forEach(({ name, quota }) => {
+      if (quota === undefined) return;
+      this.succession.takeOver(name, quota).catch((error: unknown) => {
+        this.options.telemetry.log('task.error', { reason: String(error) });
+      });
+    });
   }
 
   async ask(
@@ -74,7 +94,7 @@
     if (member === undefined) return 'silent';
     const asked = { ...question, member: self.host };
     if (member.host === self.host) {
-      const decision = this.decide(customer, asked);
+      const decision = await this.decide(customer, asked);
       return decision === undefined ? 'elsewhere' : { decision, issuer: member.address };
     }
     const message = { kind: PeerMessageKind.quota, customer, ...asked };
@@ -91,19 +111,38 @@
   }
 
   /** Answers another member's question; undefined if this one has no role for the customer. */
-  respond({ customer, ...question }: QuotaRequestMessage): QuotaDecision | undefined {
+  async respond({
+    customer,
+    ...question
+  }: QuotaRequestMessage): Promise<QuotaDecision | undefined> {
     return this.decide(customer, question);
   }
 
+  /** Answers the member that has come to be first; undefined if this process is not the owner. */
+  handOver(customer: string): (QuotaHandover & { readonly kind: 'handed-over' }) | undefined {
+    this.observe(this.options.clock.now());
+    const handover = this.succession.handOver(customer);
+    return handover && { kind: 'handed-over', ...handover };
+  }
+
   receiveReturn({ customer, ...returned }: QuotaReturnMessage): void {
     this.owner.takeBack(customer, returned, this.options.clock.now());
   }
 
+  private observe(now: number): void {
+    this.ranks.observe(this.options.membersAgeMs(now), now);
+  }
+
   /** Decides by this process's configuration, which may be newer than that of the member that asks. */
-  private decide(customer: string, question: QuotaQuestion): QuotaDecision | undefined {
+  private async decide(
+    customer: string,
+    question: QuotaQuestion,
+  ): Promise<QuotaDecision | undefined> {
     const { clock, configuration } = this.options;
     const quota = configuration()?.customers?.named(customer)?.quota;
     if (quota === undefined) return undefined;
+    this.observe(clock.now());
+    await this.succession.takeOver(customer, quota);
     const now = clock.now();
     this.observe(now);
     const role = this.ranks.role(customer, now);
--- a/packages/process/gateway/src/version/members.ts
+++ b/packages/process/gateway/src/version/members.ts
@@ -124,24 +124,26 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Calls `listener` when members may have been added or removed. */
+  /** Calls `listener` when members have been added or removed. */
   onMembersChange(listener: () => void): void {
     this.memberListeners.add(listener);
   }
 
   onListing(entries: readonly Entry[]): void {
+    const before = new Set(this.members.keys());
     const keys = new Set(entries.map(({ key }) => key));
     [...this.members.keys()].filter((key) => !keys.has(key)).forEach((key) => this.remove(key));
     this.holder = undefined;
     entries.forEach((entry) => this.put(entry));
     this.notify();
-    this.memberListeners.forEach((listener) => listener());
+    this.notifyMembers(before);
   }
 
   onChange(change: Change): void {
+    const before = new Set(this.members.keys());
     if (change.kind === 'put') this.put(change.entry);
     else this.remove(change.key);
-    this.memberListeners.forEach((listener) => listener());
+    this.notifyMembers(before);
   }
 
   private put(entry: Entry): void {
@@ -186,6 +188,12 @@
     this.fleetWatchers = undefined;
   }
 
+  private notifyMembers(before: ReadonlySet<string>): void {
+    const { members } = this;
+    const isSame = members.size === before.size && [...before].every((key) => members.has(key));
+    if (!isSame) this.memberListeners.forEach((listener) => listener());
+  }
+
   private notify(): void {
     this.listeners.forEach((listener) => listener());
   }
--- a/packages/process/gateway/test/quota-service.test.ts
+++ b/packages/process/gateway/test/quota-service.test.ts
@@ -3,7 +3,11 @@
 import { type QuotaAnswer, owners } from '@currantdrift/quota';
 import { type Configuration, CustomerTable, type Quota, QuotaUnit } from '@currantdrift/routes';
 import { ok } from 'neverthrow';
-import { quotaRequestSchema, quotaReturnMessageSchema } from '../src/connection/peer-messages';
+import {
+  PeerMessageKind,
+  quotaRequestSchema,
+  quotaReturnMessageSchema,
+} from '../src/connection/peer-messages';
 import { QuotaService } from '../src/process/quota-service';
 import { encodeMember, type Member, memberPrefix, Members } from '../src/version/members';
 
@@ -17,6 +21,12 @@
   processors: 1,
 });
 
+const entryOf = (host: string) => ({
+  key: memberPrefix + host,
+  value: encodeMember(memberOf(host)),
+  revision: 1,
+});
+
 const configurationOf = (ratePerS: number): Configuration => {
   const quota: Quota = { unit: QuotaUnit.tokens, ratePerS, burst: 0, plainCost: 0 };
   const customer = { name: 'acme', priority: undefined, quota };
@@ -28,9 +38,14 @@
   const clock = VirtualClock.create();
   const services = new Map<string, QuotaService>();
   const ages = new Map<string, number>();
+  const lists: Members[] = [];
   const request = async (address: string, message: Message) => {
     const service = services.get(address) as QuotaService;
-    return ok(service.respond(quotaRequestSchema.parse(message)) ?? { kind: 'elsewhere' });
+    const response =
+      message.kind === PeerMessageKind.quotaHandover
+        ? service.handOver(String(message.customer))
+        : await service.respond(quotaRequestSchema.parse(message));
+    return ok(response ?? { kind: 'elsewhere' });
   };
   const notify = (address: string, message: Message) =>
     services.get(address)?.receiveReturn(quotaReturnMessageSchema.parse(message));
@@ -48,23 +63,21 @@
       configuration: () => configurationOf(rates[host] ?? 1_000),
       membersAgeMs: () => ages.get(host) ?? 0,
       changeBoundMs: 2_500,
+      ageMs: (since, now) => now - since,
     });
-    members.onListing(
-      hosts.map((name) => ({
-        key: memberPrefix + name,
-        value: encodeMember(memberOf(name)),
-        revision: 1,
-      })),
-    );
-    service.observe(0);
+    service.tick(0);
+    lists.push(members);
     services.set(host, service);
   });
+  const publish = (registered: readonly string[]) =>
+    lists.forEach((members) => members.onListing(registered.map(entryOf)));
+  publish(hosts);
   await clock.advance(60_000);
   const ask = (host: string, cost: number, rank = 0): Promise<QuotaAnswer> =>
     (services.get(host) as QuotaService).ask('acme', { costs: [cost], ahead: 0, unused: 0 }, rank);
   const giveBack = (host: string, grant: number, tokens: number) =>
     services.get(host)?.giveBack('acme', { grant, tokens }, first);
-  return { clock, ages, ask, giveBack };
+  return { clock, ages, ask, giveBack, publish };
 };
 
 test('the members ask the one that is first for the customer', async () => {
@@ -87,11 +100,41 @@
   expect(waits[1][0]).toBeGreaterThan(40_000);
 });
 
-// Guards against an owner that has lost its place without learning of it.
+// Guards against an owner that has lost its place without learning of it, or loses it at each short outage.
 test('an owner with an old list of the members grants no more than a stand-in', async () => {
   const { ask, ages } = await create();
   expect(await ask(third, 1, 1)).toMatchObject({ issuer: second, decision: { role: 'standIn' } });
   expect(await ask(first, 1, 2)).toBe('elsewhere');
   ages.set(first, 2_501);
   expect(await ask(third, 1)).toMatchObject({ issuer: first, decision: { role: 'standIn' } });
+  ages.set(first, 0);
+  expect(await ask(third, 1)).toMatchObject({ issuer: first, decision: { role: 'owner' } });
+  ages.set(first, 4_000);
+  await ask(third, 1);
+  ages.set(first, 0);
+  expect(await ask(third, 1)).toBe('elsewhere');
+});
+
+// Guards against customers that get almost nothing whenever a member is replaced.
+test('an owner that leaves or is outranked hands its role over with its tokens', async () => {
+  const { ask, publish } = await create();
+  await ask(third, 500);
+  publish([second, third]);
+  const answers = [await ask(third, 300), await ask(third, 300)];
+  expect(answers[0]).toMatchObject({ issuer: second, decision: { role: 'owner', waitsMs: [0] } });
+  expect(answers[1]).not.toMatchObject({ decision: { waitsMs: [0] } });
+  publish(hosts);
+  expect(await ask(third, 100)).toMatchObject({ issuer: first, decision: { role: 'owner' } });
+});
+
+// Guards against two owners after the former one could not be asked.
+test('without a former owner a member waits until no other can be the owner', async () => {
+  const { ages, ask, clock, publish } = await create();
+  ages.set(first, 3_000);
+  publish([second, third]);
+  expect(await ask(third, 1)).toBe('elsewhere');
+  await clock.advance(6_200);
+  expect(await ask(third, 1)).toBe('elsewhere');
+  await clock.advance(100);
+  expect(await ask(third, 1)).toMatchObject({ issuer: second, decision: { role: 'owner' } });
 });
--- a/packages/request/quota/src/customer-account.ts
+++ b/packages/request/quota/src/customer-account.ts
@@ -1,5 +1,5 @@
 import { type BucketLimits, type QuotaAllowances, refundTimeoutMs } from './allowances';
-import type { QuotaDecision, QuotaQuestion, QuotaReturn } from './messages';
+import type { QuotaDecision, QuotaHandover, QuotaQuestion, QuotaReturn } from './messages';
 import { type HeldRole, QuotaRole } from './owner-ranks';
 import { QuotaBucket } from './quota-bucket';
 
@@ -9,6 +9,9 @@
 /** Part of the bucket that is left for requests that have arrived when tokens are granted ahead. */
 const minLevelShare = 0.5;
 
+/** Stands for the members to which a former owner has granted tokens ahead; no host has this name. */
+const formerOwner = '';
+
 /** A role in which a member grants tokens, and since when. */
 export interface GrantingRole extends HeldRole {
   readonly role: Exclude<QuotaRole, 'none'>;
@@ -101,6 +104,21 @@
     return accepted;
   }
 
+  /** What the owner's successor goes on with; nothing remains here. */
+  handOver(now: number): QuotaHandover {
+    this.removeExpired(now);
+    const handover = { tokens: this.bucket.takeAll(now), ahead: this.aheadOfAll() };
+    this.ahead.clear();
+    this.grants.clear();
+    return handover;
+  }
+
+  /** Goes on with what the former owner held. */
+  takeOver({ tokens, ahead }: QuotaHandover, now: number): void {
+    this.bucket.give(tokens, now);
+    this.ahead.set(formerOwner, { tokens: ahead, until: now + leaseMs });
+  }
+
   /** Takes each cost for which there are tokens; returns the waits as in `QuotaDecision`. */
   private takeCosts(costs: readonly number[], now: number): number[] {
     const { bucket, isOwner } = this;
@@ -115,7 +133,7 @@
 
   private takeAhead({ member, ahead }: QuotaQuestion, now: number): number {
     const { maxAhead, owner } = this.allowances;
-    const held = [...this.ahead.values()].reduce((sum, { tokens }) => sum + tokens, 0);
+    const held = this.aheadOfAll();
     const spare = this.bucket.available(now) - minLevelShare * owner.capacity;
     const tokens = this.bucket.takeUpTo(Math.min(ahead, maxAhead - held, spare), now);
     if (tokens > 0) this.ahead.set(member, { tokens, until: now + leaseMs });
@@ -130,6 +148,10 @@
     if (this.isOwner) this.bucket.give(Math.min(unused, held.tokens), now);
   }
 
+  private aheadOfAll(): number {
+    return [...this.ahead.values()].reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
   private removeExpired(now: number): void {
     this.ahead.forEach(({ until }, member) => {
       if (now >= until) this.ahead.delete(member);
--- a/packages/request/quota/src/index.ts
+++ b/packages/request/quota/src/index.ts
@@ -8,6 +8,8 @@
 export {
   type QuotaDecision,
   quotaDecisionSchema,
+  type QuotaHandover,
+  quotaHandoverSchema,
   type QuotaQuestion,
   quotaQuestionSchema,
   type QuotaReturn,
--- a/packages/request/quota/src/messages.ts
+++ b/packages/request/quota/src/messages.ts
@@ -31,6 +31,15 @@
 });
 export type QuotaDecision = z.infer<typeof quotaDecisionSchema>;
 
+/** What an owner hands over to its successor. */
+export const quotaHandoverSchema = z.object({
+  /** Tokens in the bucket; negative if the customer has to pay off an expensive request. */
+  tokens: z.number(),
+  /** Tokens that members may hold for requests to come. */
+  ahead: amountSchema,
+});
+export type QuotaHandover = z.infer<typeof quotaHandoverSchema>;
+
 /** Tokens of a request that was not sent, given back to the member that granted them. */
 export const quotaReturnSchema = z.object({ grant: z.number(), tokens: amountSchema });
 export type QuotaReturn = z.infer<typeof quotaReturnSchema>;
--- a/packages/request/quota/src/owner-ranks.ts
+++ b/packages/request/quota/src/owner-ranks.ts
@@ -21,15 +21,31 @@
   rendezvousOrder(`quota ${customer}`, members);
 
 /**
- * How much longer a member has to be first before it acts as the owner than the list of members may be out
- * of date. Messages that confirm the list may have been in transit for the difference.
+ * Times as multiples of the age A that a current list of the members may have. A member that is first on
+ * its own account waits for `settle`. An owner that loses contact with the store for less than `blind`
+ * remains the owner afterwards: a member that was first meanwhile acts 2.5 A after the last confirmation at
+ * the earliest, and by then has learnt within A what the owner has learnt by 1.5 A. A former owner may hand its
+ * role over for `release`: a third member that does not know of the successor yet, for A at most, can only
+ * act 1.5 A after the former owner learnt that it was not first any more.
  */
-const settleFactor = 1.25;
+const factors = { settle: 2.5, blind: 1.5, release: 0.5 } as const;
+
+/** Former lists of the members that are kept. */
+const maxLists = 16;
+
+interface MemberList {
+  readonly members: readonly string[];
+  readonly since: number;
+}
 
 interface Rank {
   readonly order: readonly string[];
   readonly index: number;
   readonly since: number;
+  /** When the owner handed the role over to this member. */
+  readonly takenOverAt?: number;
+  /** When this member learnt that it was the owner no more. */
+  readonly ownedUntil?: number;
 }
 
 export interface OwnerRanksOptions {
@@ -41,13 +57,13 @@
 
 /**
  * Decides which role this member has for each customer. A member acts as the owner only while its list of
- * the members is current, and after it has been first for longer than any other member's list may be out of
- * date. So no two members act as the owner at the same time, even if they cannot reach each other.
+ * the members is current, and either the owner has handed the role over to it or it has been first for longer
+ * than any other member's list may be out of date. So no two members act as the owner at the same time, even if
+ * they cannot reach each other.
  */
 export class OwnerRanks {
-  private members: readonly string[] = [];
-
-  private changedAt = -Infinity;
+  /** Lists of the members, the current one last. */
+  private readonly lists: MemberList[] = [];
 
   private readonly ranks = new Map<string, Rank>();
 
@@ -56,6 +72,12 @@
   /** Since when the list has been current or out of date. */
   private currencySince = -Infinity;
 
+  /** Highest age of the list while it was out of date, in ms. */
+  private blindMs = Infinity;
+
+  /** When the list became current after it was out of date for too long. */
+  private restartedAt = -Infinity;
+
   private constructor(private readonly options: OwnerRanksOptions) {}
 
   static create(options: OwnerRanksOptions): OwnerRanks {
@@ -64,20 +86,29 @@
 
   /** Applies a change of the members. */
   update(members: readonly string[], now: number): void {
-    this.members = members;
-    this.changedAt = now;
-    this.ranks.forEach(({ index, since }, customer) => {
-      const rank = this.rankOf(customer, now);
-      this.ranks.set(customer, rank.index === index ? { ...rank, since } : rank);
+    this.lists.push({ members, since: now });
+    if (this.lists.length > maxLists) this.lists.shift();
+    this.ranks.forEach((before, customer) => {
+      const rank = this.rankIn({ members, since: now }, customer);
+      const isOwner = this.roleAt(before, now).role === QuotaRole.owner;
+      const ownedUntil = isOwner && this.isSteady(now) ? now : before.ownedUntil;
+      const { order, index } = rank;
+      const isSame = index === before.index;
+      this.ranks.set(customer, isSame ? { ...before, order, index } : { ...rank, ownedUntil });
     });
   }
 
   /** Records the age of the list of the members; call this regularly and before each decision. */
   observe(viewAgeMs: number, now: number): void {
-    const isCurrent = viewAgeMs <= this.options.maxViewAgeMs;
+    const { maxViewAgeMs } = this.options;
+    const isCurrent = viewAgeMs <= maxViewAgeMs;
+    if (!isCurrent) this.blindMs = Math.max(this.blindMs, viewAgeMs);
     if (isCurrent === this.isCurrent) return;
     this.isCurrent = isCurrent;
     this.currencySince = now;
+    if (!isCurrent) return;
+    if (this.blindMs > factors.blind * maxViewAgeMs) this.restartedAt = now;
+    this.blindMs = 0;
   }
 
   /** Members in the order in which they are asked. */
@@ -86,28 +117,71 @@
   }
 
   role(customer: string, now: number): HeldRole {
+    return this.roleAt(this.find(customer), now);
+  }
+
+  /** Since when this member has been first without acting as the owner; undefined if it is not so. */
+  waitingSince(customer: string, now: number): number | undefined {
     const { index, since } = this.find(customer);
-    const heldSince = Math.max(since, this.currencySince);
+    const isWaiting = this.isCurrent && index === 0;
+    if (!isWaiting || this.role(customer, now).role === QuotaRole.owner) return undefined;
+    return Math.max(since, this.restartedAt);
+  }
+
+  /** Makes this member the owner, to which the former one has handed the role over. */
+  takeOver(customer: string, now: number): void {
+    this.ranks.set(customer, { ...this.find(customer), takenOverAt: now });
+  }
+
+  /**
+   * Ends this member's role as the owner; returns whether it may be handed over. No other member can have
+   * become the owner on its own since this one was, until all lists of the members have changed.
+   */
+  release(customer: string, now: number): boolean {
+    const rank = this.find(customer);
+    const { ownedUntil = -Infinity } = rank;
+    const isOwner = this.roleAt(rank, now).role === QuotaRole.owner;
+    const releasableMs = factors.release * this.options.maxViewAgeMs;
+    if (!isOwner && now - ownedUntil > releasableMs) return false;
+    const { order, index, since } = rank;
+    this.ranks.set(customer, { order, index, since: isOwner ? now : since });
+    return true;
+  }
+
+  private roleAt({ index, since, takenOverAt = -Infinity }: Rank, now: number): HeldRole {
+    const heldSince = Math.max(since, this.restartedAt);
     if (!this.isCurrent) {
       const role = index === 0 ? QuotaRole.standIn : QuotaRole.none;
-      return { role, since: heldSince };
+      return { role, since: Math.max(since, this.currencySince) };
     }
     if (index === 1) return { role: QuotaRole.standIn, since };
-    const settledAt = heldSince + settleFactor * this.options.maxViewAgeMs;
+    if (index === 0 && takenOverAt >= heldSince) {
+      return { role: QuotaRole.owner, since: takenOverAt };
+    }
+    const settledAt = heldSince + factors.settle * this.options.maxViewAgeMs;
     const isOwner = index === 0 && now >= settledAt;
     return { role: isOwner ? QuotaRole.owner : QuotaRole.none, since: settledAt };
   }
 
+  /** Whether the list has been current for long enough that what it shows is not what was missed before. */
+  private isSteady(now: number): boolean {
+    return now - this.currencySince > factors.release * this.options.maxViewAgeMs;
+  }
+
   private find(customer: string): Rank {
     const known = this.ranks.get(customer);
     if (known !== undefined) return known;
-    const rank = this.rankOf(customer, this.changedAt);
+    const [current, ...former] = this.lists.map((list) => this.rankIn(list, customer)).reverse();
+    if (current === undefined) return { order: [], index: -1, since: -Infinity };
+    const changed = former.findIndex(({ index }) => index !== current.index);
+    const same = changed < 0 ? former : former.slice(0, changed);
+    const rank = { ...current, since: same.at(-1)?.since ?? current.since };
     this.ranks.set(customer, rank);
     return rank;
   }
 
-  private rankOf(customer: string, since: number): Rank {
-    const order = owners(customer, this.members);
+  private rankIn({ members, since }: MemberList, customer: string): Rank {
+    const order = owners(customer, members);
     return { order, index: order.indexOf(this.options.self), since };
   }
 }
--- a/packages/request/quota/src/quota-bucket.ts
+++ b/packages/request/quota/src/quota-bucket.ts
@@ -51,6 +51,14 @@
     return taken;
   }
 
+  /** Takes all that the bucket holds, or the debt that it has. */
+  takeAll(now: number): number {
+    this.fill(now);
+    const taken = this.level;
+    this.level = 0;
+    return taken;
+  }
+
   give(amount: number, now: number): void {
     this.fill(now);
     this.level = Math.min(this.limits.capacity, this.level + amount);
--- a/packages/request/quota/test/fleet.ts
+++ b/packages/request/quota/test/fleet.ts
@@ -4,6 +4,7 @@
 import {
   decisionTimeoutMs,
   OwnerRanks,
+  owners,
   type QuotaAnswer,
   type QuotaBounds,
   QuotaLeases,
@@ -63,6 +64,7 @@
     this.observe();
     const now = this.fleet.clock.now();
     const quota = this.fleet.quotas.get(customer) as Quota;
+    this.succeed(customer, quota, now);
     const decision = this.owner.lease(
       customer,
       quota,
@@ -73,6 +75,19 @@
     return decision === undefined ? 'elsewhere' : { decision, issuer: this.host };
   }
 
+  /** Takes the role of the owner over from a member that is running, whether or not it is registered. */
+  succeed(customer: string, quota: Quota, now: number): void {
+    if (this.ranks.waitingSince(customer, now) === undefined) return;
+    const { members } = this.fleet;
+    const former = owners(customer, [...members.keys()]).find((host) => host !== this.host);
+    const other = members.get(former ?? '');
+    if (other === undefined || other.isFrozen || !this.fleet.isLinked(this, other)) return;
+    other.observe();
+    if (!other.ranks.release(customer, now)) return;
+    this.ranks.takeOver(customer, now);
+    this.owner.takeOver(customer, quota, other.owner.handOver(customer, now), now);
+  }
+
   private async ask(customer: string, question: QuotaQuestion, rank: number): Promise<QuotaAnswer> {
     const { clock, members } = this.fleet;
     const other = members.get(this.ranks.order(customer)[rank] ?? '');
@@ -134,6 +149,9 @@
       member.ranks.update(registered, now);
       member.observe();
     });
+    this.members.forEach((member) =>
+      this.quotas.forEach((quota, customer) => member.succeed(customer, quota, now)),
+    );
   }
 
   /** Cuts hosts off from the store and the others; the store drops them when their keys expire. */
--- a/packages/request/quota/test/quotas.test.ts
+++ b/packages/request/quota/test/quotas.test.ts
@@ -121,20 +121,21 @@
   });
 });
 
-// Guards against new owners that add a whole burst to that of their predecessors.
-test('members are added and removed', async () => {
+// Guards against new owners that begin with nothing or with a whole burst, and against two at a time.
+test.each([steady, 3])('members are replaced one by one, at a load of %d', async (share) => {
   const fleet = await create();
+  let leaving: string | undefined;
   const load = await replay(fleet, {
-    seconds: 20,
-    share: () => 3,
+    seconds: 18,
+    share: () => share,
     onSecond: (second) => {
-      if (second % 5 !== 0) return;
-      for (let index = 0; index < 8; index += 1) fleet.put(`n${second}-${index}`);
-      fleet.members.delete(fleet.ownerOf('c0').host);
-      fleet.publish();
+      if (leaving !== undefined) fleet.members.delete(leaving);
+      if (second % 3 === 0) fleet.put(`n${second}`);
+      leaving = second % 3 === 1 ? fleet.ownerOf('c0').host : undefined;
+      fleet.publish([...fleet.members.keys()].filter((host) => host !== leaving));
     },
   });
-  expect({ peak: peak(load) }).toMatchSnapshot();
+  expect({ peak: peak(load), refused: refused(load, [...quotas().keys()]) }).toMatchSnapshot();
 });
 
 // Guards against tokens of requests that were not sent and are used a second time by later ones.
--- a/packages/version/routes/src/customers.ts
+++ b/packages/version/routes/src/customers.ts
@@ -63,6 +63,11 @@
     return this.byDigest.get(keyDigest);
   }
 
+  /** All customers, those without a key too. */
+  all(): readonly Customer[] {
+    return [...this.byName.values()];
+  }
+
   /** The customer with a name, even if it holds no key. */
   named(name: string): Customer | undefined {
     return this.byName.get(name);
