Quotas: a question that fails rejects the requests that wait for it

Cause: an error of the issuer would have left a customer's requests waiting, and all later ones behind them.

Change: the requests of the question are rejected, and the next one is sent.

--- a/packages/request/quota/src/customer-lease.ts
+++ b/packages/request/quota/src/customer-lease.ts
@@ -24,6 +24,7 @@
 interface Waiting {
   readonly cost: number;
   readonly resolve: (outcome: Outcome) => void;
+  readonly reject: (error: unknown) => void;
 }
 
 /** Tokens that were granted for requests to come. */
@@ -69,9 +70,9 @@
     this.demand.record(cost, now);
     const lease = this.usableLease(quota, now);
     if (lease !== undefined && lease.left >= cost) return ok(this.takeFrom(lease, cost));
-    return new Promise((resolve) => {
-      this.waiting.push({ cost, resolve });
-      if (!this.isAsking) this.askForWaiting(quota);
+    return new Promise((resolve, reject) => {
+      this.waiting.push({ cost, resolve, reject });
+      if (!this.isAsking) this.askForWaiting(quota).catch(reject);
     });
   }
 
@@ -79,8 +80,12 @@
     this.isAsking = true;
     while (this.waiting.length > 0) {
       const batch = this.waiting.splice(0, maxCostsPerQuestion);
-      const outcomes = await this.askFor(batch, quota);
-      batch.forEach(({ resolve }, index) => resolve(outcomes[index]));
+      try {
+        const outcomes = await this.askFor(batch, quota);
+        batch.forEach(({ resolve }, index) => resolve(outcomes[index]));
+      } catch (error) {
+        batch.forEach(({ reject }) => reject(error));
+      }
     }
     this.isAsking = false;
   }
