Quotas: tokens that are given back count as if they had never been granted

Cause: an owner took back only what it had granted within a second, and less than a tenth of the rate, since tokens that are given back after the bucket has refilled would be there twice. In a trial with three processes and no endpoint, a customer below its quota was refused with 429 after four requests that no endpoint had got.

Ruled out: to limit what is taken back by a rate, which refuses requests below the quota whenever endpoints refuse many.

--- a/packages/request/quota/src/allowances.ts
+++ b/packages/request/quota/src/allowances.ts
@@ -20,8 +20,6 @@
 export interface QuotaAllowances {
   readonly owner: BucketLimits;
   readonly standIn: BucketLimits;
-  /** Tokens of unsent requests that the owner takes back. */
-  readonly refunds: BucketLimits;
   /** Tokens that members may hold together for their next requests. */
   readonly maxAhead: number;
 }
@@ -29,14 +27,11 @@
 /** Time for which a decision of another member is awaited and may be used, in ms. */
 export const decisionTimeoutMs = 300;
 
-/** Time after a grant for which the owner takes its tokens back, in ms. */
-export const refundTimeoutMs = 1_000;
-
 /** Upper bound of the owner's part of the rate. */
 const maxOwnerShare = 0.95;
 
 /** Parts of the reserve, which `allowancesOf` explains. Each stand-in gets `standIn`. */
-const reserveShares = { burst: 0.5, ahead: 0.08, refunds: 0.12, standIn: 0.15 } as const;
+const reserveShares = { burst: 0.5, ahead: 0.1, standIn: 0.2 } as const;
 
 /** Part of a stand-in's tokens that it may grant at once; the rest is spread over the window. */
 const standInBurstShare = 0.6;
@@ -56,12 +51,12 @@
  *
  * - the owner's rate, a r (w + T), and its burst, b plus the reserve's share `burst`;
  * - `ahead`: tokens that members held when the window began;
- * - `refunds`: tokens granted before the window and taken back in it;
  * - twice `standIn`: one member ranked second, and one owner whose list of the members is out of date.
  *
  * The reserve E = (1 + excess) (r w + b) + slack - a r (w + T) - b is what the owner's own part leaves, and
  * its shares add up to 1. The bound on a makes it non-negative. A request that costs more than the
  * capacity of the owner's bucket is granted from a full one, and exceeds the sum by the difference.
+ * Tokens that are given back add nothing, see `QuotaBucket.refund`.
  */
 export const allowancesOf = (quota: Quota, bounds: QuotaBounds): QuotaAllowances => {
   const { ratePerS, burst, unit } = quota;
@@ -72,11 +67,9 @@
   const ownerRate = ownerShare * ratePerS;
   const allowed = (1 + bounds.excess) * (ratePerS * windowS + burst) + slack;
   const reserve = Math.max(0, allowed - ownerRate * spanS - burst);
-  const refunded = reserve * reserveShares.refunds;
   return {
     owner: { ratePerS: ownerRate, capacity: burst + reserve * reserveShares.burst },
     standIn: spread(reserve * reserveShares.standIn, standInBurstShare, spanS),
-    refunds: spread(refunded, 0.5, refundTimeoutMs / msPerSecond),
     maxAhead: reserve * reserveShares.ahead,
   };
 };
--- a/packages/request/quota/src/customer-account.ts
+++ b/packages/request/quota/src/customer-account.ts
@@ -1,7 +1,7 @@
-import { type BucketLimits, type QuotaAllowances, refundTimeoutMs } from './allowances';
+import type { BucketLimits, QuotaAllowances } from './allowances';
 import type { QuotaDecision, QuotaHandover, QuotaQuestion, QuotaReturn } from './messages';
 import { type HeldRole, QuotaRole } from './owner-ranks';
-import { QuotaBucket } from './quota-bucket';
+import { type BucketGrant, QuotaBucket } from './quota-bucket';
 
 /** Time for which a member may use tokens that it was granted ahead, in ms. */
 export const leaseMs = 2_000;
@@ -17,27 +17,24 @@
   readonly role: Exclude<QuotaRole, 'none'>;
 }
 
+/** Grants that may be given back; the others are older. */
+const maxGrants = 1_000;
+
 interface Held {
   readonly tokens: number;
   readonly until: number;
-}
-
-interface Granted {
-  /** Tokens that may still be given back. */
-  left: number;
-  readonly at: number;
+  /** Undefined if a former owner has granted the tokens. */
+  readonly grant?: BucketGrant;
 }
 
 /** The tokens of one customer at a member that grants them. */
 export class CustomerAccount {
   private readonly bucket: QuotaBucket;
 
-  private readonly refunds: QuotaBucket;
-
   /** Tokens that members may hold for requests to come. */
   private readonly ahead = new Map<string, Held>();
 
-  private readonly grants = new Map<number, Granted>();
+  private readonly grants = new Map<number, BucketGrant>();
 
   private constructor(
     private allowances: QuotaAllowances,
@@ -45,7 +42,6 @@
     private nextGrant: number,
   ) {
     this.bucket = QuotaBucket.create(this.limits, held.since);
-    this.refunds = QuotaBucket.create(allowances.refunds, held.since);
   }
 
   /**
@@ -75,33 +71,24 @@
     this.held = held;
     if (isNewRole) this.bucket.restart(this.limits, held.since);
     else this.bucket.limit(this.limits, now);
-    this.refunds.limit(allowances.refunds, now);
   }
 
   lease(question: QuotaQuestion, now: number): QuotaDecision {
     this.removeExpired(now);
     this.takeBackAhead(question, now);
-    const waits = this.takeCosts(question.costs, now);
-    const isGranted = waits.every((waitMs) => waitMs === 0);
-    const ahead = isGranted && this.isOwner ? this.takeAhead(question, now) : 0;
-    const left = question.costs.reduce((sum, cost, at) => sum + (waits[at] === 0 ? cost : 0), 0);
     const grant = this.nextGrant;
     this.nextGrant += 1;
-    if (left > 0) this.grants.set(grant, { left, at: now });
+    const waits = this.takeCosts(question.costs, grant, now);
+    const isGranted = waits.every((waitMs) => waitMs === 0);
+    const ahead = isGranted && this.isOwner ? this.takeAhead(question, now) : 0;
     const waitsMs = waits.map((waitMs) => (Number.isFinite(waitMs) ? waitMs : null));
     return { kind: 'decided', role: this.held.role, grant, waitsMs, ahead };
   }
 
   /** Takes back the tokens of a request that was not sent; returns how many were accepted. */
   takeBack({ grant, tokens }: QuotaReturn, now: number): number {
-    this.removeExpired(now);
     const granted = this.grants.get(grant);
-    if (granted === undefined || !this.isOwner) return 0;
-    const returned = Math.min(tokens, granted.left);
-    granted.left -= returned;
-    const accepted = this.refunds.takeUpTo(returned, now);
-    this.bucket.give(accepted, now);
-    return accepted;
+    return granted === undefined ? 0 : this.bucket.refund(granted, tokens, now);
   }
 
   /** What the owner's successor goes on with; nothing remains here. */
@@ -115,28 +102,37 @@
 
   /** Goes on with what the former owner held. */
   takeOver({ tokens, ahead }: QuotaHandover, now: number): void {
-    this.bucket.give(tokens, now);
+    this.bucket.add(tokens, now);
     this.ahead.set(formerOwner, { tokens: ahead, until: now + leaseMs });
   }
 
   /** Takes each cost for which there are tokens; returns the waits as in `QuotaDecision`. */
-  private takeCosts(costs: readonly number[], now: number): number[] {
+  private takeCosts(costs: readonly number[], grant: number, now: number): number[] {
     const { bucket, isOwner } = this;
     let refused = 0;
-    return costs.map((cost) => {
-      if (bucket.take(cost, isOwner, now)) return 0;
-      const waitMs = bucket.waitMs(cost, refused, isOwner, now);
+    let taken = 0;
+    const waits = costs.map((cost) => {
+      if (bucket.has(taken + cost, isOwner && taken === 0, now)) {
+        taken += cost;
+        return 0;
+      }
+      const waitMs = bucket.waitMs(cost, taken + refused, isOwner, now);
       refused += cost;
       return waitMs;
     });
+    if (taken > 0) this.grants.set(grant, bucket.take(taken, now));
+    this.grants.delete(grant - maxGrants);
+    return waits;
   }
 
   private takeAhead({ member, ahead }: QuotaQuestion, now: number): number {
     const { maxAhead, owner } = this.allowances;
     const held = this.aheadOfAll();
     const spare = this.bucket.available(now) - minLevelShare * owner.capacity;
-    const tokens = this.bucket.takeUpTo(Math.min(ahead, maxAhead - held, spare), now);
-    if (tokens > 0) this.ahead.set(member, { tokens, until: now + leaseMs });
+    const tokens = Math.min(ahead, maxAhead - held, spare);
+    if (tokens <= 0) return 0;
+    const grant = this.bucket.take(tokens, now);
+    this.ahead.set(member, { tokens, until: now + leaseMs, grant });
     return tokens;
   }
 
@@ -145,7 +141,7 @@
     const held = this.ahead.get(member);
     if (held === undefined) return;
     this.ahead.delete(member);
-    if (this.isOwner) this.bucket.give(Math.min(unused, held.tokens), now);
+    if (held.grant !== undefined) this.bucket.refund(held.grant, unused, now);
   }
 
   private aheadOfAll(): number {
@@ -156,8 +152,5 @@
     this.ahead.forEach(({ until }, member) => {
       if (now >= until) this.ahead.delete(member);
     });
-    this.grants.forEach(({ at }, grant) => {
-      if (now - at > refundTimeoutMs) this.grants.delete(grant);
-    });
   }
 }
