--- a/packages/request/routing/src/endpoint-stats.ts
+++ b/packages/request/routing/src/endpoint-stats.ts
@@ -74,6 +74,9 @@
   /** Mean time that a request stays in flight, in ms; undefined before the first one has ended. */
   holdMs: number | undefined;
 
+  /** Mean time to the first byte, in ms; undefined before the first answer. */
+  firstByteMs: number | undefined;
+
   /** Prompt tokens of own requests whose first byte has not arrived. */
   unreadTokens = 0;
 
@@ -81,9 +84,6 @@
 
   private readonly speed = SpeedFigure.create();
 
-  /** Mean time to the first byte, in ms; undefined before the first answer. */
-  firstByteMs: number | undefined;
-
   private refusedAt = -Infinity;
 
   private unreachableAt = -Infinity;
