Quotas: a restarted process goes on as the owner at once

Cause: a process that was killed and started again waited for 2.5 times the bound on changes (10 s) before it granted quotas, although its registration had never expired, so that no other member could have become first. Its customers got a stand-in's few tokens meanwhile.

Ruled out: a shorter key of members (each renewal is a call to the store); a larger share for stand-ins (two may act at once).

Change: the registration tells whether the first write of this process replaced the key of an earlier one; then ranks that hold since the first list of the members are held at once, with empty buckets. A second try does not count, since the key may be of the first one, whose answer was lost.

--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -255,6 +255,7 @@
       clock,
       telemetry,
       member: self,
+      onReplaced: () => this.quotaHandling.service.resume(clock.now()),
     });
   }
 
--- a/packages/process/gateway/src/process/quota-service.ts
+++ b/packages/process/gateway/src/process/quota-service.ts
@@ -84,6 +84,11 @@
     });
   }
 
+  /** Goes on in the roles of an earlier process on this host, whose registration this one replaced. */
+  resume(now: number): void {
+    this.ranks.resume(now);
+  }
+
   async ask(
     customer: string,
     question: Omit<QuotaQuestion, 'member'>,
--- a/packages/process/gateway/src/process/registration.ts
+++ b/packages/process/gateway/src/process/registration.ts
@@ -17,12 +17,17 @@
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly member: Member;
+  /** Called when the key of an earlier process on this host, which had not expired, was replaced. */
+  readonly onReplaced?: () => void;
 }
 
 /** Keeps this process registered in the store under a leased member key. */
 export class Registration {
   private lease: string | undefined;
 
+  /** Whether this process has tried to write the key before, so that a key may be its own. */
+  private hasWritten = false;
+
   private constructor(private readonly options: RegistrationOptions) {}
 
   static create(options: RegistrationOptions): Registration {
@@ -52,6 +57,9 @@
     const key = memberPrefix + member.host;
     const value = encodeMember(member);
     let written = await store.compareAndSwap(key, 0, value, lease.value.id);
+    const isConflict = written.isOk() && written.value.kind === 'conflict';
+    const isReplacement = isConflict && !this.hasWritten;
+    this.hasWritten = true;
     if (written.isOk() && written.value.kind === 'conflict') {
       // An earlier process on this host left its key behind; replace it.
       const revision = written.value.current?.revision ?? 0;
@@ -60,6 +68,7 @@
     if (written.isErr()) return this.failed('write', written.error);
     if (written.value.kind === 'conflict') return false;
     this.lease = lease.value.id;
+    if (isReplacement) this.options.onReplaced?.();
     return true;
   }
 
--- a/packages/request/quota/src/owner-ranks.ts
+++ b/packages/request/quota/src/owner-ranks.ts
@@ -67,6 +67,8 @@
 
   private readonly ranks = new Map<string, Rank>();
 
+  private firstListAt: number | undefined;
+
   private isCurrent = false;
 
   /** Since when the list has been current or out of date. */
@@ -78,6 +80,12 @@
   /** When the list became current after it was out of date for too long. */
   private restartedAt = -Infinity;
 
+  /** When the list first became current. */
+  private firstCurrentAt: number | undefined;
+
+  /** When this process took over the registration of an earlier one on its host. */
+  private resumedAt: number | undefined;
+
   private constructor(private readonly options: OwnerRanksOptions) {}
 
   static create(options: OwnerRanksOptions): OwnerRanks {
@@ -86,6 +94,7 @@
 
   /** Applies a change of the members. */
   update(members: readonly string[], now: number): void {
+    this.firstListAt ??= now;
     this.lists.push({ members, since: now });
     if (this.lists.length > maxLists) this.lists.shift();
     this.ranks.forEach((before, customer) => {
@@ -98,6 +107,15 @@
     });
   }
 
+  /**
+   * Records that this process has replaced the registration of an earlier one on its host that had not
+   * expired. No other member can have become first meanwhile, so this one goes on in its roles at once,
+   * with empty buckets.
+   */
+  resume(now: number): void {
+    this.resumedAt ??= now;
+  }
+
   /** Records the age of the list of the members; call this regularly and before each decision. */
   observe(viewAgeMs: number, now: number): void {
     const { maxViewAgeMs } = this.options;
@@ -107,6 +125,7 @@
     this.isCurrent = isCurrent;
     this.currencySince = now;
     if (!isCurrent) return;
+    this.firstCurrentAt ??= now;
     if (this.blindMs > factors.blind * maxViewAgeMs) this.restartedAt = now;
     this.blindMs = 0;
   }
@@ -158,11 +177,21 @@
     if (index === 0 && takenOverAt >= heldSince) {
       return { role: QuotaRole.owner, since: takenOverAt };
     }
+    const resumedAt = this.resumedIn(since);
+    if (index === 0 && resumedAt !== undefined) {
+      return { role: QuotaRole.owner, since: Math.max(heldSince, resumedAt) };
+    }
     const settledAt = heldSince + factors.settle * this.options.maxViewAgeMs;
     const isOwner = index === 0 && now >= settledAt;
     return { role: isOwner ? QuotaRole.owner : QuotaRole.none, since: settledAt };
   }
 
+  /** When the process resumed a rank that it has had since its first list of the members. */
+  private resumedIn(since: number): number | undefined {
+    const isFirstList = since === this.firstListAt;
+    return isFirstList && this.restartedAt === this.firstCurrentAt ? this.resumedAt : undefined;
+  }
+
   /** Whether the list has been current for long enough that what it shows is not what was missed before. */
   private isSteady(now: number): boolean {
     return now - this.currencySince > factors.release * this.options.maxViewAgeMs;
