Loads: refused requests return once their model is ready

Cause: with moderately many queued models, requests that were refused once were refused or late at their return. Their models were loaded only after all waiting ones unless they were due within 1.5 s, which is too late for a load from the weight store, and half of the models were ready just after the promised time.

A refused request counts as waiting from 1.5 s before the time at which a load for its return has to begin. Retry-After is 1.2 times the promise. The minimum time that a loaded model is kept under contention is one reload time.

Ruled out as the cause, each by a run without it: the order by load time, the minimum time, the correction, and the wait for an engine with a copy.

--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -140,14 +140,15 @@
       };
     }
     want.unreachable.forEach((id) => this.managedEngines.get(id)?.probe());
-    const readyInMs = this.promises.promise(planInput, want, now);
-    if (readyInMs === undefined) {
+    const promise = this.promises.promise(planInput, want, now);
+    if (promise === undefined) {
       return {
         kind: 'refused',
         reason: 'the configuration of the service does not name the model',
         retryAfterMs: 1000,
       };
     }
+    const { readyMs: readyInMs, retryAfterMs } = promise;
     const refused = readyInMs + settings.firstByteMs > want.timeLeftMs;
     const isFirst = !this.demand.isWaiting(want.request);
     if (refused || isFirst) this.logWant(want, planInput, readyInMs, refused);
@@ -156,7 +157,7 @@
       service: want.service,
       model: want.model,
       adapter: want.adapter,
-      deadline: now + (refused ? readyInMs + settings.firstByteMs : want.timeLeftMs),
+      deadline: now + (refused ? retryAfterMs + settings.firstByteMs : want.timeLeftMs),
       onTimeDeadline: now + want.onTimeLeftMs - settings.firstByteMs,
       priority: want.priority,
       limited: want.limited,
@@ -166,7 +167,7 @@
     this.requestPlan();
     if (!refused) return { kind: 'expected', readyInMs };
     const reason = `${want.model} cannot be ready before ${Math.round(readyInMs)} ms`;
-    return { kind: 'refused', reason, retryAfterMs: readyInMs };
+    return { kind: 'refused', reason, retryAfterMs };
   }
 
   private logWant(
--- a/packages/process/gateway/src/process/load-promise-recorder.ts
+++ b/packages/process/gateway/src/process/load-promise-recorder.ts
@@ -2,6 +2,7 @@
 import {
   estimateReady,
   LoadForecasts,
+  type LoadPromise,
   LoadPromises,
   type NeededReplica,
   type PlanInput,
@@ -19,15 +20,12 @@
     return new LoadPromiseRecorder(telemetry);
   }
 
-  /**
-   * Time until the model of a request is promised to be ready, in ms; undefined if it is not in the
-   * configuration.
-   */
-  promise(input: PlanInput, need: NeededReplica, now: number): number | undefined {
+  /** What to tell a request; undefined if its model is not in the configuration. */
+  promise(input: PlanInput, need: NeededReplica, now: number): LoadPromise | undefined {
     const estimate = estimateReady(input, need, now, this.forecasts);
     if (estimate === undefined) return undefined;
     this.promises.record(input.service, need.model, estimate, now);
-    return this.promises.promisedMs(estimate);
+    return this.promises.promise(estimate);
   }
 
   /** Reports the promises of models that are ready now, or that no request waits for any more. */
--- a/packages/version/residency/src/index.ts
+++ b/packages/version/residency/src/index.ts
@@ -14,7 +14,7 @@
   type ReadyEstimate,
 } from './ready-estimate';
 export { LoadForecasts } from './load-forecasts';
-export { LoadPromises, type SettledPromise } from './load-promises';
+export { type LoadPromise, LoadPromises, type SettledPromise } from './load-promises';
 export { planAdapter } from './plan-adapter';
 export { planLoad } from './plan-load';
 export { defaultResidencySettings, type ResidencySettings } from './residency-settings';
--- a/packages/version/residency/src/load-promises.ts
+++ b/packages/version/residency/src/load-promises.ts
@@ -7,7 +7,7 @@
 const keptShare = 0.9;
 
 /** Actual time up to which a promise counts as kept, as a multiple of the promised time. */
-export const promiseTolerance = 1.2;
+const promiseTolerance = 1.2;
 
 /** Number of past loads of each source that the correction considers, and from which it applies. */
 const sampleLimit = 64;
@@ -32,6 +32,14 @@
   readonly isReady: boolean;
 }
 
+/** What a request is told about its model. */
+export interface LoadPromise {
+  /** Time until the model is ready, in ms. */
+  readonly readyMs: number;
+  /** Time after which a request that is refused should find the model ready, in ms. */
+  readonly retryAfterMs: number;
+}
+
 interface OpenPromise {
   readonly service: string;
   readonly model: string;
@@ -62,9 +70,11 @@
     return new LoadPromises();
   }
 
-  /** The time to tell a request, in ms; only estimates of queued loads are corrected. */
-  promisedMs({ readyMs, source, isQueued }: ReadyEstimate): number {
-    return isQueued && source !== undefined ? readyMs * this.factor(source) : readyMs;
+  /** What to tell a request; only estimates of queued loads are corrected. */
+  promise({ readyMs, source, isQueued }: ReadyEstimate): LoadPromise {
+    if (!isQueued || source === undefined) return { readyMs, retryAfterMs: readyMs };
+    const correctedMs = readyMs * this.factor(source);
+    return { readyMs: correctedMs, retryAfterMs: correctedMs * promiseTolerance };
   }
 
   /** Records a promise, unless one is open for the model. */
@@ -72,7 +82,7 @@
     const { source, readyMs: estimateMs, isQueued } = estimate;
     const key = [service, model].join(keySeparator);
     if (source === undefined || this.open.has(key)) return;
-    const promisedMs = this.promisedMs(estimate);
+    const promisedMs = this.promise(estimate).readyMs;
     const promise = { service, model, source, promisedMs, estimateMs, isQueued, madeAt: now };
     this.open.set(key, promise);
   }
--- a/packages/version/residency/src/needed-models.ts
+++ b/packages/version/residency/src/needed-models.ts
@@ -36,12 +36,12 @@
 export const readyMsFromCopy = (input: PlanInput, model: Model, now: number): number | undefined =>
   copyLoad(input, model, now)?.readyMs;
 
-/** Time before the return of a refused request from which it counts as waiting, in ms. */
+/** Time before the load for a refused request must begin from which it counts as waiting, in ms. */
 const refusedDueMs = 1_500;
 
-/** Whether a request waits, or was told to retry later and is about to return. */
-const isDue = ({ refused, deadline }: WaitingRequest, now: number): boolean =>
-  !refused || deadline - now <= refusedDueMs;
+/** Whether a request waits, or was told to retry later and returns about when a load would end. */
+const isDue = ({ refused, deadline }: WaitingRequest, loadMs: number, now: number): boolean =>
+  !refused || deadline - now <= loadMs + refusedDueMs;
 
 /** Urgency of a request by its priority; larger is served first. */
 const urgencyOf = ({ priority }: WaitingRequest): number => 1 / (1 + priority);
@@ -50,8 +50,8 @@
 export interface NeededModel {
   readonly model: Model;
   /**
-   * Urgency of the requests that can still be on time, of all that wait or are about to return, and
-   * of those that were told to retry later, per ms that the load takes.
+   * Urgency of the requests that can still be on time, of all that wait or return soon, and of
+   * those that return later, per ms that the load takes.
    */
   readonly onTime: number;
   readonly weight: number;
@@ -74,7 +74,7 @@
   waiting.forEach((request) => {
     const gain = urgencyOf(request) / loadMs;
     need.deadline = Math.min(need.deadline, request.deadline);
-    if (!isDue(request, now)) {
+    if (!isDue(request, loadMs, now)) {
       need.refusedWeight += gain;
       return;
     }
@@ -124,8 +124,8 @@
   const needed: NeededModel[] = [];
   waitingByModel(input, now).forEach((waiting, name) => {
     const model = input.pool.models.get(name);
-    const due = waiting.filter((request) => isDue(request, now));
-    if (model === undefined || !needsLoad(input, name, due.length, now)) return;
+    const count = waiting.filter(({ refused }) => !refused).length;
+    if (model === undefined || !needsLoad(input, name, count, now)) return;
     needed.push(assessNeed(input, model, waiting, now));
   });
   return needed.sort(byUrgency);
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -45,7 +45,7 @@
   secondReplicaRate: 0.5,
   evictionHorizonMs: 10_000,
   expectedRunMs: 1_000,
-  leaseRatio: 1.5,
+  leaseRatio: 1,
   maxBusyEvictionMs: 1_500,
   maxSevereEvictionMs: 6_000,
   maxCopyEvictionMs: 1_500,
--- a/packages/version/residency/test/burst-replay.ts
+++ b/packages/version/residency/test/burst-replay.ts
@@ -2,6 +2,7 @@
 import {
   Demand,
   type EngineView,
+  type LoadPromise,
   type LoadStep,
   type NeededReplica,
   type PlanInput,
@@ -52,7 +53,7 @@
 
 /** How the replayed controller estimates ready times; settles promises before each plan. */
 export interface Estimates {
-  readyMs(input: PlanInput, need: NeededReplica, now: number): number;
+  promise(input: PlanInput, need: NeededReplica, now: number): LoadPromise;
   settle(input: PlanInput, now: number): void;
 }
 
@@ -141,24 +142,25 @@
     return true;
   };
 
-  const readyMsFor = (request: Waiting, input: PlanInput, now: number): number => {
+  const promiseFor = (request: Waiting, input: PlanInput, now: number): LoadPromise => {
     const onTimeLeftMs = request.arrivedAt + request.targetMs - now;
     const need = { ...request, adapter: undefined, limited: false, onTimeLeftMs };
-    return estimates.readyMs(input, need, now);
+    return estimates.promise(input, need, now);
   };
 
   /** Asks for the model; returns whether the request is refused. */
   const isRefused = (request: Waiting, input: PlanInput, now: number): boolean => {
-    const readyMs = readyMsFor(request, input, now) + base.settings.firstByteMs;
+    const { firstByteMs: settleMs } = base.settings;
+    const { readyMs, retryAfterMs } = promiseFor(request, input, now);
     const { arrivedAt, targetMs, deadlineMs } = request;
     const leftMs = arrivedAt + deadlineMs - now;
-    const refused = readyMs > leftMs;
-    const deadline = now + (refused ? readyMs : leftMs);
-    const onTimeDeadline = arrivedAt + targetMs - base.settings.firstByteMs;
+    const refused = readyMs + settleMs > leftMs;
+    const deadline = now + (refused ? retryAfterMs + settleMs : leftMs);
+    const onTimeDeadline = arrivedAt + targetMs - settleMs;
     const fixed = { service: 's', adapter: undefined, limited: false, lastSeenAt: now };
     base.demand.addWaiting({ ...request, ...fixed, deadline, onTimeDeadline, refused });
     request.askAt = now + askAgainMs;
-    request.promise ??= { at: now, ms: readyMs - base.settings.firstByteMs };
+    request.promise ??= { at: now, ms: readyMs };
     return refused;
   };
 
@@ -175,7 +177,7 @@
 
   /** Retries a refused request once, at the time that the refusal named. */
   const retry = (refused: Waiting, input: PlanInput, now: number): void => {
-    const at = now + readyMsFor(refused, input, now);
+    const at = now + promiseFor(refused, input, now).retryAfterMs;
     const request = `${refused.request} again`;
     const times = { arrivedAt: at, askAt: at, promise: undefined };
     arrived.push({ ...refused, ...times, request, isRetry: true });
--- a/packages/version/residency/test/burst.test.ts
+++ b/packages/version/residency/test/burst.test.ts
@@ -31,11 +31,11 @@
   const promises = LoadPromises.create();
   const forecasts = LoadForecasts.create();
   return {
-    readyMs: (input, need, now) => {
+    promise: (input, need, now) => {
       const estimate = estimateReady(input, need, now, forecasts);
       if (estimate === undefined) throw new Error(`${need.model} is not in the configuration`);
       promises.record('s', need.model, estimate, now);
-      return promises.promisedMs(estimate);
+      return promises.promise(estimate);
     },
     settle: (input, now) => promises.settle(input, now),
   };
--- a/packages/version/residency/test/forecast.test.ts
+++ b/packages/version/residency/test/forecast.test.ts
@@ -106,9 +106,11 @@
       const [settled] = promises.settle(ready, load * 10_000 + 2_400);
       if (load === 0) expect(settled).toMatchObject({ promisedMs: 1_000, ratio: 2.4 });
     }
-    expect(promises.promisedMs(queued)).toBeCloseTo(2_000);
-    expect(promises.promisedMs({ ...queued, isQueued: false })).toBe(1_000);
-    expect(promises.promisedMs({ ...queued, source: 'remote' })).toBe(1_000);
+    const { readyMs, retryAfterMs } = promises.promise(queued);
+    expect(readyMs).toBeCloseTo(2_000);
+    expect(retryAfterMs).toBeCloseTo(2_400);
+    expect(promises.promise({ ...queued, isQueued: false }).retryAfterMs).toBe(1_000);
+    expect(promises.promise({ ...queued, source: 'remote' }).readyMs).toBe(1_000);
   });
 
   // Guards against promises that stay open, or count as kept, when no request waits any more.
