Tests: untrusted clients of gateway and currantdriftd

Clients that do not finish requests, do not read responses or send no head make a process exceed its host's memory or descriptors, and end it. The tests start the processes on loopback addresses and check that they live, stay within the limits of their settings and answer an ordinary request afterwards. They fail on this code:

gateway, 250 MB and 4,100 (or 400) descriptors: large chunks 373 to 382 MB, small chunks out of memory, stated length 365 to 380 MB, far over the limit 286 to 381 MB, header lines 265 MB, unread responses 1,235 MB, no head 929 of 400 descriptors, unfinished messages between members 305 MB. currantdriftd, 300 MB: requests that do not end 862 MB, unfinished messages 398 MB.

The request of the largest size is served and stays so. currantdriftd's settings take `limits`, which have no effect yet. The listener of the stand-ins takes the longest body as an argument.

--- a/packages/process/settings/src/settings.ts
+++ b/packages/process/settings/src/settings.ts
@@ -81,6 +81,15 @@
   timeoutMs: milliseconds.default(120_000),
 });
 
+const limits = z.strictObject({
+  /** Memory of the host that the daemon may use, in MB. */
+  memoryMb: z.number().positive().optional(),
+  /** File descriptors that the daemon may use. */
+  maxFds: z.int().positive().optional(),
+  /** Connections to one port that a client address may have open; unlimited by default. */
+  connectionsPerAddress: z.int().positive().optional(),
+});
+
 const telemetry = z.strictObject({
   /** Destination of spans, written as JSON lines: a file name, `stderr` or `none`. */
   traces: z.string().min(1).default('none'),
@@ -123,6 +132,7 @@
   weights: weights.prefault({}),
   queue: queue.prefault({}),
   stopping: stopping.prefault({}),
+  limits: limits.prefault({}),
   telemetry: telemetry.prefault({}),
 });
 
