Bound what untrusted clients make the gateway and currantdriftd hold

Cause: request bodies, unread responses and messages between members were limited one by one, never in total, a small chunk cost an object of its own, and connections were not limited at all.

One budget, a share of the host's memory beside the heap, counts heads, bodies, responses and incomplete messages. Under it stalled holders are abandoned first, the largest before smaller ones; what was sent to an endpoint is pinned, or its response is cut, and never refused. Small chunks are merged. A stated length over the limit is refused before the body is read. The stated length of an endpoint's response is held from the start, because responses that were read in part and given up filled the memory with freed buffers. Connections are limited by the descriptors of the host; the one that has waited longest without a request is closed. Ruled out: a limit on connections for one address by default, since a balancer may forward all of them, and a heap limit that currantdriftd sets itself, which Node ignores after its start.

--- /dev/null
+++ b/packages/connection/http/src/connection-guard.ts
@@ -0,0 +1,80 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { ShedReport } from './shed-report';
+
+export interface ConnectionLimits {
+  /** Open connections of all clients together. */
+  readonly maxConnections: number;
+  /** Open connections of one client address; undefined for no limit. */
+  readonly perAddress?: number;
+}
+
+/**
+ * Limits the connections to a server. At the limit the connection that has waited longest without a
+ * request is closed, so clients that connect and send nothing do not keep others out.
+ */
+export class ConnectionGuard {
+  /** Open connections without a request, the one that has waited longest first. */
+  private readonly waiting = new Set<Socket>();
+
+  private readonly open = new Map<Socket, string>();
+
+  private readonly counts = new Map<string, number>();
+
+  private constructor(
+    private readonly limits: ConnectionLimits,
+    private readonly report: ShedReport,
+  ) {}
+
+  /** Begins to guard the connections of `server`. */
+  static attach(server: Server, limits: ConnectionLimits, report: ShedReport): ConnectionGuard {
+    const guard = new ConnectionGuard(limits, report);
+    server.on('connection', (socket: Socket) => guard.accept(socket));
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      guard.waiting.delete(request.socket);
+      response.once('close', () => guard.touch(request.socket));
+    });
+    return guard;
+  }
+
+  /** Notes that a connection is in use: it has now waited for the shortest time. */
+  touch(socket: Socket): void {
+    this.waiting.delete(socket);
+    if (this.open.has(socket)) this.waiting.add(socket);
+  }
+
+  private accept(socket: Socket): void {
+    const address = socket.remoteAddress ?? '';
+    const count = (this.counts.get(address) ?? 0) + 1;
+    if (count > (this.limits.perAddress ?? Infinity) || !this.makeRoom()) {
+      this.report.record('connection');
+      socket.destroy();
+      return;
+    }
+    this.open.set(socket, address);
+    this.waiting.add(socket);
+    this.counts.set(address, count);
+    socket.once('close', () => this.remove(socket));
+  }
+
+  /** Closes the connection that has waited longest if there are too many; false if none waits. */
+  private makeRoom(): boolean {
+    if (this.open.size < this.limits.maxConnections) return true;
+    const [victim] = this.waiting;
+    if (victim === undefined) return false;
+    this.report.record('connection');
+    victim.destroy();
+    this.remove(victim);
+    return true;
+  }
+
+  private remove(socket: Socket): void {
+    const address = this.open.get(socket);
+    if (address === undefined) return;
+    this.open.delete(socket);
+    this.waiting.delete(socket);
+    const left = (this.counts.get(address) ?? 1) - 1;
+    if (left > 0) this.counts.set(address, left);
+    else this.counts.delete(address);
+  }
+}
--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -68,6 +68,8 @@
 interface PartialBody {
   readonly chunks: Buffer[];
   size: number;
+  /** Bytes that are held of it: its stated length, if there is one, from the start. */
+  heldBytes: number;
   /** The part's share of the budget for all responses, if there is one. */
   readonly held: HeldBytes | undefined;
 }
@@ -132,7 +134,7 @@
       chunks.length = 0;
       answer.exchange.stop(new Error(totalLimitReason(heldBytes)));
     });
-    const read = await this.readBody(step, answer, { chunks, size: 0, held });
+    const read = await this.readBody(step, answer, { chunks, size: 0, heldBytes: 0, held });
     held?.release();
     return read;
   }
@@ -142,6 +144,11 @@
     { exchange, status, headers }: OpenAnswer,
     partial: PartialBody,
   ): Promise<Result<WholeAnswer, Failure>> {
+    const refusal = this.reserve(Number(headers['content-length'] ?? 0), partial);
+    if (refusal !== undefined) {
+      exchange.stop(new Error(refusal));
+      return err(this.failure(step, FailureKind.invalid, refusal));
+    }
     for (;;) {
       const read = await exchange.read();
       if (read.isErr()) return err(this.exchangeFailure(step, exchange, read.error.message));
@@ -155,16 +162,31 @@
     }
   }
 
+  /** Holds the stated length of a body, so that it is not begun in vain; returns a message on failure. */
+  private reserve(statedBytes: number, partial: PartialBody): string | undefined {
+    return this.holdUpTo(Math.min(statedBytes, this.settings.maxAnswerBytes), partial);
+  }
+
+  /** Holds `size` bytes of a body if it holds less; returns a message if the total is exceeded. */
+  private holdUpTo(size: number, received: PartialBody): string | undefined {
+    const partial = received;
+    const { heldBytes } = this.settings;
+    partial.held?.touch();
+    if (heldBytes === undefined || size <= partial.heldBytes) return undefined;
+    if (partial.held?.resize(size) === false) return totalLimitReason(heldBytes);
+    partial.heldBytes = size;
+    return undefined;
+  }
+
   /** Appends a chunk to a partial body; returns a message if a size limit is exceeded. */
   private appendChunk(chunk: Buffer, received: PartialBody): string | undefined {
     const partial = received;
-    const { maxAnswerBytes, heldBytes } = this.settings;
+    const { maxAnswerBytes } = this.settings;
     if (partial.size + chunk.length > maxAnswerBytes) {
       return `the response exceeds ${maxAnswerBytes} bytes`;
     }
-    if (heldBytes !== undefined && partial.held?.tryAdd(chunk.length) === false) {
-      return totalLimitReason(heldBytes);
-    }
+    const exceededTotal = this.holdUpTo(partial.size + chunk.length, partial);
+    if (exceededTotal !== undefined) return exceededTotal;
     partial.chunks.push(chunk);
     partial.size += chunk.length;
     return undefined;
@@ -234,7 +256,7 @@
       setMaxListeners(0, signal);
       signal.addEventListener('abort', onAbort, { once: true });
     }
-    const body = call.body === undefined ? null : Buffer.from(call.body);
+    const body = call.body ?? null;
     pool.dispatch({ path: call.path, method: call.method, headers: call.headers, body }, exchange);
     return exchange;
   }
--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -1,5 +1,8 @@
-export { ByteBudget } from './byte-budget';
+export { ByteBudget, type HeldBytes } from './byte-budget';
+export { type BodyRead, type BodyReadLimits, ClientBytes, type ClientMemory } from './client-bytes';
+export { ConnectionGuard, type ConnectionLimits } from './connection-guard';
 export type { Exchange, Head, Headers } from './exchange';
+export { type HostLimits, type HostShares, sharesOf } from './host-limits';
 export {
   type HttpCall,
   HttpClient,
@@ -10,3 +13,4 @@
 export { errorSchema, parseJson } from './json';
 export type { HttpSettings } from './settings';
 export { impliesNotRun } from './not-run-status';
+export { ShedReport } from './shed-report';
--- a/packages/connection/peer/src/websocket-network.ts
+++ b/packages/connection/peer/src/websocket-network.ts
@@ -1,3 +1,4 @@
+import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import {
   type Channel,
@@ -6,6 +7,7 @@
   type Listener,
   type Network,
 } from '@currantdrift/core';
+import { type ClientMemory, ConnectionGuard } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
 import { WebSocket, WebSocketServer } from 'ws';
 import { WebSocketChannel } from './websocket-channel';
@@ -15,9 +17,31 @@
   readonly maxMessageBytes: number;
   /** Time for the TCP connection and the WebSocket handshake, in ms. */
   readonly connectTimeoutMs: number;
+  /** Accepted connections that may be open. */
+  readonly maxConnections: number;
+  /** Memory in which messages count that are being received; undefined for no limit. */
+  readonly memory?: ClientMemory;
 }
 
-const defaults: WebSocketSettings = { maxMessageBytes: 4 * 1024 * 1024, connectTimeoutMs: 2000 };
+const defaults: WebSocketSettings = {
+  maxMessageBytes: 4 * 1024 * 1024,
+  connectTimeoutMs: 2000,
+  maxConnections: Infinity,
+};
+
+/** Counts the bytes of incomplete messages; the connection closes if there is no memory for them. */
+const countMessages = (webSocket: WebSocket, socket: Socket, memory: ClientMemory): void => {
+  const close = () => {
+    memory.report.record('message');
+    webSocket.terminate();
+  };
+  const held = memory.budget.hold(close);
+  socket.prependListener('data', (chunk: Buffer) => {
+    if (!held.tryAdd(chunk.length)) close();
+  });
+  webSocket.on('message', () => held.resize(0));
+  webSocket.once('close', () => held.release());
+};
 
 /** Time for the close handshakes when a listener ends, in ms. */
 const closeTimeoutMs = 1000;
@@ -87,15 +111,21 @@
     if (parsed === undefined) {
       return Promise.resolve(fail('the address is not of the form ip:port'));
     }
-    const { maxMessageBytes } = this.settings;
+    const { maxMessageBytes, maxConnections, memory } = this.settings;
     return new Promise((resolve) => {
+      const http = createServer((_request, response) => {
+        response.writeHead(426, { connection: 'close' }).end();
+      });
+      const guard = memory && ConnectionGuard.attach(http, { maxConnections }, memory.report);
       const server = new WebSocketServer({
-        ...parsed,
+        server: http,
         perMessageDeflate: false,
         maxPayload: maxMessageBytes,
       });
       server.on('connection', (webSocket, request) => {
         const { socket } = request;
+        if (memory !== undefined) countMessages(webSocket, socket, memory);
+        webSocket.on('message', () => guard?.touch(socket));
         const from = `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`;
         accept(WebSocketChannel.create(from, webSocket, socket, maxMessageBytes));
       });
@@ -107,12 +137,14 @@
             () => server.clients.forEach((client) => client.terminate()),
             closeTimeoutMs,
           );
-          server.close(() => {
+          server.close();
+          http.close(() => {
             clearTimeout(overdue);
             closed();
           });
         });
       server.once('listening', () => resolve(ok({ close })));
+      http.listen(parsed.port, parsed.host);
       server.on('error', (error) => resolve(fail(error.message)));
     });
   }
--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -2,6 +2,13 @@
 import { HttpEndpointConnector } from '@currantdrift/endpoint';
 import { type Clock, SystemClock, SystemRandom } from '@currantdrift/core';
 import { TrustedKeys } from '@currantdrift/bundle';
+import {
+  ByteBudget,
+  type ClientMemory,
+  type HostShares,
+  sharesOf,
+  ShedReport,
+} from '@currantdrift/http';
 import { Node } from '@currantdrift/node';
 import { WebSocketNetwork } from '@currantdrift/peer';
 import { HttpHostList, HttpStore } from '@currantdrift/platform';
@@ -31,6 +38,8 @@
   trusted: TrustedKeys,
   clock: Clock,
   telemetry: ProcessTelemetry,
+  memory: ClientMemory,
+  { peerConnections }: HostShares,
 ): Node =>
   Node.create({
     name: settings.name,
@@ -60,7 +69,7 @@
       },
     }),
     connector: HttpEndpointConnector.create(),
-    network: WebSocketNetwork.create(),
+    network: WebSocketNetwork.create({ maxConnections: peerConnections, memory }),
   });
 
 /** A daemon process: a `Node` with HTTP servers for callers and operators. */
@@ -84,7 +93,11 @@
       commonFields: { host: settings.name, domain: settings.domain },
       tracer: SpanTracer.create(settings.telemetry.traces),
     });
-    const node = createNode(settings, trusted.value, clock, telemetry);
+    const shares = sharesOf(settings.limits);
+    const report = ShedReport.create(telemetry);
+    const memory = { budget: ByteBudget.create(shares.clientBytes), report };
+    const node = createNode(settings, trusted.value, clock, telemetry, memory, shares);
+    const { connectionsPerAddress: perAddress } = settings.limits;
     const closing = new AbortController();
     // Every request adds a listener, so the default limit would print warnings.
     setMaxListeners(0, closing.signal);
@@ -94,6 +107,7 @@
       telemetry,
       body: { maxBytes: settings.callers.maxBodyBytes, timeoutMs: settings.callers.bodyTimeoutMs },
       deadlines: settings.callers,
+      memory,
       closing: closing.signal,
     });
     const operators = OperatorsInterface.create({
@@ -109,8 +123,18 @@
         telemetry,
         node,
         closing,
-        callers: HttpServer.create(callers.routes().fetch, settings.callers.address),
-        operators: HttpServer.create(operators.routes().fetch, settings.operators.address),
+        callers: HttpServer.create(
+          callers.routes().fetch,
+          settings.callers.address,
+          { maxConnections: shares.clientConnections, perAddress },
+          report,
+        ),
+        operators: HttpServer.create(
+          operators.routes().fetch,
+          settings.operators.address,
+          { maxConnections: shares.statusConnections, perAddress },
+          report,
+        ),
       }),
     );
   }
--- a/packages/process/daemon/src/process/http-server.ts
+++ b/packages/process/daemon/src/process/http-server.ts
@@ -1,8 +1,9 @@
 import { once } from 'node:events';
-import type { Server } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Clock } from '@currantdrift/core';
-import { createAdaptorServer } from '@hono/node-server';
+import { ConnectionGuard, type ConnectionLimits, type ShedReport } from '@currantdrift/http';
+import { getRequestListener } from '@hono/node-server';
 import { err, ok, type Result } from 'neverthrow';
 
 /** Time limit for receiving a request's headers, in ms; the body has a separate limit. */
@@ -11,6 +12,9 @@
 /** Time after which an idle connection is closed, in ms. */
 const keepAliveMs = 30_000;
 
+/** Most header lines of a request; a line costs many times its length in memory. */
+const maxHeaderLines = 256;
+
 const closePollMs = 50;
 
 /** Reason why a port could not be opened. */
@@ -28,19 +32,30 @@
 
   /** Creates a server that handles requests with `fetch`; `address` is `ip:port`. */
   static create(
-    fetch: Parameters<typeof createAdaptorServer>[0]['fetch'],
+    fetch: Parameters<typeof getRequestListener>[0],
     address: string,
+    limits: ConnectionLimits,
+    report: ShedReport,
   ): HttpServer {
-    const server = createAdaptorServer({
-      fetch,
-      serverOptions: {
-        headersTimeout: headersTimeoutMs,
-        keepAliveTimeout: keepAliveMs,
-        // `readBody` enforces the time limit for the body and responds with a specific error.
-        requestTimeout: 0,
-        noDelay: true,
-      },
-    }) as Server;
+    const handle = getRequestListener(fetch);
+    const options = {
+      headersTimeout: headersTimeoutMs,
+      keepAliveTimeout: keepAliveMs,
+      // `readBody` enforces the time limit for the body and responds with a specific error.
+      requestTimeout: 0,
+      noDelay: true,
+    };
+    const server = createServer(options, (request, response) => {
+      if (request.rawHeaders.length / 2 <= maxHeaderLines) {
+        handle(request, response).catch(() => response.destroy());
+        return;
+      }
+      report.record('request');
+      response.writeHead(431, { connection: 'close' }).end();
+    });
+    // Node drops the lines above this number, and a request with that many is refused.
+    server.maxHeadersCount = maxHeaderLines + 1;
+    ConnectionGuard.attach(server, limits, report);
     return new HttpServer(server, address);
   }
 
--- a/packages/process/daemon/src/request/body.ts
+++ b/packages/process/daemon/src/request/body.ts
@@ -1,5 +1,5 @@
-import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@currantdrift/core';
+import type { BodyRead, ClientBytes } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
 import { RefusalCode } from '@currantdrift/node';
 import { badRequest, type Problem } from './problem';
@@ -16,25 +16,6 @@
 const tooSlow = (limits: BodyLimits): Problem =>
   badRequest(408, 'body_timeout', `the body did not arrive within ${limits.timeoutMs} ms`);
 
-const collect = async (
-  incoming: IncomingMessage,
-  limits: BodyLimits,
-): Promise<Result<Uint8Array, Problem>> => {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    // Destroying the request would close the connection before the error response is sent.
-    for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
-      length += (chunk as Buffer).length;
-      if (length > limits.maxBytes) return err(tooLarge(limits));
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return err(badRequest(400, 'body_incomplete', 'the connection closed within the body'));
-  }
-  return ok(Buffer.concat(chunks));
-};
-
 /** Time after which a caller may try again, at another daemon, in ms. */
 const stoppingRetryMs = 1_000;
 
@@ -46,30 +27,49 @@
   retryAfterMs: stoppingRetryMs,
 };
 
-/** Resolves when `signal` aborts. */
-const aborted = (signal: AbortSignal, until: AbortSignal): Promise<void> =>
-  new Promise((resolve) => {
-    if (signal.aborted) resolve();
-    signal.addEventListener('abort', () => resolve(), { once: true, signal: until });
-  });
+const exhausted: Problem = {
+  status: 503,
+  code: RefusalCode.memoryExhausted,
+  message: 'the memory for requests is exhausted',
+  outcome: 'not_run',
+  retryAfterMs: stoppingRetryMs,
+};
+
+const incomplete = badRequest(400, 'body_incomplete', 'the connection closed within the body');
+
+const problemFor = (kind: Exclude<BodyRead['kind'], 'complete'>, limits: BodyLimits): Problem => {
+  switch (kind) {
+    case 'too_large':
+      return tooLarge(limits);
+    case 'shed':
+      return exhausted;
+    case 'gone':
+      return incomplete;
+    default:
+      return tooSlow(limits);
+  }
+};
 
 /**
  * Reads a request's body, enforcing the limits on its size and time. Once `closing` aborts the request is
  * refused: it might be interrupted if it began so late.
  */
 export const readBody = async (
-  incoming: IncomingMessage,
+  bytes: ClientBytes,
   limits: BodyLimits,
   clock: Clock,
   closing: AbortSignal,
 ): Promise<Result<Uint8Array, Problem>> => {
-  if (Number(incoming.headers['content-length'] ?? 0) > limits.maxBytes) {
-    return err(tooLarge(limits));
-  }
+  if (!bytes.admit()) return err(exhausted);
   const done = new AbortController();
-  const timeout = clock.sleep(limits.timeoutMs, done.signal).then(() => err(tooSlow(limits)));
-  const stop = aborted(closing, done.signal).then(() => err(stopping));
-  const body = await Promise.race([collect(incoming, limits), timeout, stop]);
+  const stopped = new AbortController();
+  const stop = () => stopped.abort();
+  clock.sleep(limits.timeoutMs, done.signal).then(stop, () => {});
+  closing.addEventListener('abort', stop, { once: true, signal: done.signal });
+  if (closing.aborted) stop();
+  const { maxBytes, timeoutMs } = limits;
+  const read = await bytes.readBody({ maxBytes, progressTimeoutMs: timeoutMs }, stopped.signal);
   done.abort();
-  return closing.aborted ? err(stopping) : body;
+  if (closing.aborted) return err(stopping);
+  return read.kind === 'complete' ? ok(read.body) : err(problemFor(read.kind, limits));
 };
--- a/packages/process/daemon/src/request/callers-interface.ts
+++ b/packages/process/daemon/src/request/callers-interface.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Caller, Clock, Telemetry } from '@currantdrift/core';
+import { ClientBytes, type ClientMemory } from '@currantdrift/http';
 import type { RequestEntry, ServiceRequest } from '@currantdrift/node';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
@@ -30,10 +31,15 @@
   readonly telemetry: Telemetry;
   readonly body: BodyLimits;
   readonly deadlines: DeadlineLimits;
+  /** Memory for requests and responses of all callers. */
+  readonly memory: ClientMemory;
   /** Aborted once this daemon takes no more requests. */
   readonly closing: AbortSignal;
 }
 
+/** Interval between counts of the response bytes that a caller has not read, in ms. */
+const unreadCheckMs = 250;
+
 const requestIdPattern = /^[\w.-]{1,64}$/;
 
 /** Returns the request id sent by the caller if it is well-formed, else a new one. */
@@ -104,11 +110,11 @@
 
   private async chat(context: CallerContext): Promise<Response> {
     const { entry, clock } = this.options;
-    const { incoming, outgoing } = context.env;
+    const { outgoing } = context.env;
     const received = clock.now();
     const limits = this.limits(context);
     if (limits.isErr()) return this.refuse(context, limits.error);
-    const read = await readBody(incoming, this.options.body, clock, this.options.closing);
+    const read = await this.readBody(context);
     const body = read.andThen(readChatBody);
     if (body.isErr()) return this.refuse(context, body.error);
     const { model, stream, ...rest } = body.value;
@@ -130,15 +136,10 @@
   }
 
   private async service(context: CallerContext): Promise<Response> {
-    const { entry, clock } = this.options;
+    const { entry } = this.options;
     const limits = this.limits(context);
     if (limits.isErr()) return this.refuse(context, limits.error);
-    const body = await readBody(
-      context.env.incoming,
-      this.options.body,
-      clock,
-      this.options.closing,
-    );
+    const body = await this.readBody(context);
     if (body.isErr()) return this.refuse(context, body.error);
     const { service, call } = context.req.param() as { service: string; call: string };
     const idempotencyKey = context.req.header('idempotency-key');
@@ -161,6 +162,18 @@
     return context.body(Buffer.from(answer.value.body), answer.value.status as 200);
   }
 
+  /** Reads the body; a request that is not read to its end closes its connection. */
+  private async readBody(context: CallerContext): Promise<Result<Uint8Array, Problem>> {
+    const { body, clock, closing, memory } = this.options;
+    const { incoming, outgoing } = context.env;
+    const bytes = ClientBytes.create(incoming, outgoing, memory, () => outgoing.destroy());
+    const unread = setInterval(() => bytes.countUnread(), unreadCheckMs);
+    outgoing.once('close', () => clearInterval(unread));
+    const read = await readBody(bytes, body, clock, closing);
+    if (read.isErr()) context.header('Connection', 'close');
+    return read;
+  }
+
   /** Reads the deadline, priority and trace context from a request's headers. */
   private limits(
     context: CallerContext,
--- a/packages/process/daemon/src/request/problem.ts
+++ b/packages/process/daemon/src/request/problem.ts
@@ -25,6 +25,7 @@
   [RefusalCode.interrupted]: 502,
   [RefusalCode.outcomeUnknown]: 502,
   [RefusalCode.stopping]: 503,
+  [RefusalCode.memoryExhausted]: 503,
   [RefusalCode.promptHeldBack]: 503,
   [RefusalCode.requestHeldBack]: 503,
 };
--- a/packages/process/daemon/test/body.test.ts
+++ b/packages/process/daemon/test/body.test.ts
@@ -1,8 +1,14 @@
 import { createServer, request, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { SystemClock } from '@currantdrift/core';
+import { NoopTelemetry, SystemClock } from '@currantdrift/core';
+import { ByteBudget, ClientBytes, ShedReport } from '@currantdrift/http';
 import { readBody } from '../src/request/body';
 
+const memory = {
+  budget: ByteBudget.create(1_000_000),
+  report: ShedReport.create(NoopTelemetry.create()),
+};
+
 const limits = { maxBytes: 100, timeoutMs: 2_000 };
 
 let server: Server;
@@ -15,8 +21,9 @@
 /** Sends `sent` of a body of ten bytes to a server that reads it; resolves with what was read. */
 const read = (sent: string, closing: AbortSignal): Promise<string> =>
   new Promise((resolve) => {
-    server = createServer((incoming) => {
-      readBody(incoming, limits, SystemClock.create(), closing).then((body) =>
+    server = createServer((incoming, outgoing) => {
+      const counted = ClientBytes.create(incoming, outgoing, memory, () => outgoing.destroy());
+      readBody(counted, limits, SystemClock.create(), closing).then((body) =>
         resolve(
           body.match(
             (bytes) => Buffer.from(bytes).toString(),
--- a/packages/process/gateway/src/connection/endpoint-clients.ts
+++ b/packages/process/gateway/src/connection/endpoint-clients.ts
@@ -1,17 +1,16 @@
 import { defaultForwardSettings } from '@currantdrift/forward';
 import type { EndpointRecord } from '@currantdrift/fleet';
-import { ByteBudget, HttpClient } from '@currantdrift/http';
+import { type ByteBudget, HttpClient } from '@currantdrift/http';
 
-/** Caches one HTTP client per endpoint address; all clients share one buffer budget. */
+/** Caches one HTTP client per endpoint address; all clients share one budget. */
 export class EndpointClients {
   private readonly clients = new Map<string, HttpClient>();
 
-  private readonly bufferedBytes = ByteBudget.create(defaultForwardSettings.maxBufferedBytes);
+  private constructor(private readonly heldBytes: ByteBudget) {}
 
-  private constructor() {}
-
-  static create(): EndpointClients {
-    return new EndpointClients();
+  /** `heldBytes` counts the responses that are being read. */
+  static create(heldBytes: ByteBudget): EndpointClients {
+    return new EndpointClients(heldBytes);
   }
 
   of({ address }: EndpointRecord): HttpClient {
@@ -22,7 +21,7 @@
       connectTimeoutMs,
       highWaterBytes,
       maxAnswerBytes,
-      heldBytes: this.bufferedBytes,
+      heldBytes: this.heldBytes,
       singleUse: true,
     });
     this.clients.set(address, client);
--- a/packages/process/gateway/src/process/client-http-server.ts
+++ b/packages/process/gateway/src/process/client-http-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { ConnectionGuard, type ConnectionLimits, type ShedReport } from '@currantdrift/http';
 import type { ClientLimits } from '@currantdrift/routes';
 import { err, ok, type Result } from 'neverthrow';
 
@@ -32,6 +33,8 @@
   static create(
     handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
     onError: (error: unknown) => void,
+    limits: ConnectionLimits,
+    report: ShedReport,
   ): ClientHttpServer {
     const server = createServer({
       keepAliveTimeout: initialIdleMs,
@@ -41,6 +44,9 @@
       maxHeaderSize: extraHeaderBytes * 2,
       highWaterMark: 65_536,
     });
+    // By default Node drops the header lines above a number; the size of the head limits them, too.
+    server.maxHeadersCount = 0;
+    ConnectionGuard.attach(server, limits, report);
     const clientServer = new ClientHttpServer(server);
     server.on('request', (request, response) => {
       if (clientServer.stopping) response.shouldKeepAlive = false;
--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -1,3 +1,5 @@
+import type { HostLimits } from '@currantdrift/http';
+
 /** Settings of a gateway process. Times are in ms. */
 export interface GatewaySettings {
   /** Name of the host, unique in the deployment. */
@@ -5,6 +7,8 @@
   readonly domain: string;
   /** Processor time available to the process, in cores. */
   readonly processors: number;
+  /** Limits of the host for this process. */
+  readonly limits?: HostLimits;
   /** Region of each failure domain, by domain name. */
   readonly regions: ReadonlyMap<string, string>;
   /** Listen addresses for clients, readiness checks, peers and metrics, as `ip:port`. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -17,6 +17,13 @@
   ModelUsage,
   RetrySpread,
 } from '@currantdrift/forward';
+import {
+  ByteBudget,
+  type ClientMemory,
+  type HostShares,
+  sharesOf,
+  ShedReport,
+} from '@currantdrift/http';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
 import { PredictiveBalancer } from '@currantdrift/routing';
@@ -85,7 +92,11 @@
 
   private readonly usage = ModelUsage.create();
 
-  private readonly clients = EndpointClients.create();
+  private readonly shares: HostShares;
+
+  private readonly clientMemory: ClientMemory;
+
+  private readonly clients: EndpointClients;
 
   private readonly stopped = new AbortController();
 
@@ -136,6 +147,10 @@
     const { settings, platform, telemetry } = options;
     // Every waiting request adds a listener, so the default limit would print warnings.
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
+    this.shares = sharesOf(settings.limits ?? {});
+    const report = ShedReport.create(telemetry);
+    this.clientMemory = { budget: ByteBudget.create(this.shares.clientBytes), report };
+    this.clients = EndpointClients.create(this.clientMemory.budget);
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
     this.balancer = PredictiveBalancer.create(
@@ -143,7 +158,10 @@
       () => this.members.all().length,
     );
     this.peers = PeerConnections.create({
-      network: WebSocketNetwork.create(),
+      network: WebSocketNetwork.create({
+        maxConnections: this.shares.peerConnections,
+        memory: this.clientMemory,
+      }),
       clock: this.clock,
       address: settings.peerAddress,
       telemetry: NoopTelemetry.create(),
@@ -228,6 +246,11 @@
     this.clientServer = ClientHttpServer.create(
       (request, response) => this.forwarder.handle(request, response),
       (error) => telemetry.log('request.error', { reason: String(error) }),
+      {
+        maxConnections: this.shares.clientConnections,
+        perAddress: settings.limits?.connectionsPerAddress,
+      },
+      report,
     );
     this.terms = this.createTerms();
     this.election = this.createElection();
@@ -268,11 +291,18 @@
     this.storeCache.registerHandlers(inbox);
     const listened = await this.clientServer.listen(settings.clientAddress);
     if (listened.isErr()) return listened;
-    const ready = await serveReadiness(settings.readyAddress, settings.readyPath, () =>
-      this.isReady(),
+    const limit = {
+      maxConnections: this.shares.statusConnections,
+      report: this.clientMemory.report,
+    };
+    const ready = await serveReadiness(
+      settings.readyAddress,
+      settings.readyPath,
+      () => this.isReady(),
+      limit,
     );
     if (ready.isErr()) return ready;
-    const served = await serveMetrics(settings.metricsAddress, metrics);
+    const served = await serveMetrics(settings.metricsAddress, metrics, limit);
     if (served.isErr()) return served;
     const listening = await this.peers.listen();
     if (listening.isErr()) {
@@ -345,6 +375,7 @@
       retrySpread: RetrySpread.create(defaultForwardSettings, SystemRandom.create()),
       configuration: () => this.storeCache.configuration,
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
+      clientMemory: this.clientMemory,
       client: (record) => this.clients.of(record),
       budget: (service) => budgets.of(service),
       roundTripMs: (domain) => roundTrips.to(domain),
--- a/packages/process/node/src/request/refusal.ts
+++ b/packages/process/node/src/request/refusal.ts
@@ -15,6 +15,7 @@
   interrupted: 'interrupted',
   outcomeUnknown: 'outcome_unknown',
   stopping: 'stopping',
+  memoryExhausted: 'memory_exhausted',
   promptHeldBack: 'prompt_held_back',
   requestHeldBack: 'request_held_back',
 } as const;
--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -1,4 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  type BodyRead,
+  type BodyReadLimits,
+  ClientBytes,
+  type ClientMemory,
+} from '@currantdrift/http';
 
 /** Time between a response to an incompletely read request and the close of its connection, in ms. */
 const lingerMs = 200;
@@ -18,31 +24,32 @@
   ...(retryAfterMs !== undefined && { 'retry-after': (retryAfterMs / 1000).toFixed(2) }),
 });
 
-/** Result of reading a client's request body. */
-export type BodyRead =
-  | { readonly kind: 'complete'; readonly body: Buffer }
-  | { readonly kind: 'too_large' }
-  | { readonly kind: 'stopped' }
-  | { readonly kind: 'gone' };
-
 /** A client's request and the response to it. */
 export class ClientExchange {
   private readonly leaving = new AbortController();
 
+  private readonly bytes: ClientBytes;
+
   /** Whether only the end of the connection marks the end of the response. */
   private endsWithConnection = false;
 
   private constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    memory: ClientMemory,
   ) {
+    this.bytes = ClientBytes.create(request, response, memory, () => this.cut());
     response.once('close', () => {
       if (!response.writableFinished) this.leaving.abort(new Error('the client disconnected'));
     });
   }
 
-  static create(request: IncomingMessage, response: ServerResponse): ClientExchange {
-    return new ClientExchange(request, response);
+  static create(
+    request: IncomingMessage,
+    response: ServerResponse,
+    memory: ClientMemory,
+  ): ClientExchange {
+    return new ClientExchange(request, response, memory);
   }
 
   /** Aborted when the connection closes before the response is complete. */
@@ -60,34 +67,14 @@
     return this.response.headersSent;
   }
 
-  /**
-   * Reads the body until `signal` aborts. After `too_large` and `stopped` nothing more is read, so the
-   * response has to close the connection.
-   */
-  body(maxBytes: number, signal: AbortSignal): Promise<BodyRead> {
-    const { request } = this;
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      const done = new AbortController();
-      const finish = (read: BodyRead) => {
-        done.abort();
-        if (read.kind === 'too_large' || read.kind === 'stopped') request.pause();
-        resolve(read);
-      };
-      request.on('data', (chunk: Buffer) => {
-        if (done.signal.aborted) return;
-        size += chunk.length;
-        if (size > maxBytes) finish({ kind: 'too_large' });
-        else chunks.push(chunk);
-      });
-      request.once('end', () => finish({ kind: 'complete', body: Buffer.concat(chunks) }));
-      // The stream emits an error only if the client's connection fails.
-      request.once('error', () => finish({ kind: 'gone' }));
-      request.once('close', () => finish({ kind: 'gone' }));
-      signal.addEventListener('abort', () => finish({ kind: 'stopped' }), { signal: done.signal });
-      if (signal.aborted) finish({ kind: 'stopped' });
-    });
+  /** Counts the memory of the request's head; false if there is none left, so it has to be refused. */
+  admit(): boolean {
+    return this.bytes.admit();
+  }
+
+  /** Reads the body until `signal` aborts; unless it is complete the response has to close the connection. */
+  body(limits: BodyReadLimits, signal: AbortSignal): Promise<BodyRead> {
+    return this.bytes.readBody(limits, signal);
   }
 
   /** Sends a complete response with its length. */
@@ -95,6 +82,7 @@
     if (this.gone.aborted) return;
     this.response.writeHead(status, { ...headers, 'content-length': String(body.length) });
     this.response.end(body);
+    this.bytes.countUnread();
   }
 
   /**
@@ -174,10 +162,13 @@
   /** Sends a part of the response; resolves when more can be written, or the client disconnected. */
   async write(bytes: Buffer): Promise<void> {
     if (this.gone.aborted || this.response.write(bytes)) return;
+    this.bytes.countUnread();
+    if (this.gone.aborted || this.response.destroyed) return;
     await new Promise<void>((resolve) => {
       this.response.once('drain', resolve);
       this.response.once('close', resolve);
     });
+    this.bytes.countUnread();
   }
 
   end(): void {
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -1,7 +1,7 @@
 import type { Clock, Telemetry } from '@currantdrift/core';
 import type { RetryBudget } from '@currantdrift/attempt';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
-import type { HttpClient } from '@currantdrift/http';
+import type { ClientMemory, HttpClient } from '@currantdrift/http';
 import type { Configuration } from '@currantdrift/routes';
 import type { CrashWatch } from '@currantdrift/quarantine';
 import type { RequestPermits } from '@currantdrift/rate-limit';
@@ -43,6 +43,8 @@
   readonly stopping: AbortSignal;
   /** Aborted when the process stops accepting requests. */
   readonly closing: AbortSignal;
+  /** Memory for requests and responses of all clients. */
+  readonly clientMemory: ClientMemory;
   /** Returns undefined until the first configuration has been received. */
   readonly configuration: () => Configuration | undefined;
   /** Time since the configuration was last known to be current, in ms. */
--- a/packages/request/forward/src/forward-settings.ts
+++ b/packages/request/forward/src/forward-settings.ts
@@ -8,8 +8,6 @@
   readonly highWaterBytes: number;
   /** Maximum size of an answer that is not a stream, in bytes. */
   readonly maxAnswerBytes: number;
-  /** Maximum bytes of all answers together that are buffered before being relayed. */
-  readonly maxBufferedBytes: number;
   /** Maximum size of one event of a stream, in bytes. */
   readonly maxEventBytes: number;
   /** Time after which the controller is asked again to load a model, in ms. */
@@ -41,7 +39,6 @@
   connectTimeoutMs: 900,
   highWaterBytes: 65_536,
   maxAnswerBytes: 16_000_000,
-  maxBufferedBytes: 64_000_000,
   maxEventBytes: 262_144,
   loadRequestIntervalMs: 400,
   noControllerWaitShare: 0.3,
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Configuration } from '@currantdrift/routes';
+import type { BodyRead } from '@currantdrift/http';
+import type { ClientLimits, Configuration } from '@currantdrift/routes';
 import { RouteTable, selectService } from '@currantdrift/routes';
-import { type BodyRead, ClientExchange } from './client-exchange';
+import { ClientExchange } from './client-exchange';
 import { type ClientRequest, deadlineOf, digestOf } from './client-request';
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
@@ -9,6 +10,13 @@
 
 const httpStatus = { timeout: 408, tooLarge: 413, unavailable: 503 } as const;
 
+/** Length to which texts that clients send are cut in logs, in characters. */
+const maxLoggedLength = 200;
+
+const bounded = (text: string | undefined): string | undefined => text?.slice(0, maxLoggedLength);
+
+const memoryReason = 'the memory for requests is exhausted';
+
 const shutdownReason = 'this process is shutting down';
 
 /** Handles clients' requests: validates each, reads its body and forwards it to an endpoint. */
@@ -40,12 +48,15 @@
 
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.context.clock.now();
-    const client = ClientExchange.create(request, response);
+    const client = ClientExchange.create(request, response, this.context.clientMemory);
     this.openCount += 1;
     this.unsent.add(client);
     client.onClose(() => this.unsent.delete(client));
+    const isAdmitted = client.admit();
     const fields = this.context.protocol.requestFields(request.headers);
-    const result = await this.serve(client, fields, arrivedAt);
+    const result = isAdmitted
+      ? await this.serve(client, fields, arrivedAt)
+      : this.endWithoutBody(client, 'shed');
     this.openCount -= 1;
     this.report(client, fields, result, arrivedAt);
   }
@@ -81,7 +92,7 @@
       this.context.usage.recordArrival(service, fields.model, fields.adapter);
     }
     const deadline = deadlineOf(route, fields, arrivedAt);
-    const read = await this.readBody(client, configuration.limits.maxBodyBytes, deadline);
+    const read = await this.readBody(client, configuration.limits, deadline);
     if (read.kind !== 'complete') return this.endWithoutBody(client, read.kind);
     const content = { method, path: url, headers, body: read.body };
     const clientRequest: ClientRequest = {
@@ -111,7 +122,7 @@
   /** Reads the body until the deadline, or until this process takes no more requests. */
   private async readBody(
     client: ClientExchange,
-    maxBytes: number,
+    { maxBodyBytes, idleTimeoutMs }: ClientLimits,
     deadline: number,
   ): Promise<BodyRead> {
     const { clock, closing } = this.context;
@@ -120,7 +131,10 @@
     const timer = setTimeout(stop, Math.max(0, deadline - clock.now()));
     closing.addEventListener('abort', stop, { once: true });
     if (closing.aborted) stop();
-    const read = await client.body(maxBytes, stopped.signal);
+    const read = await client.body(
+      { maxBytes: maxBodyBytes, progressTimeoutMs: idleTimeoutMs },
+      stopped.signal,
+    );
     clearTimeout(timer);
     closing.removeEventListener('abort', stop);
     return read;
@@ -137,9 +151,14 @@
     return { outcome: 'refused', status, reason };
   }
 
-  private bodyRefusal(kind: 'too_large' | 'stopped'): [number, string, number?] {
+  private bodyRefusal(
+    kind: Exclude<BodyRead['kind'], 'complete' | 'gone'>,
+  ): [number, string, number?] {
     const { closing, settings } = this.context;
     if (kind === 'too_large') return [httpStatus.tooLarge, 'the body is too large'];
+    if (kind === 'shed') {
+      return [httpStatus.unavailable, memoryReason, settings.defaultRetryAfterMs];
+    }
     return closing.aborted
       ? [httpStatus.unavailable, shutdownReason, settings.shutdownRetryAfterMs]
       : [httpStatus.timeout, 'the body did not arrive in time'];
@@ -169,18 +188,18 @@
       outcome: result.outcome,
     });
     telemetry.log('request', {
-      id: fields?.id,
-      authority: client.request.headers.host,
-      path: client.request.url,
+      id: bounded(fields?.id),
+      authority: bounded(client.request.headers.host),
+      path: bounded(client.request.url),
       version: this.context.configuration()?.version,
       versionAgeMs: Math.round(this.context.configurationAgeMs(now)),
-      model: fields?.model,
-      adapter: fields?.adapter,
-      resumes: fields?.resumes,
-      resumesAfter: fields?.resumesAfter,
+      model: bounded(fields?.model),
+      adapter: bounded(fields?.adapter),
+      resumes: bounded(fields?.resumes),
+      resumesAfter: bounded(fields?.resumesAfter),
       outcome: result.outcome,
       status: result.status,
-      reason: result.reason === '' ? undefined : result.reason,
+      reason: result.reason === '' ? undefined : bounded(result.reason),
       elapsedMs: Math.round(elapsedMs),
     });
   }
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -9,7 +9,7 @@
   LimitObserver,
   type LoadedModel,
 } from '@currantdrift/fleet';
-import { type Head, type Headers, HttpClient } from '@currantdrift/http';
+import { ByteBudget, type Head, type Headers, HttpClient, ShedReport } from '@currantdrift/http';
 import {
   type Configuration,
   type CustomerTable,
@@ -185,7 +185,7 @@
     route('short', RequestKind.unsafe, { timeoutMs: 200 }),
   ],
   services: new Map(),
-  limits: { maxHeaderBytes: 1, maxBodyBytes: 100, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 100, headerTimeoutMs: 1, idleTimeoutMs: 60_000 },
 };
 
 /** A forwarder behind a server on loopback. */
@@ -404,6 +404,10 @@
       retrySpread: RetrySpread.create(defaultForwardSettings, random),
       stopping: this.closing.signal,
       closing: this.closing.signal,
+      clientMemory: {
+        budget: ByteBudget.create(64_000_000),
+        report: ShedReport.create(NoopTelemetry.create()),
+      },
       authorizer: Authorizer.create({
         configuration: () => this.configuration(),
         ageMs: () => this.configurationAgeMs,
