Responses with a status above 599 become 502

Cause: the HTTP parser takes any three digits as a status, and both programs passed 600 and 999 on. The client of endpoints now fails for a head outside 200 to 599, as `unknown`, because the request may have run; both programs answer 502.

--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -52,6 +52,10 @@
   };
 };
 
+/** Bounds of the statuses of final responses (RFC 9110, section 15). */
+const minFinalStatus = 200;
+const maxStatus = 599;
+
 /** A response whose body has not been read yet. */
 export interface OpenAnswer extends Head {
   readonly exchange: Exchange;
@@ -91,13 +95,21 @@
     return new HttpClient(`http://${address}`, peer, settings);
   }
 
-  /** Sends the request and waits for the status and headers of its response, whatever the status. */
+  /**
+   * Sends the request and waits for the status and headers of its response, whatever the status. A number
+   * outside the statuses of final responses (RFC 9110) fails as `unknown`: the request may have run.
+   */
   async open(call: HttpCall): Promise<Result<OpenAnswer, Failure>> {
     const exchange = this.dispatch(call);
     const head = await exchange.head();
-    return head
-      .map((received) => ({ ...received, exchange }))
-      .mapErr((error) => this.exchangeFailure(call.step, exchange, error.message));
+    if (head.isErr()) return err(this.exchangeFailure(call.step, exchange, head.error.message));
+    const { status } = head.value;
+    if (status < minFinalStatus || status > maxStatus) {
+      const message = `${status} is not the status of a final response`;
+      exchange.stop(new Error(message));
+      return err(this.failure(call.step, FailureKind.unknown, message));
+    }
+    return ok({ ...head.value, exchange });
   }
 
   /**
--- a/packages/connection/http/test/http-client.test.ts
+++ b/packages/connection/http/test/http-client.test.ts
@@ -129,3 +129,35 @@
     expect(await callGuarded(port)).toBe('unreachable');
   });
 });
+
+describe('the status of a response', () => {
+  const answerWith = async (...statuses: number[]): Promise<string[]> => {
+    const server = createServer((socket) => {
+      socket.on('error', () => {});
+      socket.on('data', () => {
+        const response = `HTTP/1.1 ${statuses.shift()} X\r\nContent-Length: 2\r\n\r\nok`;
+        socket.write(response.slice(0, 12));
+        later(() => socket.write(response.slice(12)));
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const settings = { ...limits, singleUse: false };
+    const client = HttpClient.create(`127.0.0.1:${port}`, 'endpoint', settings);
+    const seen: string[] = [];
+    while (statuses.length > 0) {
+      const answer = await client.whole({ step: 'test', method: 'GET', path: '/' }, 1_000);
+      seen.push(answer.isOk() ? String(answer.value.status) : answer.error.kind);
+    }
+    await client.close();
+    server.close();
+    return seen;
+  };
+
+  // Guards against a number that is no status of HTTP reaching the callers of either program.
+  it.each([600, 999])('%d fails, also on a connection that was kept', async (status) => {
+    expect(await answerWith(200, status, 599, 200)).toEqual(['200', 'unknown', '599', '200']);
+  });
+});
