Admission control: queues before the selection of an endpoint

Cause: the gateway sent each request at once to the endpoint with the lowest prediction, however full. Engines beyond their memory reject and evict, and the order among members' requests was left to each engine.

Change: the use of an endpoint is counted in slots, tokens of KV memory and prompt tokens that wait for prefill. A request waits in the queue of its service and model while all endpoints that can serve it are full, ordered by priority, shares of customers and targets.

Ruled out: a central queue (one more process on the path of each request); linear insertion at thousands of waiting requests (binary search instead).

--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -22,6 +22,8 @@
   readonly changeBoundMs: number;
   /** Time within which a withdrawn API key must be refused, on any host; undefined for no bound. */
   readonly revocationBoundMs?: number;
+  /** Whether requests wait here while the endpoints that can serve them are full. */
+  readonly limitsRoom?: boolean;
   /** Shortest time between orders of two successive controllers to the same engine. */
   readonly holderPauseMs: number;
   /** Limits on retries: a share of the requests, plus a fixed number per window. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -9,6 +9,7 @@
 } from '@currantdrift/core';
 import { EndpointDirectory, LimitObserver } from '@currantdrift/fleet';
 import {
+  AdmissionControl,
   Authorizer,
   defaultForwardSettings,
   type EndpointProtocol,
@@ -19,7 +20,7 @@
 } from '@currantdrift/forward';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
-import { PredictiveBalancer } from '@currantdrift/routing';
+import { type EndpointLoad, EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
 import { EngineProbe } from '../connection/engine-probe';
@@ -83,6 +84,12 @@
 
   private readonly balancer: PredictiveBalancer;
 
+  private readonly rooms = EndpointRooms.create(() => this.members.all().length);
+
+  private readonly retrySpread = RetrySpread.create(defaultForwardSettings, SystemRandom.create());
+
+  private readonly admission: AdmissionControl;
+
   private readonly usage = ModelUsage.create();
 
   private readonly clients = EndpointClients.create();
@@ -142,6 +149,7 @@
       SystemRandom.create(),
       () => this.members.all().length,
     );
+    this.admission = this.createAdmission();
     this.peers = PeerConnections.create({
       network: WebSocketNetwork.create(),
       clock: this.clock,
@@ -167,7 +175,7 @@
       directory,
       send,
       onLimits: (limits) => this.limits.applyReports(limits, 'controller'),
-      onLoads: (loads) => this.balancer.observeFleetLoads(loads, clock.now()),
+      onLoads: (loads) => this.observeFleetLoads(loads),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
     const notices = DomainNotices.create({ clock, self, members, send });
@@ -330,6 +338,7 @@
       directory: this.directory,
       signals: this.signals,
       balancer: this.balancer,
+      admission: this.admission,
       usage: this.usage,
       permits: this.permits,
       crashes: this.crashHandling.watch,
@@ -342,7 +351,7 @@
         this.self,
         () => this.controller,
       ),
-      retrySpread: RetrySpread.create(defaultForwardSettings, SystemRandom.create()),
+      retrySpread: this.retrySpread,
       configuration: () => this.storeCache.configuration,
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
       client: (record) => this.clients.of(record),
@@ -351,6 +360,26 @@
     });
   }
 
+  private createAdmission(): AdmissionControl {
+    const { clock, directory, rooms, retrySpread } = this;
+    const { telemetry, settings } = this.options;
+    return AdmissionControl.create({
+      clock,
+      telemetry,
+      directory,
+      rooms,
+      retrySpread,
+      configuration: () => this.storeCache.configuration,
+      limitsRoom: settings.limitsRoom ?? false,
+    });
+  }
+
+  private observeFleetLoads(loads: readonly EndpointLoad[]): void {
+    const now = this.clock.now();
+    this.balancer.observeFleetLoads(loads, now);
+    this.admission.observeFleetLoads(loads, now);
+  }
+
   private createAuthorizer(): Authorizer {
     const { changeBoundMs, revocationBoundMs } = this.options.settings;
     return Authorizer.create({
@@ -451,6 +480,7 @@
       await this.clock.sleep(pruneIntervalMs, signal);
       const present = new Set(this.directory.all().map(({ id }) => id));
       this.balancer.retain(present);
+      this.rooms.retain(present);
       this.directory.limits.retain(present, this.clock.now());
     }
   }
--- a/packages/request/admission/src/admission-queues.ts
+++ b/packages/request/admission/src/admission-queues.ts
@@ -17,37 +17,36 @@
  * The admission queues of a daemon, by key (item or pool). Queues that share endpoints take turns,
  * so that none is always the first to find free capacity.
  */
-export class AdmissionQueues<T> {
-  private readonly queues = new Map<string, { queue: AdmissionQueue<T>; usedAt: number }>();
+export class AdmissionQueues<T, R extends AdmissionRequest = AdmissionRequest> {
+  private readonly queues = new Map<string, { queue: AdmissionQueue<T, R>; usedAt: number }>();
 
   /** Queues with entries waiting, in the order in which they are served. */
-  private readonly backlogged = new Map<string, AdmissionQueue<T>>();
+  private readonly backlogged = new Map<string, AdmissionQueue<T, R>>();
 
   private prunedAt = 0;
 
   private closed = false;
 
   private constructor(
-    private readonly acquire: (
-      key: string,
-      request: AdmissionRequest,
-      now: number,
-    ) => T | undefined,
+    private readonly acquire: (key: string, request: R, now: number) => T | undefined,
     private readonly settings: Partial<AdmissionSettings>,
+    private readonly onFinish: ((now: number) => void) | undefined,
   ) {}
 
-  static create<T>(
-    acquire: (key: string, request: AdmissionRequest, now: number) => T | undefined,
+  /** `onFinish` is called when a grant has ended; by default it calls `pump`. */
+  static create<T, R extends AdmissionRequest = AdmissionRequest>(
+    acquire: (key: string, request: R, now: number) => T | undefined,
     settings: Partial<AdmissionSettings> = {},
-  ): AdmissionQueues<T> {
-    return new AdmissionQueues(acquire, settings);
+    onFinish?: (now: number) => void,
+  ): AdmissionQueues<T, R> {
+    return new AdmissionQueues(acquire, settings, onFinish);
   }
 
-  enqueue(key: string, request: AdmissionRequest, now: number): Ticket<T> {
+  enqueue(key: string, request: R, now: number): Ticket<T> {
     let record = this.queues.get(key);
     if (record === undefined) {
-      const acquire: AcquireCapacity<T> = (head, at) => this.acquire(key, head, at);
-      const onFinish = (at: number) => this.pump(at);
+      const acquire: AcquireCapacity<T, R> = (head, at) => this.acquire(key, head, at);
+      const onFinish = this.onFinish ?? ((at: number) => this.pump(at));
       const queue = AdmissionQueue.create(acquire, this.settings, onFinish);
       record = { queue, usedAt: now };
       if (this.closed) record.queue.close(now);
@@ -59,10 +58,14 @@
     return ticket;
   }
 
-  queue(key: string): AdmissionQueue<T> | undefined {
+  queue(key: string): AdmissionQueue<T, R> | undefined {
     return this.queues.get(key)?.queue;
   }
 
+  get isIdle(): boolean {
+    return this.backlogged.size === 0;
+  }
+
   get waiting(): number {
     let sum = 0;
     this.backlogged.forEach((queue) => {
@@ -86,6 +89,18 @@
     this.prune(now);
   }
 
+  /**
+   * Call this when capacity that only some queues can use has become free. Grants one entry at a time,
+   * each from the queue whose first request has the highest priority, then the earliest target.
+   */
+  pumpSome(keys: Iterable<string>, now: number): void {
+    let queues = [...new Set(keys)].flatMap((key) => this.backlogged.get(key) ?? []);
+    while (queues.length > 0) {
+      const next = AdmissionQueues.mostUrgent(queues, now);
+      if (!next.grantFirst(now)) queues = queues.filter((queue) => queue !== next);
+    }
+  }
+
   /** Calls `pump` periodically until `signal` is aborted. */
   async run(clock: Clock, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -100,6 +115,18 @@
     this.queues.forEach(({ queue }) => queue.close(now));
   }
 
+  private static mostUrgent<T, R extends AdmissionRequest>(
+    queues: readonly AdmissionQueue<T, R>[],
+    now: number,
+  ): AdmissionQueue<T, R> {
+    return queues.reduce((best, queue) => {
+      const [a, b] = [queue.first(now), best.first(now)];
+      if (a === undefined || b === undefined) return a === undefined ? best : queue;
+      if (a.priority !== b.priority) return a.priority > b.priority ? queue : best;
+      return (a.target ?? a.deadline) < (b.target ?? b.deadline) ? queue : best;
+    });
+  }
+
   private prune(now: number): void {
     if (now - this.prunedAt < pruneIntervalMs) return;
     this.prunedAt = now;
--- a/packages/request/admission/src/fair-queue.ts
+++ b/packages/request/admission/src/fair-queue.ts
@@ -1,27 +1,14 @@
+import { CallerQueue } from './caller-queue';
 import type { QueueEntry } from './queue-entry';
-
-/** Waiting entries of one caller at one priority, earliest deadline first. */
-interface CallerQueue<T> {
-  readonly caller: string;
-  weight: number;
-  /** Start tag of the caller's next entry, in virtual time. */
-  startTag: number;
-  readonly entries: QueueEntry<T>[];
-}
-
-const costOf = <T>(entry: QueueEntry<T>): number => entry.request.cost ?? 1;
-
-const precedes = <T>(a: QueueEntry<T>, b: QueueEntry<T>): boolean =>
-  a.request.deadline < b.request.deadline ||
-  (a.request.deadline === b.request.deadline && a.sequence < b.sequence);
+import type { AdmissionRequest } from './request';
 
 /**
  * Waiting entries of one priority, in start-time fair queueing. The caller with the smallest start
  * tag is served next, and each service increases its tag by cost / weight. A caller that returns
  * starts at the current virtual time, so that idle time earns no credit.
  */
-export class FairQueue<T> {
-  private readonly callerQueues = new Map<string, CallerQueue<T>>();
+export class FairQueue<T, R extends AdmissionRequest = AdmissionRequest> {
+  private readonly callerQueues = new Map<string, CallerQueue<T, R>>();
 
   /** Start tags, still ahead of virtual time, of callers without waiting entries. */
   private readonly departedStartTags = new Map<string, number>();
@@ -32,71 +19,63 @@
 
   private constructor() {}
 
-  static create<T>(): FairQueue<T> {
-    return new FairQueue<T>();
+  static create<T, R extends AdmissionRequest = AdmissionRequest>(): FairQueue<T, R> {
+    return new FairQueue<T, R>();
   }
 
   get size(): number {
     return this.count;
   }
 
-  add(entry: QueueEntry<T>): void {
+  add(entry: QueueEntry<T, R>, now: number): void {
     const { caller, weight } = entry.request;
     let callerQueue = this.callerQueues.get(caller);
     if (callerQueue === undefined) {
-      const startTag = Math.max(this.virtualTime, this.departedStartTags.get(caller) ?? 0);
-      callerQueue = { caller, weight, startTag, entries: [] };
+      callerQueue = CallerQueue.create(caller, weight, this.startTagOf(caller));
       this.callerQueues.set(caller, callerQueue);
       this.departedStartTags.delete(caller);
     }
     callerQueue.weight = weight;
-    let index = callerQueue.entries.length;
-    while (index > 0 && precedes(entry, callerQueue.entries[index - 1])) index -= 1;
-    callerQueue.entries.splice(index, 0, entry);
+    callerQueue.add(entry, now);
     this.count += 1;
   }
 
   /** Returns the entry to be served next. */
-  first(): QueueEntry<T> | undefined {
-    return this.nextCaller()?.entries[0];
+  first(now: number): QueueEntry<T, R> | undefined {
+    return this.nextCaller(now)?.first(now);
   }
 
   /** Removes the entry that `first` returned and charges it to its caller. */
-  dequeue(): void {
-    const callerQueue = this.nextCaller();
-    const entry = callerQueue?.entries.shift();
-    if (callerQueue === undefined || entry === undefined) return;
-    this.count -= 1;
+  dequeue(now: number): void {
+    const callerQueue = this.nextCaller(now);
+    if (callerQueue === undefined) return;
     this.virtualTime = callerQueue.startTag;
-    callerQueue.startTag += costOf(entry) / callerQueue.weight;
+    callerQueue.shift(now);
+    this.count -= 1;
     this.removeIfEmpty(callerQueue);
   }
 
   /** Removes an entry that is not served, without charging its caller. */
-  remove(entry: QueueEntry<T>): boolean {
+  remove(entry: QueueEntry<T, R>): boolean {
     const callerQueue = this.callerQueues.get(entry.request.caller);
-    const index = callerQueue?.entries.indexOf(entry) ?? -1;
-    if (callerQueue === undefined || index < 0) return false;
-    callerQueue.entries.splice(index, 1);
+    if (callerQueue === undefined || !callerQueue.remove(entry)) return false;
     this.count -= 1;
     this.removeIfEmpty(callerQueue);
     return true;
   }
 
   /** Estimates the number of entries served before `entry`, which need not be in the queue. */
-  countAhead(entry: QueueEntry<T>): number {
+  countAhead(entry: QueueEntry<T, R>, now: number): number {
     const { caller, weight } = entry.request;
     const own = this.callerQueues.get(caller);
-    const before = own?.entries.filter((other) => precedes(other, entry)) ?? [];
-    const cost = before.reduce((sum, other) => sum + costOf(other), 0);
-    const start =
-      own?.startTag ?? Math.max(this.virtualTime, this.departedStartTags.get(caller) ?? 0);
-    const entryTag = start + cost / weight;
-    let ahead = before.length;
+    const before = own?.countBefore(entry, now) ?? 0;
+    const start = own?.startTag ?? this.startTagOf(caller);
+    const entryTag = start + (own?.costOfFirst(before) ?? 0) / weight;
+    let ahead = before;
     this.callerQueues.forEach((callerQueue) => {
       if (callerQueue === own || callerQueue.startTag > entryTag) return;
       ahead += Math.min(
-        callerQueue.entries.length,
+        callerQueue.size,
         Math.floor((entryTag - callerQueue.startTag) * callerQueue.weight) + 1,
       );
     });
@@ -104,42 +83,50 @@
   }
 
   /** Last entry of the caller with the longest backlog relative to its weight. */
-  last(): QueueEntry<T> | undefined {
-    let longest: CallerQueue<T> | undefined;
+  last(): QueueEntry<T, R> | undefined {
+    let longest: CallerQueue<T, R> | undefined;
     this.callerQueues.forEach((callerQueue) => {
-      const length = callerQueue.entries.length / callerQueue.weight;
-      if (longest === undefined || length > longest.entries.length / longest.weight)
-        longest = callerQueue;
+      const length = callerQueue.size / callerQueue.weight;
+      if (longest === undefined || length > longest.size / longest.weight) longest = callerQueue;
     });
-    return longest?.entries.at(-1);
+    return longest?.last();
   }
 
-  entries(): QueueEntry<T>[] {
-    return [...this.callerQueues.values()].flatMap((callerQueue) => callerQueue.entries);
+  entries(): QueueEntry<T, R>[] {
+    return [...this.callerQueues.values()].flatMap((callerQueue) => callerQueue.entries());
   }
 
   /** Number of waiting entries of `caller` per unit of `weight`. */
   backlogPerWeight(caller: string, weight: number): number {
-    return (this.callerQueues.get(caller)?.entries.length ?? 0) / weight;
+    return (this.callerQueues.get(caller)?.size ?? 0) / weight;
+  }
+
+  private startTagOf(caller: string): number {
+    return Math.max(this.virtualTime, this.departedStartTags.get(caller) ?? 0);
   }
 
-  private nextCaller(): CallerQueue<T> | undefined {
-    let best: CallerQueue<T> | undefined;
+  private nextCaller(now: number): CallerQueue<T, R> | undefined {
+    let best: CallerQueue<T, R> | undefined;
     this.callerQueues.forEach((callerQueue) => {
-      if (
-        best === undefined ||
-        callerQueue.startTag < best.startTag ||
-        (callerQueue.startTag === best.startTag &&
-          precedes(callerQueue.entries[0], best.entries[0]))
-      ) {
-        best = callerQueue;
-      }
+      if (best === undefined || FairQueue.precedes(callerQueue, best, now)) best = callerQueue;
     });
     return best;
   }
 
-  private removeIfEmpty(callerQueue: CallerQueue<T>): void {
-    if (callerQueue.entries.length > 0) return;
+  private static precedes<T, R extends AdmissionRequest>(
+    a: CallerQueue<T, R>,
+    b: CallerQueue<T, R>,
+    now: number,
+  ): boolean {
+    if (a.startTag !== b.startTag) return a.startTag < b.startTag;
+    const [first, second] = [a.first(now), b.first(now)];
+    if (first === undefined || second === undefined) return first !== undefined;
+    const difference = first.request.deadline - second.request.deadline;
+    return difference < 0 || (difference === 0 && first.sequence < second.sequence);
+  }
+
+  private removeIfEmpty(callerQueue: CallerQueue<T, R>): void {
+    if (callerQueue.size > 0) return;
     this.callerQueues.delete(callerQueue.caller);
     this.departedStartTags.forEach((startTag, caller) => {
       if (startTag <= this.virtualTime) this.departedStartTags.delete(caller);
--- a/packages/request/admission/src/queue-entry.ts
+++ b/packages/request/admission/src/queue-entry.ts
@@ -21,8 +21,8 @@
 }
 
 /** A waiting entry. */
-export interface QueueEntry<T> {
-  readonly request: AdmissionRequest;
+export interface QueueEntry<T, R extends AdmissionRequest = AdmissionRequest> {
+  readonly request: R;
   readonly enqueuedAt: number;
   /** Order of arrival, which breaks ties between equal deadlines. */
   readonly sequence: number;
--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -10,7 +10,7 @@
 /** Rank of retried requests, above all priorities. */
 const retryRank = maxPriority + 1;
 
-const rankOf = <T>({ request }: QueueEntry<T>): number =>
+const rankOf = ({ request }: { readonly request: AdmissionRequest }): number =>
   request.isRetry ? retryRank : request.priority;
 
 /** Largest share of a request's time that the margin for slow answers may take from its wait. */
@@ -19,11 +19,17 @@
 /** Shortest time between two checks of all waiting entries for late ones, in ms. */
 const reviewIntervalMs = 50;
 
+/** Maximum number of entries in one such check. */
+const reviewSize = 256;
+
 /**
  * Acquires capacity for the request at the head of the queue, for example a lease on an endpoint.
  * Undefined if no capacity is free.
  */
-export type AcquireCapacity<T> = (request: AdmissionRequest, now: number) => T | undefined;
+export type AcquireCapacity<T, R extends AdmissionRequest = AdmissionRequest> = (
+  request: R,
+  now: number,
+) => T | undefined;
 
 /** State of a queue for metrics and operators. */
 export interface QueueStatus {
@@ -54,8 +60,8 @@
  * then by weighted fair sharing between callers, then by deadline. Each entry is granted, refused
  * or cancelled by its owner exactly once.
  */
-export class AdmissionQueue<T> {
-  private readonly lines = Array.from({ length: retryRank + 1 }, () => FairQueue.create<T>());
+export class AdmissionQueue<T, R extends AdmissionRequest = AdmissionRequest> {
+  private readonly lines = Array.from({ length: retryRank + 1 }, () => FairQueue.create<T, R>());
 
   private readonly waitingByCaller = new Map<string, number>();
 
@@ -69,10 +75,13 @@
 
   private reviewedAt = -Infinity;
 
+  /** Index of the entry with which the next review begins. */
+  private reviewPosition = 0;
+
   private closed = false;
 
   private constructor(
-    private readonly acquire: AcquireCapacity<T>,
+    private readonly acquire: AcquireCapacity<T, R>,
     private readonly settings: AdmissionSettings,
     private readonly onFinish: (now: number) => void,
   ) {
@@ -80,12 +89,12 @@
   }
 
   /** `onFinish` is called when a grant has ended; by default it calls `pump`. */
-  static create<T>(
-    acquire: AcquireCapacity<T>,
+  static create<T, R extends AdmissionRequest = AdmissionRequest>(
+    acquire: AcquireCapacity<T, R>,
     settings: Partial<AdmissionSettings> = {},
     onFinish?: (now: number) => void,
-  ): AdmissionQueue<T> {
-    const queue: AdmissionQueue<T> = new AdmissionQueue(
+  ): AdmissionQueue<T, R> {
+    const queue: AdmissionQueue<T, R> = new AdmissionQueue(
       acquire,
       { ...defaultAdmissionSettings, ...settings },
       onFinish ?? ((now) => queue.pump(now)),
@@ -102,6 +111,11 @@
     return this.running;
   }
 
+  /** Mean time from grant to answer, in ms; undefined before the first answer. */
+  get meanServiceMs(): number | undefined {
+    return this.rate.serviceMs;
+  }
+
   status(now: number): QueueStatus {
     return {
       waiting: this.waiting,
@@ -111,13 +125,13 @@
   }
 
   /** Requests admission. The result may be settled immediately. */
-  enqueue(request: AdmissionRequest, now: number): Ticket<T> {
-    let settle: QueueEntry<T>['settle'] = () => {};
+  enqueue(request: R, now: number): Ticket<T> {
+    let settle: QueueEntry<T, R>['settle'] = () => {};
     const result = new Promise<Result<Grant<T>, AdmissionRefusal>>((resolve) => {
       settle = resolve;
     });
     this.sequence += 1;
-    const entry: QueueEntry<T> = { request, enqueuedAt: now, sequence: this.sequence, settle };
+    const entry: QueueEntry<T, R> = { request, enqueuedAt: now, sequence: this.sequence, settle };
     const refusal = this.admit(entry, now);
     if (refusal !== undefined) settle(err(refusal));
     else this.pump(now);
@@ -133,27 +147,34 @@
    * time. Call it when capacity may have become free, and periodically while entries wait.
    */
   pump(now: number): void {
-    for (;;) {
-      const entry = this.first();
-      if (entry === undefined) break;
-      if (this.cannotMeetDeadline(entry, now)) {
-        this.refuse(entry, this.tooLateRefusal(entry, 0, now), now);
-        continue;
-      }
-      const value = this.acquire(entry.request, now);
-      if (value === undefined) break;
-      this.grant(entry, value, now);
-    }
+    while (this.grantFirst(now));
     this.refuseLate(now);
   }
 
+  /** Request of the entry to be served next; undefined while none waits. */
+  first(now: number): R | undefined {
+    return this.firstEntry(now)?.request;
+  }
+
+  /**
+   * Grants the first entry that can be served in time if there is capacity for it, and refuses those
+   * before it. Returns whether an entry was granted.
+   */
+  grantFirst(now: number): boolean {
+    for (let entry = this.firstEntry(now); entry !== undefined; entry = this.firstEntry(now)) {
+      if (!this.cannotMeetDeadline(entry, now)) return this.tryGrant(entry, now);
+      this.refuse(entry, this.tooLateRefusal(entry, 0, now), now);
+    }
+    return false;
+  }
+
   /** Refuses all waiting and all later requests. */
   close(now: number): void {
     this.closed = true;
     this.entries().forEach((entry) => this.refuse(entry, this.closedRefusal(), now));
   }
 
-  private admit(entry: QueueEntry<T>, now: number): AdmissionRefusal | undefined {
+  private admit(entry: QueueEntry<T, R>, now: number): AdmissionRefusal | undefined {
     const { request } = entry;
     const problem = validationError(request);
     if (problem !== undefined) return { kind: 'invalid', message: problem, retryAfterMs: 0 };
@@ -172,27 +193,27 @@
     if (this.waiting >= this.settings.maxWaiting && !this.evictFor(entry, now)) {
       return this.fullRefusal('queue_full', 'too many requests are waiting', now);
     }
-    this.queueOf(entry).add(entry);
+    this.queueOf(entry).add(entry, now);
     this.count(entry, 1, now);
     return undefined;
   }
 
   /** Refuses `entry` if the backlog ahead of it and its own service exceed the time left. */
   private refuseEarly(
-    entry: QueueEntry<T>,
+    entry: QueueEntry<T, R>,
     serviceMs: number,
     now: number,
   ): AdmissionRefusal | undefined {
     if (!this.settings.earlyRefusal || this.waiting === 0) return undefined;
     const interval = this.rate.intervalMs(this.running, now);
     if (interval === undefined) return undefined;
-    const waitMs = (this.countAhead(entry) + 1) * interval;
+    const waitMs = (this.countAhead(entry, now) + 1) * interval;
     const left = entry.request.deadline - now - serviceMs;
     return waitMs > left ? this.tooLateRefusal(entry, waitMs, now) : undefined;
   }
 
   /** Whether an entry at the head would miss its deadline even if it were granted now. */
-  private cannotMeetDeadline(entry: QueueEntry<T>, now: number): boolean {
+  private cannotMeetDeadline(entry: QueueEntry<T, R>, now: number): boolean {
     const { deadline } = entry.request;
     if (deadline <= now) return true;
     // The only waiting entry is tried anyway: its result corrects an estimate that is too high.
@@ -203,7 +224,7 @@
   private refuseLate(now: number): void {
     if (this.waiting === 0 || now - this.reviewedAt < reviewIntervalMs) return;
     this.reviewedAt = now;
-    this.entries().forEach((entry) => {
+    this.nextToReview().forEach((entry) => {
       const late =
         entry.request.deadline <= now
           ? this.tooLateRefusal(entry, 0, now)
@@ -212,11 +233,19 @@
     });
   }
 
+  /** Entries are reviewed in turn, so that the cost of a review does not grow with the queue. */
+  private nextToReview(): QueueEntry<T, R>[] {
+    const entries = this.entries();
+    const from = this.reviewPosition < entries.length ? this.reviewPosition : 0;
+    this.reviewPosition = from + reviewSize;
+    return entries.slice(from, this.reviewPosition);
+  }
+
   /**
    * Evicts the last entry of the most backlogged caller at the lowest waiting priority in favor of
    * `entry`, if `entry` has a higher priority or its caller has a shorter backlog.
    */
-  private evictFor(entry: QueueEntry<T>, now: number): boolean {
+  private evictFor(entry: QueueEntry<T, R>, now: number): boolean {
     const lowest = this.lines.find((queue) => queue.size > 0);
     const victim = lowest?.last();
     if (lowest === undefined || victim === undefined) return false;
@@ -232,8 +261,15 @@
     );
   }
 
-  private grant(entry: QueueEntry<T>, value: T, now: number): void {
-    this.queueOf(entry).dequeue();
+  private tryGrant(entry: QueueEntry<T, R>, now: number): boolean {
+    const value = this.acquire(entry.request, now);
+    if (value === undefined) return false;
+    this.grant(entry, value, now);
+    return true;
+  }
+
+  private grant(entry: QueueEntry<T, R>, value: T, now: number): void {
+    this.queueOf(entry).dequeue(now);
     // An entry that was granted without waiting says nothing about the rate under backlog.
     if (entry.enqueuedAt < now) this.rate.countGrant(now);
     this.count(entry, -1, now);
@@ -250,7 +286,7 @@
     entry.settle(ok({ value, waitedMs: now - entry.enqueuedAt, finish }));
   }
 
-  private refuse(entry: QueueEntry<T>, refusal: AdmissionRefusal, now: number): boolean {
+  private refuse(entry: QueueEntry<T, R>, refusal: AdmissionRefusal, now: number): boolean {
     // An entry that was never admitted may have an invalid priority.
     if (!this.lines[rankOf(entry)]?.remove(entry)) return false;
     this.count(entry, -1, now);
@@ -258,7 +294,7 @@
     return true;
   }
 
-  private count(entry: QueueEntry<T>, by: number, now: number): void {
+  private count(entry: QueueEntry<T, R>, by: number, now: number): void {
     const { caller } = entry.request;
     const count = (this.waitingByCaller.get(caller) ?? 0) + by;
     if (count > 0) this.waitingByCaller.set(caller, count);
@@ -267,24 +303,24 @@
     this.rate.setBacklogged(this.waiting > 0, now);
   }
 
-  private first(): QueueEntry<T> | undefined {
-    return this.lines.findLast((queue) => queue.size > 0)?.first();
+  private firstEntry(now: number): QueueEntry<T, R> | undefined {
+    return this.lines.findLast((queue) => queue.size > 0)?.first(now);
   }
 
-  private countAhead(entry: QueueEntry<T>): number {
+  private countAhead(entry: QueueEntry<T, R>, now: number): number {
     const higher = this.lines.slice(rankOf(entry) + 1).reduce((sum, queue) => sum + queue.size, 0);
-    return higher + this.queueOf(entry).countAhead(entry);
+    return higher + this.queueOf(entry).countAhead(entry, now);
   }
 
-  private queueOf(entry: QueueEntry<T>): FairQueue<T> {
+  private queueOf(entry: QueueEntry<T, R>): FairQueue<T, R> {
     return this.lines[rankOf(entry)];
   }
 
-  private entries(): QueueEntry<T>[] {
+  private entries(): QueueEntry<T, R>[] {
     return this.lines.flatMap((queue) => queue.entries());
   }
 
-  private serviceMs(entry: QueueEntry<T>): number {
+  private serviceMs(entry: QueueEntry<T, R>): number {
     return entry.request.serviceMs ?? this.rate.serviceMs ?? 0;
   }
 
@@ -292,7 +328,7 @@
    * Service time with a margin for slow answers. New entries are checked with the margin, waiting
    * ones with the mean, so that noise does not refuse an entry just after its admission.
    */
-  private conservativeServiceMs(entry: QueueEntry<T>): number {
+  private conservativeServiceMs(entry: QueueEntry<T, R>): number {
     const meanMs = this.serviceMs(entry);
     if (entry.request.serviceMs !== undefined) return meanMs;
     const availableMs = entry.request.deadline - entry.enqueuedAt;
@@ -302,7 +338,7 @@
     );
   }
 
-  private tooLateRefusal(entry: QueueEntry<T>, waitMs: number, now: number): AdmissionRefusal {
+  private tooLateRefusal(entry: QueueEntry<T, R>, waitMs: number, now: number): AdmissionRefusal {
     const allowedMs = entry.request.deadline - entry.enqueuedAt - this.conservativeServiceMs(entry);
     // One more interval, because the backlog shrinks by whole entries.
     const step = this.rate.intervalMs(this.running, now) ?? 0;
--- a/packages/request/admission/src/request.ts
+++ b/packages/request/admission/src/request.ts
@@ -7,6 +7,12 @@
   readonly priority: number;
   /** Time by which the answer must be complete, in ms since the epoch. */
   readonly deadline: number;
+  /**
+   * Time up to which a grant still meets the time to the first byte that is aimed at, in ms since the
+   * epoch. Entries past it are served after those of the same caller and priority that can meet
+   * theirs. Default: none.
+   */
+  readonly target?: number;
   /** Work of the request relative to others in the queue; default 1. */
   readonly cost?: number;
   /**
--- a/packages/request/forward/src/client-request.ts
+++ b/packages/request/forward/src/client-request.ts
@@ -3,6 +3,7 @@
 import type { Route } from '@currantdrift/routes';
 import type { Authorized } from './authorizer';
 import type { RequestFields } from './endpoint-protocol';
+import type { RequestTimes } from './request-times';
 
 /** A client's request with its route and its complete body. */
 export interface ClientRequest {
@@ -25,6 +26,8 @@
   readonly deadline: number;
   /** Deadline of the first byte: clients abandon a stream that stays silent for too long. */
   readonly firstByteDeadline: number;
+  /** Where its time goes, for its log line. */
+  readonly times: RequestTimes;
 }
 
 /** Deadline of the complete answer: the client's deadline or the route's timeout, whichever is first. */
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,43 +1,28 @@
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
-import type { PermitSource } from '@currantdrift/rate-limit';
-import type { Reservation } from '@currantdrift/routing';
+import type { RoomDemand } from '@currantdrift/routing';
+import { notQueued, type RoomLevel } from './admission-control';
 import type { ClientRequest } from './client-request';
+import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import type { ForwardContext } from './forward-context';
 import { PermitWait } from './permit-wait';
+import { WaitPart } from './request-times';
 import type { StreamPosition } from './send';
 
-/** The endpoint that was selected for a request. */
-export interface SelectedEndpoint {
-  readonly kind: 'selected';
-  readonly record: EndpointRecord;
-  readonly place: Reservation;
-  readonly candidates: number;
-  /** Who permitted the request and after which wait, in ms, if the endpoint limits its requests. */
-  readonly permit?: { readonly source: PermitSource; readonly waitedMs: number };
-}
-
 const promptReason = 'the prompt contains parts that crash engines';
 const requestReason = 'the request crashes engines';
 const versionReason = 'no endpoint of the software version that began the stream can go on with it';
 
-/** Why no endpoint was selected. */
-export interface NoEndpoint {
-  readonly kind: 'refused' | 'expired' | 'gone';
-  readonly reason: string;
-  /** Status of the refusal, if it is not the usual one. */
-  readonly status?: number;
-  /** Time after which a retry by the client may succeed, in ms. */
-  readonly retryAfterMs: number;
-}
-
 /**
  * Selects an endpoint for a request. A request for a model that no engine holds waits for the
  * controller to load it, as long as the controller expects the model to be ready in time.
  */
 export class EndpointSelector {
-  /** Whether the last search found only endpoints with too many prompt tokens waiting for prefill. */
-  private isPrefillLimited = false;
+  /**
+   * Whether the last search found only endpoints without room: with too many prompt tokens waiting for
+   * prefill, or full where the deployment has admission control.
+   */
+  private hasNoRoom = false;
 
   /** Whether the last search found only endpoints of a version at which no stream may begin yet. */
   private isSettling = false;
@@ -74,11 +59,11 @@
       const now = clock.now();
       const ended = this.checkEnd(tried, now);
       if (ended !== undefined) return ended;
-      const selected = this.tryReserve(tried, now);
+      const selected = await this.reserveOrQueue(tried, now);
       if (selected !== undefined) return selected;
       if (this.pauseEndsAt !== undefined) return this.refuseDuringPause(this.pauseEndsAt, now);
       if (this.context.stopping.aborted) return this.refuseDuringStop();
-      if (this.isPrefillLimited) {
+      if (this.hasNoRoom) {
         await clock.sleep(settings.prefillPollMs, this.gone);
         continue;
       }
@@ -94,14 +79,20 @@
       }
       if (now >= nextRequestAt) {
         const refusal = await this.requestLoad(clock.now());
+        this.addLoadWait(now);
         if (refusal !== undefined) return refusal;
         nextRequestAt = clock.now() + settings.loadRequestIntervalMs;
         continue;
       }
       await this.awaitChange(nextRequestAt);
+      this.addLoadWait(now);
     }
   }
 
+  private addLoadWait(since: number): void {
+    this.request.times.addWait(WaitPart.load, this.context.clock.now() - since);
+  }
+
   /** Why the request has ended before an endpoint was selected; undefined if it has not. */
   private checkEnd(tried: ReadonlySet<string>, now: number): NoEndpoint | undefined {
     const { settings } = this.context;
@@ -146,8 +137,35 @@
     return { kind: 'refused', reason, retryAfterMs: quarantine.leftMs };
   }
 
+  /** Reserves a place; with admission control, once it is the request's turn and there is room. */
+  private async reserveOrQueue(
+    tried: ReadonlySet<string>,
+    now: number,
+  ): Promise<SelectedEndpoint | NoEndpoint | undefined> {
+    const { admission, stopping } = this.context;
+    if (!admission.isEnabled) return this.tryReserve(tried, now, 'any');
+    const tooLarge = admission.checkFit(this.reachableEndpoints(now), this.demand(now));
+    if (tooLarge !== undefined) return tooLarge;
+    const attempt = (at: number, level: RoomLevel) => this.attempt(tried, at, level);
+    return admission.admit(this.request, attempt, tried.size > 0, [this.gone, stopping]);
+  }
+
+  private attempt(
+    tried: ReadonlySet<string>,
+    now: number,
+    level: RoomLevel,
+  ): SelectedEndpoint | typeof notQueued | undefined {
+    if (this.checkEnd(tried, now) !== undefined) return notQueued;
+    const selected = this.tryReserve(tried, now, level);
+    return selected === undefined && !this.hasNoRoom ? notQueued : selected;
+  }
+
   /** Reserves a place at an endpoint that does not limit its requests. */
-  private tryReserve(tried: ReadonlySet<string>, now: number): SelectedEndpoint | undefined {
+  private tryReserve(
+    tried: ReadonlySet<string>,
+    now: number,
+    level: RoomLevel,
+  ): SelectedEndpoint | undefined {
     const { directory } = this.context;
     const reachable = this.reachableEndpoints(now);
     this.isSettling = reachable.length === 0 && this.hasSettlingEndpoint(now);
@@ -156,12 +174,29 @@
     const allPause = reachable.length > 0 && notPaused.length === 0;
     this.pauseEndsAt = allPause ? Math.min(...pauseEnds) : undefined;
     const unlimited = notPaused.filter((record) => directory.limits.rate(record) === undefined);
-    const records = EndpointSelector.preferUntried(unlimited, tried);
+    const records = EndpointSelector.preferUntried(this.withRoom(unlimited, level, now), tried);
     const selected = this.reserve(records, this.prefillLimit(now), now);
-    this.isPrefillLimited = selected === undefined && records.length > 0;
+    this.hasNoRoom = selected === undefined && unlimited.length > 0;
     return selected;
   }
 
+  private withRoom(
+    records: readonly EndpointRecord[],
+    level: RoomLevel,
+    now: number,
+  ): readonly EndpointRecord[] {
+    const { admission } = this.context;
+    return admission.isEnabled
+      ? admission.withRoom(records, this.demand(now), level, now)
+      : records;
+  }
+
+  private demand(now: number): RoomDemand {
+    const { promptTokens, maxNewTokens } = this.request.fields;
+    const tokens = promptTokens + maxNewTokens;
+    return { tokens, promptTokens, maxUnreadTokens: this.prefillLimit(now) };
+  }
+
   /** Endpoints that can serve the request, or go on with its stream. */
   private usableEndpoints(now: number): EndpointRecord[] {
     const { softwareVersion } = this.position;
@@ -212,7 +247,7 @@
     maxUnreadTokens: number,
     now: number,
   ): SelectedEndpoint | undefined {
-    const { directory, balancer, roundTripMs } = this.context;
+    const { directory, balancer, roundTripMs, admission } = this.context;
     const candidates = records.map(({ id, bornAt, slots, domain }) => ({
       id,
       bornAt,
@@ -223,7 +258,12 @@
     const place = balancer.reserve(candidates, promptTokens, maxUnreadTokens, now);
     const record = place && directory.get(place.endpoint);
     if (place === undefined || record === undefined) return undefined;
-    return { kind: 'selected', record, place, candidates: candidates.length };
+    return {
+      kind: 'selected',
+      record,
+      place: admission.isEnabled ? admission.hold(record, this.demand(now), place) : place,
+      candidates: candidates.length,
+    };
   }
 
   /**
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -6,6 +6,7 @@
 import type { CrashWatch } from '@currantdrift/quarantine';
 import type { RequestPermits } from '@currantdrift/rate-limit';
 import type { PredictiveBalancer } from '@currantdrift/routing';
+import type { AdmissionControl } from './admission-control';
 import type { Authorizer } from './authorizer';
 import type { EndpointProtocol } from './endpoint-protocol';
 import type { EndpointSignals } from './endpoint-signals';
@@ -26,6 +27,8 @@
   readonly directory: EndpointDirectory;
   readonly signals: EndpointSignals;
   readonly balancer: PredictiveBalancer;
+  /** Queues of requests for which no endpoint has room. */
+  readonly admission: AdmissionControl;
   readonly usage: ModelUsage;
   /** Permits for requests to endpoints that limit their requests. */
   readonly permits: RequestPermits;
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -6,6 +6,7 @@
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
+import { RequestTimes } from './request-times';
 
 const httpStatus = { timeout: 408, tooLarge: 413, unavailable: 503 } as const;
 
@@ -45,15 +46,17 @@
     this.unsent.add(client);
     client.onClose(() => this.unsent.delete(client));
     const fields = this.context.protocol.requestFields(request.headers);
-    const result = await this.serve(client, fields, arrivedAt);
+    const times = RequestTimes.create(arrivedAt);
+    const result = await this.serve(client, fields, arrivedAt, times);
     this.openCount -= 1;
-    this.report(client, fields, result, arrivedAt);
+    this.report(client, fields, result, arrivedAt, times);
   }
 
   private async serve(
     client: ClientExchange,
     fields: RequestFields | undefined,
     arrivedAt: number,
+    times: RequestTimes,
   ): Promise<ForwardResult> {
     const configuration = this.context.configuration();
     if (configuration === undefined) {
@@ -95,6 +98,7 @@
       arrivedAt,
       deadline,
       firstByteDeadline: Math.min(deadline, arrivedAt + (route.clientTimeoutMs ?? Infinity)),
+      times: times.describe(authorized.value.customer, route),
     };
     this.context.budget(service).deposit(arrivedAt);
     return ForwardRun.create(this.context, clientRequest, client).run();
@@ -160,6 +164,7 @@
     fields: RequestFields | undefined,
     result: ForwardResult,
     arrivedAt: number,
+    times: RequestTimes,
   ): void {
     const { telemetry, clock } = this.context;
     const now = clock.now();
@@ -168,6 +173,9 @@
     telemetry.observe('currantdrift_forward_seconds', elapsedMs / 1000, {
       outcome: result.outcome,
     });
+    times.parts.forEach(([part, ms]) =>
+      telemetry.observe('currantdrift_request_wait_seconds', ms / 1000, { part }),
+    );
     telemetry.log('request', {
       id: fields?.id,
       authority: client.request.headers.host,
@@ -182,6 +190,7 @@
       status: result.status,
       reason: result.reason === '' ? undefined : result.reason,
       elapsedMs: Math.round(elapsedMs),
+      ...times.fields,
     });
   }
 }
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -1,3 +1,10 @@
+export {
+  AdmissionControl,
+  type AdmissionControlOptions,
+  notQueued,
+  type ReserveAttempt,
+  type RoomLevel,
+} from './admission-control';
 export {
   Authorizer,
   type Authorized,
@@ -11,6 +18,7 @@
   ReportedLoad,
   RequestFields,
 } from './endpoint-protocol';
+export type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 export { EndpointSignals, type EndpointSignalsOptions } from './endpoint-signals';
 export { EventSplitter } from './event-splitter';
 export type { ForwardContext } from './forward-context';
@@ -22,6 +30,7 @@
   ModelUsage,
   type UsageReport,
 } from './model-usage';
+export { RequestTimes, WaitPart } from './request-times';
 export { isIdempotent, isRetryAllowed, type SendCounts, SendFailure } from './retry';
 export { RetrySpread } from './retry-spread';
 export type { BegunStream, StreamVersions } from './stream-versions';
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -3,7 +3,7 @@
 import { RequestKind } from '@currantdrift/routes';
 import type { ClientExchange } from './client-exchange';
 import type { ClientRequest } from './client-request';
-import type { SelectedEndpoint } from './endpoint-selector';
+import type { SelectedEndpoint } from './endpoint-selection';
 import { EventSplitter } from './event-splitter';
 import type { ForwardContext } from './forward-context';
 import { SendFailure } from './retry';
@@ -177,6 +177,7 @@
         reason: `status ${status} instead of the remaining stream`,
       };
     }
+    this.request.times.recordFirstByte(this.context.clock.now());
     if (endsWithConnection(answer)) await this.client.answerUnmarked(status, held.headers, body);
     else this.client.answer(status, held.headers, body);
     return { kind: 'delivered', status };
@@ -234,6 +235,7 @@
   private begin(answer: OpenAnswer): void {
     if (this.position.hasBegun) return;
     this.position.hasBegun = true;
+    this.request.times.recordFirstByte(this.context.clock.now());
     this.position.softwareVersion = this.selected.record.softwareVersion;
     const headers = this.context.protocol.responseHeaders(answer.headers);
     this.client.begin(answer.status, headers);
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,6 +1,12 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
 import { type AddressInfo, connect, createServer as createTcpServer, type Socket } from 'node:net';
-import { SeededRandom, NoopTelemetry, MonotonicClock, type WakeRefusal } from '@currantdrift/core';
+import {
+  type Clock,
+  SeededRandom,
+  NoopTelemetry,
+  MonotonicClock,
+  type WakeRefusal,
+} from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
 import { endpointRecord } from '@currantdrift/fakes';
 import {
@@ -18,9 +24,10 @@
 } from '@currantdrift/routes';
 import { CrashLedger, type CrashReport, CrashWatch, EngineState } from '@currantdrift/quarantine';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
-import { PredictiveBalancer } from '@currantdrift/routing';
+import { EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
 import {
+  AdmissionControl,
   Authorizer,
   type BegunStream,
   defaultForwardSettings,
@@ -215,6 +222,9 @@
   /** Replaces the configuration's customers. */
   customers: CustomerTable | undefined;
 
+  /** Whether requests wait while all endpoints are full. */
+  limitsRoom = false;
+
   /** Time since the configuration was last known to be current, in ms. */
   configurationAgeMs = 0;
 
@@ -377,7 +387,9 @@
       publishCleared: () => {},
       members: () => 1,
     });
+    const retrySpread = RetrySpread.create(defaultForwardSettings, random);
     return Forwarder.create({
+      admission: this.admissionControl(clock, retrySpread),
       streamVersions: {
         record: (stream) => this.begunStreams.push(stream),
         find: async (attempt) => this.streamVersions.get(attempt ?? ''),
@@ -401,7 +413,7 @@
       balancer: PredictiveBalancer.create(SeededRandom.create(1), () => 1),
       usage: ModelUsage.create(),
       waker,
-      retrySpread: RetrySpread.create(defaultForwardSettings, random),
+      retrySpread,
       stopping: this.closing.signal,
       closing: this.closing.signal,
       authorizer: Authorizer.create({
@@ -423,4 +435,19 @@
       roundTripMs: () => 1,
     });
   }
+
+  private admissionControl(clock: Clock, retrySpread: RetrySpread): AdmissionControl {
+    const isLimited = () => this.limitsRoom;
+    return AdmissionControl.create({
+      get limitsRoom() {
+        return isLimited();
+      },
+      clock,
+      telemetry: NoopTelemetry.create(),
+      directory: this.directory,
+      rooms: EndpointRooms.create(() => 1),
+      retrySpread,
+      configuration: () => this.configuration(),
+    });
+  }
 }
--- a/packages/request/routing/src/index.ts
+++ b/packages/request/routing/src/index.ts
@@ -1,5 +1,12 @@
 export { Balancer, type BalancerOptions, type EndpointStatus, type RouteRequest } from './balancer';
 export { type DomainCandidate, type DomainOption, orderDomains } from './domain-order';
+export {
+  type EndpointCapacity,
+  EndpointRooms,
+  type RoomDemand,
+  type RoomHold,
+  RoomState,
+} from './endpoint-room';
 export type { Lease, NoEndpoint, LeaseOutcome } from './lease';
 export { PrefixIndex } from './prefix-index';
 export { type BalancerSettings, defaultBalancerSettings } from './settings';
