--- a/packages/request/admission/src/caller-queue.ts
+++ b/packages/request/admission/src/caller-queue.ts
@@ -83,10 +83,6 @@
     return count === 0 ? 0 : (this.cost * count) / this.size;
   }
 
-  entries(): QueueEntry<T, R>[] {
-    return [...this.onTime.all, ...this.late.all];
-  }
-
   /** Moves each entry at most once, so that its cost per entry does not grow with the queue. */
   private moveLate(now: number): void {
     for (
--- a/packages/request/admission/src/fair-queue.ts
+++ b/packages/request/admission/src/fair-queue.ts
@@ -92,10 +92,6 @@
     return longest?.last();
   }
 
-  entries(): QueueEntry<T, R>[] {
-    return [...this.callerQueues.values()].flatMap((callerQueue) => callerQueue.entries());
-  }
-
   /** Number of waiting entries of `caller` per unit of `weight`. */
   backlogPerWeight(caller: string, weight: number): number {
     return (this.callerQueues.get(caller)?.size ?? 0) / weight;
--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -16,12 +16,9 @@
 /** Largest share of a request's time that the margin for slow answers may take from its wait. */
 const maxMarginShare = 0.75;
 
-/** Shortest time between two checks of all waiting entries for late ones, in ms. */
+/** Shortest time between two checks of waiting entries for late ones, in ms. */
 const reviewIntervalMs = 50;
 
-/** Maximum number of entries in one such check. */
-const reviewSize = 256;
-
 /**
  * Acquires capacity for the request at the head of the queue, for example a lease on an endpoint.
  * Undefined if no capacity is free.
@@ -75,8 +72,10 @@
 
   private reviewedAt = -Infinity;
 
-  /** Index of the entry with which the next review begins. */
-  private reviewPosition = 0;
+  /** All waiting entries in order of arrival, and those of them whose review is due. */
+  private readonly all = new Set<QueueEntry<T, R>>();
+
+  private reviewed = this.all.values();
 
   private closed = false;
 
@@ -134,7 +133,8 @@
     const entry: QueueEntry<T, R> = { request, enqueuedAt: now, sequence: this.sequence, settle };
     const refusal = this.admit(entry, now);
     if (refusal !== undefined) settle(err(refusal));
-    else this.pump(now);
+    // Behind others it changes nothing for those ahead, whose attempts cost the most.
+    else if (this.firstEntry(now) === entry) this.pump(now);
     return {
       result,
       cancel: (at) =>
@@ -171,7 +171,7 @@
   /** Refuses all waiting and all later requests. */
   close(now: number): void {
     this.closed = true;
-    this.entries().forEach((entry) => this.refuse(entry, this.closedRefusal(), now));
+    [...this.all].forEach((entry) => this.refuse(entry, this.closedRefusal(), now));
   }
 
   private admit(entry: QueueEntry<T, R>, now: number): AdmissionRefusal | undefined {
@@ -194,6 +194,7 @@
       return this.fullRefusal('queue_full', 'too many requests are waiting', now);
     }
     this.queueOf(entry).add(entry, now);
+    this.all.add(entry);
     this.count(entry, 1, now);
     return undefined;
   }
@@ -235,10 +236,16 @@
 
   /** Entries are reviewed in turn, so that the cost of a review does not grow with the queue. */
   private nextToReview(): QueueEntry<T, R>[] {
-    const entries = this.entries();
-    const from = this.reviewPosition < entries.length ? this.reviewPosition : 0;
-    this.reviewPosition = from + reviewSize;
-    return entries.slice(from, this.reviewPosition);
+    const entries: QueueEntry<T, R>[] = [];
+    while (entries.length < this.settings.reviewSize) {
+      const next = this.reviewed.next();
+      if (next.done === true) {
+        this.reviewed = this.all.values();
+        break;
+      }
+      entries.push(next.value);
+    }
+    return entries;
   }
 
   /**
@@ -270,6 +277,7 @@
 
   private grant(entry: QueueEntry<T, R>, value: T, now: number): void {
     this.queueOf(entry).dequeue(now);
+    this.all.delete(entry);
     // An entry that was granted without waiting says nothing about the rate under backlog.
     if (entry.enqueuedAt < now) this.rate.countGrant(now);
     this.count(entry, -1, now);
@@ -289,6 +297,7 @@
   private refuse(entry: QueueEntry<T, R>, refusal: AdmissionRefusal, now: number): boolean {
     // An entry that was never admitted may have an invalid priority.
     if (!this.lines[rankOf(entry)]?.remove(entry)) return false;
+    this.all.delete(entry);
     this.count(entry, -1, now);
     entry.settle(err(refusal));
     return true;
@@ -316,10 +325,6 @@
     return this.lines[rankOf(entry)];
   }
 
-  private entries(): QueueEntry<T, R>[] {
-    return this.lines.flatMap((queue) => queue.entries());
-  }
-
   private serviceMs(entry: QueueEntry<T, R>): number {
     return entry.request.serviceMs ?? this.rate.serviceMs ?? 0;
   }
--- a/packages/request/admission/src/settings.ts
+++ b/packages/request/admission/src/settings.ts
@@ -6,6 +6,8 @@
   readonly maxPerCaller: number;
   /** Refuse if the estimated wait exceeds the time left. Disabled only to test this protection. */
   readonly earlyRefusal: boolean;
+  /** Waiting entries that are checked at once for those that can no longer be served in time. */
+  readonly reviewSize: number;
   /** Time constant of the measured rates, in ms. */
   readonly rateTimeConstantMs: number;
   /** Shortest `retryAfterMs` of a refusal, and its value while the rate is unknown. */
@@ -19,6 +21,7 @@
   maxWaiting: 256,
   maxPerCaller: 64,
   earlyRefusal: true,
+  reviewSize: 256,
   rateTimeConstantMs: 5_000,
   minRetryAfterMs: 50,
   defaultRetryAfterMs: 1_000,
--- a/packages/request/admission/test/queue.test.ts
+++ b/packages/request/admission/test/queue.test.ts
@@ -46,6 +46,46 @@
   expect(pool.granted).toMatchSnapshot();
 });
 
+// Guards against requests that can no longer meet their target delaying those that can.
+test('serves those that can meet their target first, by target, then the others by deadline', () => {
+  const { pool, queue } = setUp();
+  const granted: string[] = [];
+  const enqueue = (name: string, target: number, deadline: number) => {
+    queue
+      .enqueue(request('a', { target, deadline }), 0)
+      .result.then(() => granted.push(name))
+      .catch(() => {});
+  };
+  enqueue('late, second', 40, 9_000);
+  enqueue('late, first', 50, 8_000);
+  enqueue('on time, second', 900, 7_000);
+  enqueue('on time, first', 800, 9_500);
+  pool.free = 10;
+  queue.pump(100);
+  return Promise.resolve().then(() =>
+    expect(granted).toEqual(['on time, first', 'on time, second', 'late, first', 'late, second']),
+  );
+});
+
+// Guards against capacity that several queues can use going to the less urgent request.
+test('capacity that several queues can use goes to the most urgent request', () => {
+  let free = 0;
+  const granted: string[] = [];
+  const queues = AdmissionQueues.create<string>((key) => {
+    if (free === 0) return undefined;
+    free -= 1;
+    granted.push(key);
+    return key;
+  });
+  queues.enqueue('m1', request('a', { priority: 5 }), 0);
+  queues.enqueue('m2', request('a', { priority: 9 }), 0);
+  queues.enqueue('m2', request('a', { priority: 3 }), 0);
+  queues.enqueue('m3', request('a', { priority: 9 }), 0);
+  free = 3;
+  queues.pumpSome(['m1', 'm2', 'absent'], 1);
+  expect(granted).toEqual(['m2', 'm1', 'm2']);
+});
+
 // Guards against one caller that fills the queue, and against refusals without a retry time.
 test('limits each caller, and evicts from the longest backlog when the queue is full', async () => {
   const { queue } = setUp({ maxWaiting: 4, maxPerCaller: 3 });
--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -21,8 +21,9 @@
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import type { RetrySpread } from './retry-spread';
 import { WaitPart } from './request-times';
+import { ServiceHistory } from './service-history';
 
-/** Shortest time between two reviews of all queues, and the time between them without any event, in ms. */
+/** Shortest time between two reviews of all queues, and the time without an event to the next, in ms. */
 const minReviewIntervalMs = 15;
 const reviewIntervalMs = 50;
 
@@ -30,6 +31,9 @@
 const maxWaitingInQueue = 2_000;
 const maxWaiting = 10_000;
 
+/** Requests of one queue that are checked in one review for those that have become too late. */
+const reviewSize = 16;
+
 /** Time for which a request is held back from endpoints whose present load is not known, in ms. */
 const unknownLoadHoldMs = 100;
 
@@ -39,10 +43,19 @@
  */
 const holdShare = 0.5;
 
-/** Weight of a new sample in the mean time to the first byte. */
-const sampleWeight = 0.05;
+/**
+ * Bounds of the requests that may wait at an endpoint when a request of the most urgent priority is
+ * sent, as a share of its slots. Between them, the wait that they cause is within the target. Endpoints
+ * order the requests of all members by urgency, which no single member can, and their queue keeps a slot
+ * that becomes free from idling until members hear of it.
+ */
+const minQueueShare = 0.25;
+const maxQueueShare = 1;
 
-/** Lowest urgency of requests, and the priority of the queue that the most urgent ones have. */
+/** Share of the slots that less urgent requests leave to more urgent ones of other members. */
+const reservedShare = 0.2;
+
+/** Priority in the queues of the most urgent requests, whose own priority is 0. */
 const maxPriority = 9;
 
 /** Name under which requests without a customer share the endpoints. */
@@ -69,11 +82,13 @@
 ) => SelectedEndpoint | typeof notQueued | undefined;
 
 interface QueuedRequest extends AdmissionRequest {
+  readonly request: ClientRequest;
   readonly enqueuedAt: number;
+  readonly target: number;
   readonly attempt: ReserveAttempt;
 }
 
-type Attempted = SelectedEndpoint | typeof notQueued;
+type Attempted = SelectedEndpoint | NoEndpoint | typeof notQueued;
 
 export interface AdmissionControlOptions {
   readonly clock: Clock;
@@ -99,8 +114,7 @@
 export class AdmissionControl {
   private readonly queues: AdmissionQueues<Attempted, QueuedRequest>;
 
-  /** Mean time to the first byte by service, in ms. */
-  private readonly firstByteMs = new Map<string, number>();
+  private readonly histories = new Map<string, ServiceHistory>();
 
   private waiting = 0;
 
@@ -113,7 +127,7 @@
   private constructor(private readonly options: AdmissionControlOptions) {
     this.queues = AdmissionQueues.create<Attempted, QueuedRequest>(
       (key, request, now) => this.attempt(key, request, now),
-      { maxWaiting: maxWaitingInQueue, maxPerCaller: maxWaitingInQueue },
+      { maxWaiting: maxWaitingInQueue, maxPerCaller: maxWaitingInQueue, reviewSize },
       // The release of the place that ends a grant serves the queues that can use it.
       () => {},
     );
@@ -129,6 +143,18 @@
     return limitsRoom || configuration()?.customers?.isEmpty === false;
   }
 
+  /** Number of requests that wait for room. */
+  get waitingRequests(): number {
+    return this.waiting;
+  }
+
+  /** What the request needs of an endpoint; it waits there for at most a part of its time. */
+  demandOf(request: ClientRequest, maxUnreadTokens: number, now: number): RoomDemand {
+    const { promptTokens, maxNewTokens } = request.fields;
+    const tokens = promptTokens + maxNewTokens;
+    return { tokens, promptTokens, maxUnreadTokens, queueShare: this.queueShare(request, now) };
+  }
+
   /** Endpoints of `records` that the request may be sent to. */
   withRoom(
     records: readonly EndpointRecord[],
@@ -145,12 +171,14 @@
   /** Takes room at the endpoint of a reservation until its release. */
   hold(record: EndpointRecord, demand: RoomDemand, place: Reservation): Reservation {
     const hold = this.options.rooms.hold(this.capacityOf(record), demand);
+    const history = this.historyOf(record.service);
+    const startedAt = this.options.clock.now();
     return {
       ...place,
       observeFirstByte: (elapsedMs) => {
         place.observeFirstByte(elapsedMs);
         hold.markPromptRead();
-        this.observeFirstByte(record.service, elapsedMs);
+        history.observeFirstByte(elapsedMs);
         this.serveWaiting(record);
       },
       observeLoad: (running, waiting, now) => {
@@ -161,6 +189,7 @@
       release: (end, now) => {
         place.release(end, now);
         hold.release();
+        if (end === 'served') history.observeAnswer(now - startedAt);
         this.serveWaiting(record);
       },
     };
@@ -194,14 +223,16 @@
   ): Promise<SelectedEndpoint | NoEndpoint | undefined> {
     const now = this.options.clock.now();
     if (this.waiting >= maxWaiting && !isRetry) return this.refuseWhenFull(request);
+    this.historyOf(request.service).observePriority(request.priority, now);
     const key = AdmissionControl.keyOf(request.service, request.fields.model);
     const queued = this.queuedRequest(key, request, attempt, isRetry, now);
     const ticket = this.queues.enqueue(key, queued, now);
     this.startReviews();
     const result = await this.settled(ticket, signals);
-    request.times.addWait(WaitPart.queue, this.options.clock.now() - now);
+    const endedAt = this.options.clock.now();
+    request.times.addWait(WaitPart.queue, endedAt - now);
     if (result.isErr()) return this.refusalOf(request, result.error);
-    return AdmissionControl.withGrant(result.value);
+    return AdmissionControl.withGrant(result.value, endedAt);
   }
 
   /** Serves all queues: at once, or as soon as the shortest time between two reviews has passed. */
@@ -236,7 +267,7 @@
       await clock.sleep(minReviewIntervalMs);
       await clock.sleep(reviewIntervalMs - minReviewIntervalMs, this.reviewNow.signal);
       this.review();
-      telemetry.gauge('currantdrift_admission_waiting', this.queues.waiting);
+      telemetry.gauge('currantdrift_admission_waiting', this.waiting);
     }
   }
 
@@ -249,18 +280,39 @@
     this.queues.pumpSome(keys, now);
   }
 
-  private attempt(key: string, request: QueuedRequest, now: number): Attempted | undefined {
-    return request.attempt(now, this.levelOf(key, request, now));
+  private attempt(key: string, queued: QueuedRequest, now: number): Attempted | undefined {
+    const attempted = queued.attempt(now, this.levelOf(key, queued, now));
+    if (attempted !== undefined || !this.isHopeless(key, queued, now)) return attempted;
+    const message = 'all endpoints are full';
+    const retryAfterMs = this.historyOf(queued.request.service).answerMs;
+    return this.refusalOf(queued.request, { kind: 'too_late', message, retryAfterMs });
   }
 
-  private levelOf(key: string, request: QueuedRequest, now: number): RoomLevel {
-    const { enqueuedAt, target = Infinity } = request;
-    const isWaitKnown = (this.queues.queue(key)?.status(now).waitMs ?? 0) > 0;
+  private levelOf(key: string, queued: QueuedRequest, now: number): RoomLevel {
+    const { enqueuedAt, target, request } = queued;
     const heldUntil = enqueuedAt + Math.max(0, target - enqueuedAt) * holdShare;
-    if (!isWaitKnown && now >= heldUntil && now > enqueuedAt) return 'any';
+    const isHeldLong = now > enqueuedAt && now >= heldUntil;
+    if (isHeldLong && !this.isWaitKnown(key, now) && this.isMostUrgent(request, now)) return 'any';
     return now >= enqueuedAt + unknownLoadHoldMs ? 'unknown' : 'free';
   }
 
+  /**
+   * Whether a request has missed its target as the endpoints were full all the time, without any of this
+   * member's requests from whose end a wait could be estimated.
+   */
+  private isHopeless(key: string, { enqueuedAt, target, request }: QueuedRequest, now: number) {
+    const isMissed = now > enqueuedAt && now > target;
+    return isMissed && !this.isWaitKnown(key, now) && !this.isMostUrgent(request, now);
+  }
+
+  private isWaitKnown(key: string, now: number): boolean {
+    return (this.queues.queue(key)?.status(now).waitMs ?? 0) > 0;
+  }
+
+  private isMostUrgent({ service, priority }: ClientRequest, now: number): boolean {
+    return this.historyOf(service).isMostUrgent(priority, now);
+  }
+
   private queuedRequest(
     key: string,
     request: ClientRequest,
@@ -270,7 +322,7 @@
   ): QueuedRequest {
     const { service, route, arrivedAt, deadline, firstByteDeadline, authorized } = request;
     const serviceMs = this.queues.queue(key)?.meanServiceMs ?? 0;
-    const firstByteMs = this.firstByteMs.get(service) ?? 0;
+    const { firstByteMs } = this.historyOf(service);
     const isFirstByteSooner = firstByteDeadline - firstByteMs < deadline - serviceMs;
     return {
       caller: authorized.customer?.name ?? anonymousCaller,
@@ -281,6 +333,7 @@
         : { deadline }),
       target: arrivedAt + route.firstByteTargetMs - firstByteMs,
       isRetry,
+      request,
       enqueuedAt: now,
       attempt,
     };
@@ -301,11 +354,14 @@
   }
 
   /** The endpoint of a grant, which ends with the release of the place there. */
-  private static withGrant(grant: Grant<Attempted>): SelectedEndpoint | undefined {
+  private static withGrant(
+    grant: Grant<Attempted>,
+    grantedAt: number,
+  ): SelectedEndpoint | NoEndpoint | undefined {
     const { value, finish } = grant;
-    if (value === notQueued) {
-      finish(false, 0);
-      return undefined;
+    if (value === notQueued || value.kind !== 'selected') {
+      finish(false, grantedAt);
+      return value === notQueued ? undefined : value;
     }
     const { place } = value;
     return {
@@ -339,9 +395,19 @@
     return { kind: 'refused', reason: message, retryAfterMs: spreadMs };
   }
 
-  private observeFirstByte(service: string, elapsedMs: number): void {
-    const mean = this.firstByteMs.get(service) ?? elapsedMs;
-    this.firstByteMs.set(service, mean + (elapsedMs - mean) * sampleWeight);
+  private queueShare({ service, priority, route }: ClientRequest, now: number): number {
+    const history = this.historyOf(service);
+    if (!history.isMostUrgent(priority, now)) return -reservedShare;
+    const share = route.firstByteTargetMs / Math.max(1, history.answerMs);
+    return Math.min(maxQueueShare, Math.max(minQueueShare, share));
+  }
+
+  private historyOf(service: string): ServiceHistory {
+    const found = this.histories.get(service);
+    if (found !== undefined) return found;
+    const history = ServiceHistory.create();
+    this.histories.set(service, history);
+    return history;
   }
 
   private capacityOf({ id, bornAt, slots, service }: EndpointRecord): EndpointCapacity {
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -192,9 +192,7 @@
   }
 
   private demand(now: number): RoomDemand {
-    const { promptTokens, maxNewTokens } = this.request.fields;
-    const tokens = promptTokens + maxNewTokens;
-    return { tokens, promptTokens, maxUnreadTokens: this.prefillLimit(now) };
+    return this.context.admission.demandOf(this.request, this.prefillLimit(now), now);
   }
 
   /** Endpoints that can serve the request, or go on with its stream. */
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -11,6 +11,7 @@
   type AuthorizationRefusal,
   type ConfigurationCurrency,
 } from './authorizer';
+export type { ClientRequest } from './client-request';
 export type {
   EndpointProtocol,
   ForwardedIdentity,
--- a/packages/request/routing/src/endpoint-room.ts
+++ b/packages/request/routing/src/endpoint-room.ts
@@ -15,6 +15,11 @@
   /** Tokens of the prompt and of the longest answer that the request allows; 0 if unknown. */
   readonly tokens: number;
   readonly promptTokens: number;
+  /**
+   * Requests that may wait at the endpoint ahead of this one, as a share of its slots. A negative share
+   * leaves slots to other requests.
+   */
+  readonly queueShare: number;
   /** Prompt tokens of this process above which an endpoint gets no further prompt. */
   readonly maxUnreadTokens: number;
 }
@@ -45,12 +50,6 @@
 /** Age up to which a report of an endpoint's load counts, in ms. */
 const reportLifetimeMs = 1_000;
 
-/**
- * Requests that may wait at an endpoint, as a share of its slots. They keep a slot that becomes free
- * from idling until the members hear of it.
- */
-const queueShare = 0.25;
-
 /** Weight of a new sample in the mean of the tokens that a request needs. */
 const sampleWeight = 0.02;
 
@@ -94,11 +93,10 @@
     if (usedTokens + demand.tokens > cacheTokens) return RoomState.memoryFull;
     const unread = use.unreadTokens + demand.promptTokens;
     if (use.unreadTokens > 0 && unread > demand.maxUnreadTokens) return RoomState.prefillFull;
-    if (others === undefined) {
-      return use.inFlight < this.share(slots) ? RoomState.free : RoomState.unknown;
-    }
-    const places = slots + Math.ceil(slots * queueShare);
-    return use.inFlight + others < places ? RoomState.free : RoomState.slotsFull;
+    const places = slots + Math.ceil(slots * demand.queueShare);
+    if (use.inFlight + (others ?? 0) >= places) return RoomState.slotsFull;
+    const isKnown = others !== undefined || use.inFlight < this.share(slots);
+    return isKnown ? RoomState.free : RoomState.unknown;
   }
 
   /** Takes room at an endpoint, whether or not it has any. */
--- a/packages/tooling/bench/bin/bench.js
+++ b/packages/tooling/bench/bin/bench.js
@@ -2,7 +2,7 @@
 const { spawnSync } = require('node:child_process');
 const { existsSync, mkdirSync, readFileSync, writeFileSync } = require('node:fs');
 const { dirname, join } = require('node:path');
-const { measureRelay, slopeGroups } = require('../dist');
+const { measureAdmission, measureRelay, slopeGroups } = require('../dist');
 
 const resultFile = join(__dirname, '../results/slopes.json');
 
@@ -47,8 +47,9 @@
   if (name === '--group') await measureGroup(rest[0]);
   else if (name === 'slopes') measureSlopes(rest);
   else if (name === undefined || name === 'relay') console.table(await measureRelay());
+  else if (name === 'admission') console.table([await measureAdmission()]);
   else {
-    console.error(`there is no benchmark "${name}"; known: relay, slopes [group...]`);
+    console.error(`there is no benchmark "${name}"; known: relay, admission, slopes [group...]`);
     process.exitCode = 2;
   }
 };
--- a/packages/tooling/bench/src/index.ts
+++ b/packages/tooling/bench/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission-cost';
 export * from './capacity';
 export * from './fleet';
 export * from './process-usage';
--- a/packages/version/fleet/src/endpoint-directory.ts
+++ b/packages/version/fleet/src/endpoint-directory.ts
@@ -12,12 +12,22 @@
 /** Maximum number of endpoints whose pauses are remembered. */
 const maxPauses = 10_000;
 
+/** Maximum number of cached results of `replicas`; clients choose the names of models. */
+const maxReplicaSets = 1_000;
+
 interface KnownEndpoint {
   readonly record: EndpointRecord;
   readonly inventory?: Inventory;
   readonly inventoryAt: number;
 }
 
+/** Endpoints that hold a model, and the times between which this holds without a change. */
+interface ReplicaSet {
+  readonly records: readonly EndpointRecord[];
+  readonly from: number;
+  readonly until: number;
+}
+
 /** A pause that an endpoint asked this process for. */
 interface Pause {
   readonly bornAt: number;
@@ -39,6 +49,9 @@
 
   private readonly listeners = new Set<() => void>();
 
+  /** Results of `replicas` until the next change, since each attempt of a waiting request needs them. */
+  private readonly replicaCache = new Map<string, ReplicaSet>();
+
   private constructor() {}
 
   static create(): EndpointDirectory {
@@ -123,6 +136,7 @@
     const { record } = known;
     const inventory = { endpoint: id, bornAt: record.bornAt, models };
     this.endpoints.set(id, { ...known, inventory, inventoryAt: now });
+    this.replicaCache.clear();
   }
 
   get(id: string): EndpointRecord | undefined {
@@ -167,7 +181,23 @@
   ): EndpointRecord[] {
     const holds = ({ name, adapters }: LoadedModel) =>
       name === model && (adapter === undefined || adapters.includes(adapter));
-    return this.live(service).filter(({ id }) => this.models(id, now).some(holds));
+    const key = JSON.stringify([service, model, adapter]);
+    const cached = this.replicaCache.get(key);
+    if (cached !== undefined && now >= cached.from && now < cached.until)
+      return [...cached.records];
+    const records = this.live(service).filter(({ id }) => this.models(id, now).some(holds));
+    if (this.replicaCache.size >= maxReplicaSets) this.replicaCache.clear();
+    this.replicaCache.set(key, { records, from: now, until: this.nextExpiry(now) });
+    return [...records];
+  }
+
+  /** Time at which the first of the inventories in use lapses. */
+  private nextExpiry(now: number): number {
+    const ends = [...this.endpoints.values()].map(({ inventoryAt }) => inventoryAt);
+    return Math.min(
+      Infinity,
+      ...ends.map((at) => at + inventoryLifetimeMs).filter((at) => at > now),
+    );
   }
 
   /** Calls `listener` after each change; returns a function that unsubscribes it. */
@@ -183,6 +213,7 @@
   }
 
   private notify(): void {
+    this.replicaCache.clear();
     [...this.listeners].forEach((listener) => listener());
   }
 }
