--- a/packages/request/admission/src/admission-queues.ts
+++ b/packages/request/admission/src/admission-queues.ts
@@ -119,12 +119,15 @@
     queues: readonly AdmissionQueue<T, R>[],
     now: number,
   ): AdmissionQueue<T, R> {
-    return queues.reduce((best, queue) => {
-      const [a, b] = [queue.first(now), best.first(now)];
-      if (a === undefined || b === undefined) return a === undefined ? best : queue;
-      if (a.priority !== b.priority) return a.priority > b.priority ? queue : best;
-      return (a.target ?? a.deadline) < (b.target ?? b.deadline) ? queue : best;
-    });
+    return queues.reduce((best, queue) =>
+      AdmissionQueues.precedes(queue.first(now), best.first(now)) ? queue : best,
+    );
+  }
+
+  private static precedes(a?: AdmissionRequest, b?: AdmissionRequest): boolean {
+    if (a === undefined || b === undefined) return a !== undefined;
+    if (a.priority !== b.priority) return a.priority > b.priority;
+    return (a.target ?? a.deadline) < (b.target ?? b.deadline);
   }
 
   private prune(now: number): void {
--- a/packages/request/admission/src/fair-queue.ts
+++ b/packages/request/admission/src/fair-queue.ts
@@ -13,6 +13,9 @@
   /** Start tags, still ahead of virtual time, of callers without waiting entries. */
   private readonly departedStartTags = new Map<string, number>();
 
+  /** The caller to be served next; undefined after a change, until it is needed. */
+  private next: CallerQueue<T, R> | undefined;
+
   private virtualTime = 0;
 
   private count = 0;
@@ -37,6 +40,7 @@
     }
     callerQueue.weight = weight;
     callerQueue.add(entry, now);
+    this.next = undefined;
     this.count += 1;
   }
 
@@ -51,6 +55,7 @@
     if (callerQueue === undefined) return;
     this.virtualTime = callerQueue.startTag;
     callerQueue.shift(now);
+    this.next = undefined;
     this.count -= 1;
     this.removeIfEmpty(callerQueue);
   }
@@ -59,6 +64,7 @@
   remove(entry: QueueEntry<T, R>): boolean {
     const callerQueue = this.callerQueues.get(entry.request.caller);
     if (callerQueue === undefined || !callerQueue.remove(entry)) return false;
+    this.next = undefined;
     this.count -= 1;
     this.removeIfEmpty(callerQueue);
     return true;
@@ -102,10 +108,12 @@
   }
 
   private nextCaller(now: number): CallerQueue<T, R> | undefined {
+    if (this.next !== undefined) return this.next;
     let best: CallerQueue<T, R> | undefined;
     this.callerQueues.forEach((callerQueue) => {
       if (best === undefined || FairQueue.precedes(callerQueue, best, now)) best = callerQueue;
     });
+    this.next = best;
     return best;
   }
 
--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -208,8 +208,10 @@
     if (!this.settings.earlyRefusal || this.waiting === 0) return undefined;
     const interval = this.rate.intervalMs(this.running, now);
     if (interval === undefined) return undefined;
-    const waitMs = (this.countAhead(entry, now) + 1) * interval;
     const left = entry.request.deadline - now - serviceMs;
+    // At most all others are ahead; an exact count is not needed if even those leave enough time.
+    if ((this.waiting + 1) * interval <= left) return undefined;
+    const waitMs = (this.countAhead(entry, now) + 1) * interval;
     return waitMs > left ? this.tooLateRefusal(entry, waitMs, now) : undefined;
   }
 
@@ -317,8 +319,11 @@
   }
 
   private countAhead(entry: QueueEntry<T, R>, now: number): number {
-    const higher = this.lines.slice(rankOf(entry) + 1).reduce((sum, queue) => sum + queue.size, 0);
-    return higher + this.queueOf(entry).countAhead(entry, now);
+    let ahead = this.queueOf(entry).countAhead(entry, now);
+    for (let rank = rankOf(entry) + 1; rank < this.lines.length; rank += 1) {
+      ahead += this.lines[rank].size;
+    }
+    return ahead;
   }
 
   private queueOf(entry: QueueEntry<T, R>): FairQueue<T, R> {
--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -32,7 +32,7 @@
 const maxWaiting = 10_000;
 
 /** Requests of one queue that are checked in one review for those that have become too late. */
-const reviewSize = 16;
+const reviewSize = 8;
 
 /** Time for which a request is held back from endpoints whose present load is not known, in ms. */
 const unknownLoadHoldMs = 100;
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -196,7 +196,7 @@
   }
 
   /** Endpoints that can serve the request, or go on with its stream. */
-  private usableEndpoints(now: number): EndpointRecord[] {
+  private usableEndpoints(now: number): readonly EndpointRecord[] {
     const { softwareVersion } = this.position;
     const holders = this.holders(now);
     return softwareVersion === undefined
@@ -205,7 +205,7 @@
   }
 
   /** Endpoints that hold what the request needs. */
-  private holders(now: number): EndpointRecord[] {
+  private holders(now: number): readonly EndpointRecord[] {
     const { directory } = this.context;
     const { service, fields } = this.request;
     return fields.model === undefined
@@ -225,7 +225,7 @@
   }
 
   /** Usable endpoints that this process can reach. */
-  private reachableEndpoints(now: number): EndpointRecord[] {
+  private reachableEndpoints(now: number): readonly EndpointRecord[] {
     const usable = this.usableEndpoints(now);
     if (this.request.fields.model === undefined) return usable;
     // A model can be loaded on another engine, so unreachable engines are not used for it.
@@ -245,6 +245,7 @@
     maxUnreadTokens: number,
     now: number,
   ): SelectedEndpoint | undefined {
+    if (records.length === 0) return undefined;
     const { directory, balancer, roundTripMs, admission } = this.context;
     const candidates = records.map(({ id, bornAt, slots, domain }) => ({
       id,
--- a/packages/request/forward/src/service-history.ts
+++ b/packages/request/forward/src/service-history.ts
@@ -46,8 +46,15 @@
 
   /** Whether no request with a more urgent (lower) priority has arrived lately. */
   isMostUrgent(priority: number, now: number): boolean {
-    return ![...this.usedAt].some(
-      ([other, at]) => other < priority && now - at < priorityLifetimeMs,
-    );
+    return now - this.lastMoreUrgent(priority) >= priorityLifetimeMs;
+  }
+
+  /** Time of the last request with a more urgent priority; -Infinity if there was none. */
+  private lastMoreUrgent(priority: number): number {
+    let last = -Infinity;
+    this.usedAt.forEach((at, other) => {
+      if (other < priority) last = Math.max(last, at);
+    });
+    return last;
   }
 }
--- a/packages/tooling/bench/src/admission-cost.ts
+++ b/packages/tooling/bench/src/admission-cost.ts
@@ -33,6 +33,7 @@
 /** Processor time of admission control and selection. */
 export interface AdmissionCost {
   readonly waiting: number;
+  readonly running: number;
   readonly members: number;
   readonly endpoints: number;
   readonly microsecondsPerRequest: number;
@@ -74,6 +75,10 @@
     return fleet;
   }
 
+  get runningRequests(): number {
+    return this.running.length;
+  }
+
   get waitingRequests(): number {
     return this.control.waitingRequests;
   }
@@ -98,7 +103,9 @@
   }
 
   private announce(): void {
-    const loads = this.directory.all().map(({ id }) => ({ endpoint: id, inFlight: 2 * slots }));
+    const loads = this.directory
+      .all()
+      .map(({ id }) => ({ endpoint: id, inFlight: this.balancer.inFlight(id) }));
     this.balancer.observeFleetLoads(loads, this.now);
     this.control.observeFleetLoads(loads, this.now);
   }
@@ -112,6 +119,7 @@
     const demand = this.control.demandOf(request, Infinity, now);
     const holders = this.directory.replicas(service, fields.model ?? '', undefined, now);
     const records = this.control.withRoom(holders, demand, level, now);
+    if (records.length === 0) return undefined;
     const candidates = records.map((record) => ({ ...record, roundTripMs: 1 }));
     const place = this.balancer.reserve(candidates, fields.promptTokens, Infinity, now);
     const record = place && this.directory.get(place.endpoint);
@@ -156,7 +164,10 @@
 /** Measures arrivals and ends of requests while thousands wait for full endpoints. */
 export const measureAdmission = async (): Promise<AdmissionCost> => {
   const fleet = FullFleet.create();
-  Array.from({ length: waitingRequests }, () => fleet.arrive());
+  while (fleet.waitingRequests < waitingRequests) {
+    fleet.arrive();
+    await Promise.resolve();
+  }
   await run(fleet, warmUpRequests);
   const start = process.cpuUsage();
   await run(fleet, measuredRequests);
@@ -165,6 +176,7 @@
     waiting: fleet.waitingRequests,
     members,
     endpoints,
+    running: fleet.runningRequests,
     microsecondsPerRequest: Math.round((user + system) / measuredRequests),
   };
 };
--- a/packages/version/fleet/src/endpoint-directory.ts
+++ b/packages/version/fleet/src/endpoint-directory.ts
@@ -178,17 +178,16 @@
     model: string,
     adapter: string | undefined,
     now: number,
-  ): EndpointRecord[] {
+  ): readonly EndpointRecord[] {
     const holds = ({ name, adapters }: LoadedModel) =>
       name === model && (adapter === undefined || adapters.includes(adapter));
     const key = JSON.stringify([service, model, adapter]);
     const cached = this.replicaCache.get(key);
-    if (cached !== undefined && now >= cached.from && now < cached.until)
-      return [...cached.records];
+    if (cached !== undefined && now >= cached.from && now < cached.until) return cached.records;
     const records = this.live(service).filter(({ id }) => this.models(id, now).some(holds));
     if (this.replicaCache.size >= maxReplicaSets) this.replicaCache.clear();
     this.replicaCache.set(key, { records, from: now, until: this.nextExpiry(now) });
-    return [...records];
+    return records;
   }
 
   /** Time at which the first of the inventories in use lapses. */
