--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -19,6 +19,7 @@
 import type { Result } from 'neverthrow';
 import type { ClientRequest } from './client-request';
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
+import { notQueued, type ReserveAttempt, type RoomLevel } from './reserve-attempt';
 import type { RetrySpread } from './retry-spread';
 import { WaitPart } from './request-times';
 import { ServiceHistory } from './service-history';
@@ -63,24 +64,6 @@
 
 const httpStatus = { tooLarge: 413 } as const;
 
-/** An attempt at a reservation found no endpoint for a reason other than a lack of room. */
-export const notQueued = 'not_queued';
-
-/** The endpoints that the request at the head of a queue may be sent to at present. */
-export type RoomLevel =
-  /** Those known to have room. */
-  | 'free'
-  /** Also those whose load is not known. */
-  | 'unknown'
-  /** All whose memory holds the request. */
-  | 'any';
-
-/** Reserves a place for a request; undefined if no endpoint has room. */
-export type ReserveAttempt = (
-  now: number,
-  level: RoomLevel,
-) => SelectedEndpoint | typeof notQueued | undefined;
-
 interface QueuedRequest extends AdmissionRequest {
   readonly request: ClientRequest;
   readonly enqueuedAt: number;
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,12 +1,12 @@
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
 import type { RoomDemand } from '@currantdrift/routing';
-import { notQueued, type RoomLevel } from './admission-control';
 import type { ClientRequest } from './client-request';
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import type { ForwardContext } from './forward-context';
 import { PermitWait } from './permit-wait';
 import { WaitPart } from './request-times';
+import { notQueued, type RoomLevel } from './reserve-attempt';
 import type { StreamPosition } from './send';
 
 const promptReason = 'the prompt contains parts that crash engines';
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -1,10 +1,4 @@
-export {
-  AdmissionControl,
-  type AdmissionControlOptions,
-  notQueued,
-  type ReserveAttempt,
-  type RoomLevel,
-} from './admission-control';
+export { AdmissionControl, type AdmissionControlOptions } from './admission-control';
 export {
   Authorizer,
   type Authorized,
@@ -33,6 +27,7 @@
 } from './model-usage';
 export { RequestTimes, WaitPart } from './request-times';
 export { isIdempotent, isRetryAllowed, type SendCounts, SendFailure } from './retry';
+export { notQueued, type ReserveAttempt, type RoomLevel } from './reserve-attempt';
 export { RetrySpread } from './retry-spread';
 export type { BegunStream, StreamVersions } from './stream-versions';
 export type { ModelLoadRequest, ModelWaker } from './waker';
