--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -9,6 +9,7 @@
 } from '@currantdrift/core';
 import { EndpointDirectory, LimitObserver } from '@currantdrift/fleet';
 import {
+  AdmissionControl,
   Authorizer,
   defaultForwardSettings,
   type EndpointProtocol,
@@ -26,7 +27,7 @@
 } from '@currantdrift/http';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
-import { PredictiveBalancer } from '@currantdrift/routing';
+import { type EndpointLoad, EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
 import { EndpointClients } from '../connection/endpoint-clients';
 import { EngineProbe } from '../connection/engine-probe';
@@ -92,6 +93,12 @@
 
   private readonly balancer: PredictiveBalancer;
 
+  private readonly rooms = EndpointRooms.create(() => this.members.all().length);
+
+  private readonly retrySpread = RetrySpread.create(defaultForwardSettings, SystemRandom.create());
+
+  private readonly admission: AdmissionControl;
+
   private readonly usage = ModelUsage.create();
 
   private readonly shares: HostShares;
@@ -134,8 +141,6 @@
 
   private readonly permits: MemberPermits;
 
-  private readonly retrySpread = RetrySpread.create(defaultForwardSettings, SystemRandom.create());
-
   private readonly quotaHandling: QuotaHandling;
 
   private readonly crashHandling: CrashHandling;
@@ -165,6 +170,7 @@
       {},
       PaceTelemetry.create(telemetry),
     );
+    this.admission = this.createAdmission();
     this.peers = PeerConnections.create({
       network: WebSocketNetwork.create({
         maxConnections: this.shares.peerConnections,
@@ -193,7 +199,7 @@
       directory,
       send,
       onLimits: (limits) => this.limits.applyReports(limits, 'controller'),
-      onLoads: (loads) => this.balancer.observeFleetLoads(loads, clock.now()),
+      onLoads: (loads) => this.observeFleetLoads(loads),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
     const notices = DomainNotices.create({ clock, self, members, send });
@@ -381,6 +387,7 @@
       directory: this.directory,
       signals: this.signals,
       balancer: this.balancer,
+      admission: this.admission,
       usage: this.usage,
       permits: this.permits,
       crashes: this.crashHandling.watch,
@@ -404,6 +411,26 @@
     });
   }
 
+  private createAdmission(): AdmissionControl {
+    const { clock, directory, rooms, retrySpread } = this;
+    const { telemetry, settings } = this.options;
+    return AdmissionControl.create({
+      clock,
+      telemetry,
+      directory,
+      rooms,
+      retrySpread,
+      configuration: () => this.storeCache.configuration,
+      limitsRoom: settings.limitsRoom ?? false,
+    });
+  }
+
+  private observeFleetLoads(loads: readonly EndpointLoad[]): void {
+    const now = this.clock.now();
+    this.balancer.observeFleetLoads(loads, now);
+    this.admission.observeFleetLoads(loads, now);
+  }
+
   private createAuthorizer(): Authorizer {
     const { changeBoundMs, revocationBoundMs } = this.options.settings;
     return Authorizer.create({
@@ -505,9 +532,11 @@
     while (!signal.aborted) {
       await this.clock.sleep(pruneIntervalMs, signal);
       const records = this.directory.all();
+      const present = new Set(records.map(({ id }) => id));
       const now = this.clock.now();
       this.balancer.observeEndpoints(records, now);
-      this.directory.limits.retain(new Set(records.map(({ id }) => id)), now);
+      this.rooms.retain(present);
+      this.directory.limits.retain(present, now);
     }
   }
 
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -7,6 +7,7 @@
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
+import { RequestTimes } from './request-times';
 
 const httpStatus = { timeout: 408, tooLarge: 413, unavailable: 503 } as const;
 
@@ -54,17 +55,19 @@
     client.onClose(() => this.unsent.delete(client));
     const isAdmitted = client.admit();
     const fields = this.context.protocol.requestFields(request.headers);
+    const times = RequestTimes.create(arrivedAt);
     const result = isAdmitted
-      ? await this.serve(client, fields, arrivedAt)
+      ? await this.serve(client, fields, arrivedAt, times)
       : this.endWithoutBody(client, 'shed');
     this.openCount -= 1;
-    this.report(client, fields, result, arrivedAt);
+    this.report(client, fields, result, arrivedAt, times);
   }
 
   private async serve(
     client: ClientExchange,
     fields: RequestFields | undefined,
     arrivedAt: number,
+    times: RequestTimes,
   ): Promise<ForwardResult> {
     const configuration = this.context.configuration();
     if (configuration === undefined) {
@@ -106,6 +109,7 @@
       arrivedAt,
       deadline,
       firstByteDeadline: Math.min(deadline, arrivedAt + (route.clientTimeoutMs ?? Infinity)),
+      times: times.describe(authorized.value.customer, route),
     };
     return this.forward(clientRequest, client);
   }
@@ -196,6 +200,7 @@
     fields: RequestFields | undefined,
     result: ForwardResult,
     arrivedAt: number,
+    times: RequestTimes,
   ): void {
     const { telemetry, clock } = this.context;
     const now = clock.now();
@@ -204,6 +209,9 @@
     telemetry.observe('currantdrift_forward_seconds', elapsedMs / 1000, {
       outcome: result.outcome,
     });
+    times.parts.forEach(([part, ms]) =>
+      telemetry.observe('currantdrift_request_wait_seconds', ms / 1000, { part }),
+    );
     telemetry.log('request', {
       id: bounded(fields?.id),
       authority: bounded(client.request.headers.host),
@@ -218,6 +226,7 @@
       status: result.status,
       reason: result.reason === '' ? undefined : bounded(result.reason),
       elapsedMs: Math.round(elapsedMs),
+      ...times.fields,
     });
   }
 }
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,6 +1,12 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
 import { type AddressInfo, connect, createServer as createTcpServer, type Socket } from 'node:net';
-import { SeededRandom, NoopTelemetry, MonotonicClock, type WakeRefusal } from '@currantdrift/core';
+import {
+  type Clock,
+  SeededRandom,
+  NoopTelemetry,
+  MonotonicClock,
+  type WakeRefusal,
+} from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
 import { endpointRecord } from '@currantdrift/fakes';
 import {
@@ -19,9 +25,10 @@
 import { CrashLedger, type CrashReport, CrashWatch, EngineState } from '@currantdrift/quarantine';
 import type { RequestQuotas } from '@currantdrift/quota';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
-import { PredictiveBalancer } from '@currantdrift/routing';
+import { EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
 import { ok, type Result } from 'neverthrow';
 import {
+  AdmissionControl,
   Authorizer,
   type BegunStream,
   defaultForwardSettings,
@@ -221,6 +228,9 @@
   quotas: RequestQuotas['take'] = async (customer, _, tokens) =>
     ok({ customer, tokens, refund: () => {} });
 
+  /** Whether requests wait while all endpoints are full. */
+  limitsRoom = false;
+
   /** Time since the configuration was last known to be current, in ms. */
   configurationAgeMs = 0;
 
@@ -385,6 +395,7 @@
     });
     const retrySpread = RetrySpread.create(defaultForwardSettings, random);
     return Forwarder.create({
+      admission: this.admissionControl(clock, retrySpread),
       streamVersions: {
         record: (stream) => this.begunStreams.push(stream),
         find: async (attempt) => this.streamVersions.get(attempt ?? ''),
@@ -440,4 +451,19 @@
       roundTripMs: () => 1,
     });
   }
+
+  private admissionControl(clock: Clock, retrySpread: RetrySpread): AdmissionControl {
+    const isLimited = () => this.limitsRoom;
+    return AdmissionControl.create({
+      get limitsRoom() {
+        return isLimited();
+      },
+      clock,
+      telemetry: NoopTelemetry.create(),
+      directory: this.directory,
+      rooms: EndpointRooms.create(() => 1),
+      retrySpread,
+      configuration: () => this.configuration(),
+    });
+  }
 }
