Admission: what exceeds every endpoint's memory is refused with 503

Cause: the gateway answered 413. The request is within the limits that its client knows, and 4xx of our own for proper requests count as denials.

--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -59,11 +59,12 @@
 /** Priority in the queues of the most urgent requests, whose own priority is 0. */
 const maxPriority = 9;
 
+/** Retry time of a request that no endpoint can hold, which another configuration may change, in ms. */
+const tooLargeRetryAfterMs = 10_000;
+
 /** Name under which requests without a customer share the endpoints. */
 const anonymousCaller = '';
 
-const httpStatus = { tooLarge: 413 } as const;
-
 interface QueuedRequest extends AdmissionRequest {
   readonly request: ClientRequest;
   readonly enqueuedAt: number;
@@ -191,7 +192,7 @@
       return undefined;
     }
     const reason = 'the request needs more memory than an endpoint has';
-    return { kind: 'refused', status: httpStatus.tooLarge, reason, retryAfterMs: 0 };
+    return { kind: 'refused', reason, retryAfterMs: tooLargeRetryAfterMs };
   }
 
   /**
