--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -9,34 +9,21 @@
 } from '@currantdrift/core';
 import { EndpointDirectory, LimitObserver } from '@currantdrift/fleet';
 import {
-  AdmissionControl,
-  Authorizer,
   defaultForwardSettings,
   type EndpointProtocol,
   EndpointSignals,
   Forwarder,
   ModelUsage,
-  RetrySpread,
 } from '@currantdrift/forward';
-import {
-  ByteBudget,
-  type ClientMemory,
-  type HostShares,
-  sharesOf,
-  ShedReport,
-} from '@currantdrift/http';
 import { PeerConnections, WebSocketNetwork } from '@currantdrift/peer';
 import { defaultRateLimitSettings, MemberPermits } from '@currantdrift/rate-limit';
-import { type EndpointLoad, EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
-import { EndpointClients } from '../connection/endpoint-clients';
 import { EngineProbe } from '../connection/engine-probe';
 import type { EngineControl, ResponseHeadListener } from '../connection/engine-control';
 import { LimitAwareEngineControl } from '../connection/limit-aware-engine-control';
 import { PauseAwareEngineControl } from '../connection/pause-aware-engine-control';
 import { PeerMessageKind } from '../connection/peer-messages';
 import { PeerInbox } from '../connection/peer-inbox';
-import { StallAwareAge } from '../version/stall-aware-age';
 import { DomainNotices } from '../version/domain-notices';
 import { membersByRolePriority } from '../version/role-priority';
 import { RoundTrips } from '../version/round-trips';
@@ -44,6 +31,9 @@
 import { InventoryBroadcaster } from './inventory-broadcaster';
 import type { Controller } from './controller';
 import { CrashHandling } from './crash-handling';
+import { CustomerHandling } from './customer-handling';
+import { EndpointChoice } from './endpoint-choice';
+import { HostResources } from './host-resources';
 import { ControllerElection } from './controller-election';
 import { ClientHttpServer, type ListenFailure } from './client-http-server';
 import type { GatewaySettings } from './gateway-settings';
@@ -52,9 +42,7 @@
 import { ControllerModelWaker } from './controller-model-waker';
 import { ControllerTerms } from './controller-terms';
 import { registerPeerHandlers } from './peer-handlers';
-import { PaceTelemetry } from './pace-telemetry';
 import { PermitService } from './permit-service';
-import { QuotaHandling } from './quota-handling';
 import { Registration } from './registration';
 import { RetryBudgets } from './retry-budgets';
 import { serveMetrics, serveReadiness } from './status-server';
@@ -76,43 +64,25 @@
   readonly metrics: { readonly text: () => Promise<string>; readonly contentType: string };
 }
 
-/** Interval at which routing state of removed endpoints is dropped, in ms. */
-const pruneIntervalMs = 1_000;
-
 /** Interval between checks whether the process is ready, in ms. */
 const readyPollMs = 100;
 
-/** Interval between observations of stalls of this process, in ms. */
-const stallCheckIntervalMs = 100;
-
 /** A gateway process: serves clients and takes part in the control of the engines. */
 export class Gateway {
   private readonly clock: Clock = MonotonicClock.create();
 
   private readonly directory = EndpointDirectory.create();
 
-  private readonly balancer: PredictiveBalancer;
-
-  private readonly rooms = EndpointRooms.create(() => this.members.all().length);
-
-  private readonly retrySpread = RetrySpread.create(defaultForwardSettings, SystemRandom.create());
-
-  private readonly admission: AdmissionControl;
+  private readonly choice: EndpointChoice;
 
   private readonly usage = ModelUsage.create();
 
-  private readonly shares: HostShares;
-
-  private readonly clientMemory: ClientMemory;
-
-  private readonly clients: EndpointClients;
+  private readonly resources: HostResources;
 
   private readonly stopped = new AbortController();
 
   private readonly closing = new AbortController();
 
-  private readonly stalls = StallAwareAge.create();
-
   private readonly storeCache: StoreCache;
 
   private readonly self: Member;
@@ -141,7 +111,7 @@
 
   private readonly permits: MemberPermits;
 
-  private readonly quotaHandling: QuotaHandling;
+  private readonly customerHandling: CustomerHandling;
 
   private readonly crashHandling: CrashHandling;
 
@@ -158,24 +128,20 @@
     const { settings, platform, telemetry } = options;
     // Every waiting request adds a listener, so the default limit would print warnings.
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
-    this.shares = sharesOf(settings.limits ?? {});
-    const report = ShedReport.create(telemetry);
-    this.clientMemory = { budget: ByteBudget.create(this.shares.clientBytes), report };
-    this.clients = EndpointClients.create(this.clientMemory.budget);
+    this.resources = HostResources.create(settings.limits ?? {}, telemetry);
+    const { memory, shares } = this.resources;
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
-    this.balancer = PredictiveBalancer.create(
-      SystemRandom.create(),
-      () => this.members.all().length,
-      {},
-      PaceTelemetry.create(telemetry),
-    );
-    this.admission = this.createAdmission();
+    this.choice = EndpointChoice.create({
+      clock: this.clock,
+      telemetry,
+      directory: this.directory,
+      members: () => this.members.all().length,
+      configuration: () => this.storeCache.configuration,
+      limitsRoom: settings.limitsRoom ?? false,
+    });
     this.peers = PeerConnections.create({
-      network: WebSocketNetwork.create({
-        maxConnections: this.shares.peerConnections,
-        memory: this.clientMemory,
-      }),
+      network: WebSocketNetwork.create({ maxConnections: shares.peerConnections, memory }),
       clock: this.clock,
       address: settings.peerAddress,
       telemetry: NoopTelemetry.create(),
@@ -199,7 +165,7 @@
       directory,
       send,
       onLimits: (limits) => this.limits.applyReports(limits, 'controller'),
-      onLoads: (loads) => this.observeFleetLoads(loads),
+      onLoads: (loads) => this.choice.observeFleetLoads(loads),
       hasReported: (member) => this.controller?.hasReported(member) ?? false,
     });
     const notices = DomainNotices.create({ clock, self, members, send });
@@ -218,7 +184,7 @@
       clock,
     );
     this.permitService = this.createPermitService();
-    this.quotaHandling = QuotaHandling.create({
+    this.customerHandling = CustomerHandling.create({
       clock,
       random: SystemRandom.create(),
       telemetry,
@@ -226,8 +192,7 @@
       self,
       settings,
       storeCache: this.storeCache,
-      stalls: this.stalls,
-      retrySpread: this.retrySpread,
+      retrySpread: this.choice.retrySpread,
     });
     this.permits = MemberPermits.create({
       clock,
@@ -272,10 +237,10 @@
       (request, response) => this.forwarder.handle(request, response),
       (error) => telemetry.log('request.error', { reason: String(error) }),
       {
-        maxConnections: this.shares.clientConnections,
+        maxConnections: shares.clientConnections,
         perAddress: settings.limits?.connectionsPerAddress,
       },
-      report,
+      memory.report,
     );
     this.terms = this.createTerms();
     this.election = this.createElection();
@@ -284,7 +249,7 @@
       clock,
       telemetry,
       member: self,
-      onReplaced: () => this.quotaHandling.service.resume(clock.now()),
+      onReplaced: () => this.customerHandling.quotas.service.resume(clock.now()),
     });
   }
 
@@ -308,7 +273,7 @@
     registerPeerHandlers(inbox, {
       controller: () => this.controller,
       permitService,
-      quotas: this.quotaHandling.service,
+      quotas: this.customerHandling.quotas.service,
       inventoryBroadcaster,
       leavingNotices,
       crashNotices: this.crashHandling.notices,
@@ -319,8 +284,8 @@
     const listened = await this.clientServer.listen(settings.clientAddress);
     if (listened.isErr()) return listened;
     const limit = {
-      maxConnections: this.shares.statusConnections,
-      report: this.clientMemory.report,
+      maxConnections: this.resources.shares.statusConnections,
+      report: this.resources.memory.report,
     };
     const ready = await serveReadiness(
       settings.readyAddress,
@@ -383,11 +348,11 @@
       telemetry,
       settings: defaultForwardSettings,
       protocol: platform.protocol,
-      authorizer: this.createAuthorizer(),
+      authorizer: this.customerHandling.authorizer,
       directory: this.directory,
       signals: this.signals,
-      balancer: this.balancer,
-      admission: this.admission,
+      balancer: this.choice.balancer,
+      admission: this.choice.admission,
       usage: this.usage,
       permits: this.permits,
       crashes: this.crashHandling.watch,
@@ -400,56 +365,17 @@
         this.self,
         () => this.controller,
       ),
-      retrySpread: this.retrySpread,
-      quotas: this.quotaHandling.admission,
+      retrySpread: this.choice.retrySpread,
+      quotas: this.customerHandling.quotas.admission,
       configuration: () => this.storeCache.configuration,
       configurationAgeMs: (now) => this.storeCache.configurationAgeMs(now),
-      clientMemory: this.clientMemory,
-      client: (record) => this.clients.of(record),
+      clientMemory: this.resources.memory,
+      client: (record) => this.resources.endpointClients.of(record),
       budget: (service) => budgets.of(service),
       roundTripMs: (domain) => roundTrips.to(domain),
     });
   }
 
-  private createAdmission(): AdmissionControl {
-    const { clock, directory, rooms, retrySpread } = this;
-    const { telemetry, settings } = this.options;
-    return AdmissionControl.create({
-      clock,
-      telemetry,
-      directory,
-      rooms,
-      retrySpread,
-      configuration: () => this.storeCache.configuration,
-      limitsRoom: settings.limitsRoom ?? false,
-    });
-  }
-
-  private observeFleetLoads(loads: readonly EndpointLoad[]): void {
-    const now = this.clock.now();
-    this.balancer.observeFleetLoads(loads, now);
-    this.admission.observeFleetLoads(loads, now);
-  }
-
-  private createAuthorizer(): Authorizer {
-    const { changeBoundMs, revocationBoundMs } = this.options.settings;
-    return Authorizer.create({
-      configuration: () => this.storeCache.configuration,
-      ageMs: (now) => this.stalls.correct(this.storeCache.configurationAgeMs(now), now, Date.now()),
-      changeBoundMs,
-      revocationBoundMs,
-    });
-  }
-
-  private async observeStalls(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const now = this.clock.now();
-      this.stalls.observe(now, Date.now());
-      this.quotaHandling.service.tick(now);
-      await this.clock.sleep(stallCheckIntervalMs, signal);
-    }
-  }
-
   private createPermitService(): PermitService {
     const { clock, peers, self, members, directory } = this;
     return PermitService.create({
@@ -506,8 +432,8 @@
     const forever = new AbortController().signal;
     this.runInBackground(this.storeCache.run(forever));
     this.runInBackground(this.createUsageReporter().run(forever));
-    this.runInBackground(this.pruneEndpointStates(forever));
-    this.runInBackground(this.observeStalls(forever));
+    this.runInBackground(this.choice.run(forever));
+    this.runInBackground(this.customerHandling.run(forever));
     this.runInBackground(this.crashHandling.stored.run(forever));
     this.runInBackground(this.streamHandling.run(forever));
     this.runInBackground(this.registration.run(signal));
@@ -528,18 +454,6 @@
     });
   }
 
-  private async pruneEndpointStates(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.clock.sleep(pruneIntervalMs, signal);
-      const records = this.directory.all();
-      const present = new Set(records.map(({ id }) => id));
-      const now = this.clock.now();
-      this.balancer.observeEndpoints(records, now);
-      this.rooms.retain(present);
-      this.directory.limits.retain(present, now);
-    }
-  }
-
   /** Takes part in the controller election once the process is ready. */
   private async runElection(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.isReady()) await this.clock.sleep(readyPollMs, signal);
