Names: roles and accounts of quotas, work time, choice rate, serving of queues

Cause: read by somebody new to the project: owners() returned all members, OwnerRanks decided roles, a speed of 200 meant twice as slow, Demand, lease and review had several meanings each.

--- a/packages/connection/http/src/byte-budget.ts
+++ b/packages/connection/http/src/byte-budget.ts
@@ -18,7 +18,7 @@
   isPinned: boolean;
   /** Time of the last change of its size, in ms of the steady clock. */
   changedAt: number;
-  readonly onEvicted: () => void;
+  readonly onShed: () => void;
 }
 
 /** Time without a change after which a holder counts as stalled, in ms. */
@@ -48,7 +48,12 @@
 
   /** Begins to count a holder; `onEvicted` abandons it in favour of others. */
   hold(onEvicted: () => void): HeldBytes {
-    const holder: Holder = { size: 0, isPinned: false, changedAt: performance.now(), onEvicted };
+    const holder: Holder = {
+      size: 0,
+      isPinned: false,
+      changedAt: performance.now(),
+      onShed: onEvicted,
+    };
     this.holders.add(holder);
     return {
       get size() {
@@ -70,10 +75,10 @@
     if (!this.holders.has(holder)) return false;
     const added = size - holder.size;
     while (added > 0 && this.heldBytes + added > this.limitBytes) {
-      const victim = this.victimFor(holder, size, now);
+      const victim = this.holderToShed(holder, size, now);
       if (victim === undefined) return false;
       this.remove(victim);
-      victim.onEvicted();
+      victim.onShed();
     }
     // A holder whose size stays the same makes no progress.
     if (added !== 0) Object.assign(holder, { size, changedAt: now });
@@ -82,7 +87,7 @@
   }
 
   /** The holder to abandon for `asking`, which is to hold `size` bytes. */
-  private victimFor(asking: Holder, size: number, now: number): Holder | undefined {
+  private holderToShed(asking: Holder, size: number, now: number): Holder | undefined {
     const others = [...this.holders].filter(
       (holder) => holder !== asking && !holder.isPinned && holder.size > 0,
     );
--- a/packages/connection/http/src/host-limits.ts
+++ b/packages/connection/http/src/host-limits.ts
@@ -13,7 +13,7 @@
 /** Shares of the limits of a host. */
 export interface HostShares {
   /** Memory for what is held on behalf of clients and peers, in bytes. */
-  readonly clientBytes: number;
+  readonly heldBytes: number;
   /** Connections to the port for clients, to the one for peers and to each other one. */
   readonly clientConnections: number;
   readonly peerConnections: number;
@@ -48,7 +48,7 @@
   const sockets = Math.max(0, maxFds - fileDescriptors);
   const connections = (share: number) => Math.max(1, Math.floor(sockets * share));
   return {
-    clientBytes: Math.floor(besideHeap * heldShare),
+    heldBytes: Math.floor(besideHeap * heldShare),
     clientConnections: connections(clientShare),
     peerConnections: connections(peerShare),
     statusConnections: connections(statusShare),
--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -95,7 +95,7 @@
     });
     const shares = sharesOf(settings.limits);
     const report = ShedReport.create(telemetry);
-    const memory = { budget: ByteBudget.create(shares.clientBytes), report };
+    const memory = { budget: ByteBudget.create(shares.heldBytes), report };
     const node = createNode(settings, trusted.value, clock, telemetry, memory, shares);
     const { connectionsPerAddress: perAddress } = settings.limits;
     const closing = new AbortController();
--- a/packages/process/gateway/src/process/endpoint-choice.ts
+++ b/packages/process/gateway/src/process/endpoint-choice.ts
@@ -16,7 +16,7 @@
   readonly members: () => number;
   readonly configuration: () => Configuration | undefined;
   /** Whether the settings ask for admission control. */
-  readonly limitsRoom: boolean;
+  readonly queuesWhenFull: boolean;
 }
 
 /** The components of a process that decide which endpoint gets a request, and when. */
--- a/packages/process/gateway/src/process/gateway-settings.ts
+++ b/packages/process/gateway/src/process/gateway-settings.ts
@@ -30,7 +30,7 @@
   /** Bounds on the use of customers' quotas over all members; undefined if the platform states none. */
   readonly quotaBounds?: QuotaBounds;
   /** Whether requests wait here while the endpoints that can serve them are full. */
-  readonly limitsRoom?: boolean;
+  readonly queuesWhenFull?: boolean;
   /** Shortest time between orders of two successive controllers to the same engine. */
   readonly holderPauseMs: number;
   /** Limits on retries: a share of the requests, plus a fixed number per window. */
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -138,7 +138,7 @@
       directory: this.directory,
       members: () => this.members.all().length,
       configuration: () => this.storeCache.configuration,
-      limitsRoom: settings.limitsRoom ?? false,
+      queuesWhenFull: settings.queuesWhenFull ?? false,
     });
     this.peers = PeerConnections.create({
       network: WebSocketNetwork.create({ maxConnections: shares.peerConnections, memory }),
--- a/packages/process/gateway/src/process/host-resources.ts
+++ b/packages/process/gateway/src/process/host-resources.ts
@@ -22,7 +22,7 @@
     telemetry: Telemetry,
   ) {
     this.shares = sharesOf(limits);
-    const budget = ByteBudget.create(this.shares.clientBytes);
+    const budget = ByteBudget.create(this.shares.heldBytes);
     this.memory = { budget, report: ShedReport.create(telemetry) };
     this.endpointClients = EndpointClients.create(budget);
   }
--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -25,8 +25,8 @@
 import { ServiceHistory } from './service-history';
 
 /** Shortest time between two reviews of all queues, and the time without an event to the next, in ms. */
-const minReviewIntervalMs = 15;
-const reviewIntervalMs = 50;
+const minServeIntervalMs = 15;
+const serveIntervalMs = 50;
 
 /** Requests that may wait in one queue, and in all queues of a process. */
 const maxWaitingInQueue = 2_000;
@@ -82,7 +82,7 @@
   readonly retrySpread: RetrySpread;
   readonly configuration: () => Configuration | undefined;
   /** Whether the deployment's settings ask for admission control; customers do so as well. */
-  readonly limitsRoom: boolean;
+  readonly queuesWhenFull: boolean;
 }
 
 const levelStates: Readonly<Record<RoomLevel, ReadonlySet<RoomState>>> = {
@@ -102,11 +102,11 @@
 
   private waiting = 0;
 
-  private reviewedAt = -Infinity;
+  private servedAllAt = -Infinity;
 
-  private isReviewing = false;
+  private isServing = false;
 
-  private reviewNow = new AbortController();
+  private serveNow = new AbortController();
 
   private constructor(private readonly options: AdmissionControlOptions) {
     this.queues = AdmissionQueues.create<Attempted, QueuedRequest>(
@@ -115,7 +115,7 @@
       // The release of the place that ends a grant serves the queues that can use it.
       () => {},
     );
-    options.directory.onChange(() => this.review());
+    options.directory.onChange(() => this.serveAll());
   }
 
   static create(options: AdmissionControlOptions): AdmissionControl {
@@ -123,7 +123,7 @@
   }
 
   get isEnabled(): boolean {
-    const { limitsRoom, configuration } = this.options;
+    const { queuesWhenFull: limitsRoom, configuration } = this.options;
     return limitsRoom || configuration()?.customers?.isEmpty === false;
   }
 
@@ -163,18 +163,18 @@
         place.observeFirstByte(elapsedMs, now);
         hold.markPromptRead();
         history.observeFirstByte(elapsedMs);
-        this.serveWaiting(record);
+        this.serveQueuesOf(record);
       },
       observeLoad: (load, now) => {
         place.observeLoad(load, now);
         hold.observeLoad(load.running + load.waiting, now);
-        this.serveWaiting(record);
+        this.serveQueuesOf(record);
       },
       release: (end, now) => {
         place.release(end, now);
         hold.release();
         if (end === 'served') history.observeAnswer(now - startedAt);
-        this.serveWaiting(record);
+        this.serveQueuesOf(record);
       },
     };
   }
@@ -182,7 +182,7 @@
   /** Records the numbers of requests in flight at endpoints, over all members. */
   observeFleetLoads(loads: readonly EndpointLoad[], now: number): void {
     this.options.rooms.observeFleetLoads(loads, now);
-    this.review();
+    this.serveAll();
   }
 
   /** The refusal of a request that none of the endpoints can hold; undefined if one can. */
@@ -220,26 +220,26 @@
   }
 
   /** Serves all queues: at once, or as soon as the shortest time between two reviews has passed. */
-  private review(): void {
+  private serveAll(): void {
     if (this.queues.isIdle) return;
     const now = this.options.clock.now();
-    if (now - this.reviewedAt < minReviewIntervalMs) {
-      this.reviewNow.abort();
+    if (now - this.servedAllAt < minServeIntervalMs) {
+      this.serveNow.abort();
       return;
     }
-    this.reviewedAt = now;
+    this.servedAllAt = now;
     this.queues.pump(now);
   }
 
   private startReviews(): void {
-    if (this.isReviewing || this.queues.isIdle) return;
-    this.isReviewing = true;
+    if (this.isServing || this.queues.isIdle) return;
+    this.isServing = true;
     this.reviewPeriodically()
       .catch((error: unknown) => {
         this.options.telemetry.log('task.error', { step: 'admission', reason: String(error) });
       })
       .finally(() => {
-        this.isReviewing = false;
+        this.isServing = false;
       });
   }
 
@@ -247,16 +247,16 @@
   private async reviewPeriodically(): Promise<void> {
     const { clock, telemetry } = this.options;
     while (!this.queues.isIdle) {
-      this.reviewNow = new AbortController();
-      await clock.sleep(minReviewIntervalMs);
-      await clock.sleep(reviewIntervalMs - minReviewIntervalMs, this.reviewNow.signal);
-      this.review();
+      this.serveNow = new AbortController();
+      await clock.sleep(minServeIntervalMs);
+      await clock.sleep(serveIntervalMs - minServeIntervalMs, this.serveNow.signal);
+      this.serveAll();
       telemetry.gauge('currantdrift_admission_waiting', this.waiting);
     }
   }
 
   /** Serves the queues whose requests the endpoint can run. */
-  private serveWaiting({ id, service }: EndpointRecord): void {
+  private serveQueuesOf({ id, service }: EndpointRecord): void {
     if (this.queues.isIdle) return;
     const now = this.options.clock.now();
     const models = this.options.directory.models(id, now).map(({ name }) => name);
@@ -362,7 +362,7 @@
 
   private refuseWhenFull(request: ClientRequest): NoEndpoint | undefined {
     const message = 'too many requests are waiting';
-    return this.refusalOf(request, { kind: 'queue_full', message, retryAfterMs: reviewIntervalMs });
+    return this.refusalOf(request, { kind: 'queue_full', message, retryAfterMs: serveIntervalMs });
   }
 
   private refusalOf(
--- a/packages/request/forward/src/authorizer.ts
+++ b/packages/request/forward/src/authorizer.ts
@@ -36,7 +36,7 @@
 }
 
 /** What is known of the configuration, and since when. */
-export interface ConfigurationCurrency {
+export interface KnownConfiguration {
   /** Returns undefined until the first configuration has been received. */
   readonly configuration: () => Configuration | undefined;
   /** Time since the configuration was last certain to be the newest, in ms. */
@@ -62,9 +62,9 @@
  * was last known to be current, so a process that has lost contact refuses what it cannot verify.
  */
 export class Authorizer {
-  private constructor(private readonly currency: ConfigurationCurrency) {}
+  private constructor(private readonly currency: KnownConfiguration) {}
 
-  static create(currency: ConfigurationCurrency): Authorizer {
+  static create(currency: KnownConfiguration): Authorizer {
     return new Authorizer(currency);
   }
 
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -3,7 +3,7 @@
   Authorizer,
   type Authorized,
   type AuthorizationRefusal,
-  type ConfigurationCurrency,
+  type KnownConfiguration as ConfigurationCurrency,
 } from './authorizer';
 export type { ClientRequest } from './client-request';
 export type {
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -455,7 +455,7 @@
   private admissionControl(clock: Clock, retrySpread: RetrySpread): AdmissionControl {
     const isLimited = () => this.limitsRoom;
     return AdmissionControl.create({
-      get limitsRoom() {
+      get queuesWhenFull() {
         return isLimited();
       },
       clock,
--- a/packages/request/forward/test/load-replay.ts
+++ b/packages/request/forward/test/load-replay.ts
@@ -149,7 +149,7 @@
       rooms: EndpointRooms.create(members),
       retrySpread: RetrySpread.create(defaultForwardSettings, random),
       configuration: () => undefined,
-      limitsRoom: true,
+      queuesWhenFull: true,
     });
     return { control, balancer: PredictiveBalancer.create(random, members) };
   }
--- a/packages/request/quota/src/customer-account.ts
+++ b/packages/request/quota/src/customer-account.ts
@@ -1,6 +1,6 @@
 import type { BucketLimits, QuotaAllowances } from './allowances';
 import type { QuotaDecision, QuotaHandover, QuotaQuestion, QuotaReturn } from './messages';
-import { type HeldRole, QuotaRole } from './owner-ranks';
+import { type HeldRole, QuotaRole } from './quota-roles';
 import { type BucketGrant, QuotaBucket } from './quota-bucket';
 
 /** Time for which a member may use tokens that it was granted ahead, in ms. */
--- a/packages/request/quota/src/customer-lease.ts
+++ b/packages/request/quota/src/customer-lease.ts
@@ -3,9 +3,9 @@
 import { err, ok, type Result } from 'neverthrow';
 import { decisionTimeoutMs } from './allowances';
 import { leaseMs } from './customer-account';
-import { Demand } from './demand';
+import { ExpectedCost } from './expected-cost';
 import { maxCostsPerQuestion, type QuotaDecision } from './messages';
-import { QuotaRole } from './owner-ranks';
+import { QuotaRole } from './quota-roles';
 import type { QuotaIssuer } from './quota-issuer';
 import type { QuotaGrant, QuotaRefusal } from './request-quotas';
 
@@ -46,7 +46,7 @@
  * at a time, which covers all that have arrived meanwhile.
  */
 export class CustomerLease {
-  private readonly demand = Demand.create();
+  private readonly demand = ExpectedCost.create();
 
   private readonly waiting: Waiting[] = [];
 
--- a/packages/request/quota/src/demand.ts
+++ b/packages/request/quota/src/expected-cost.ts
@@ -5,7 +5,7 @@
 const minRecentRequests = 2;
 
 /** Estimates what a member's requests of one customer will cost within the next second. */
-export class Demand {
+export class ExpectedCost {
   private requests = 0;
 
   private tokens = 0;
@@ -14,8 +14,8 @@
 
   private constructor() {}
 
-  static create(): Demand {
-    return new Demand();
+  static create(): ExpectedCost {
+    return new ExpectedCost();
   }
 
   record(cost: number, now: number): void {
--- a/packages/request/quota/src/quota-owner.ts
+++ b/packages/request/quota/src/quota-accounts.ts
@@ -3,13 +3,13 @@
 import { allowancesOf, type QuotaBounds } from './allowances';
 import { CustomerAccount, type GrantingRole } from './customer-account';
 import type { QuotaDecision, QuotaHandover, QuotaQuestion, QuotaReturn } from './messages';
-import { type HeldRole, QuotaRole } from './owner-ranks';
+import { type HeldRole, QuotaRole } from './quota-roles';
 
 /** Upper bound of the number of a process's first grant. */
 const firstGrantBound = 2 ** 40;
 
 /** The accounts of the customers for which a process grants tokens, as the owner or as a stand-in. */
-export class QuotaOwner {
+export class QuotaAccounts {
   private readonly accounts = new Map<string, CustomerAccount>();
 
   private constructor(
@@ -17,8 +17,8 @@
     private readonly random: Random,
   ) {}
 
-  static create(bounds: QuotaBounds, random: Random): QuotaOwner {
-    return new QuotaOwner(bounds, random);
+  static create(bounds: QuotaBounds, random: Random): QuotaAccounts {
+    return new QuotaAccounts(bounds, random);
   }
 
   /** Decides a member's question; undefined if this member has no role for the customer. */
--- a/packages/request/quota/src/owner-ranks.ts
+++ b/packages/request/quota/src/quota-roles.ts
@@ -17,7 +17,7 @@
 }
 
 /** Members in the order in which they are asked for a customer's quota. */
-export const owners = (customer: string, members: readonly string[]): readonly string[] =>
+export const rankMembers = (customer: string, members: readonly string[]): readonly string[] =>
   rendezvousOrder(`quota ${customer}`, members);
 
 /**
@@ -61,7 +61,7 @@
  * than any other member's list may be out of date. So no two members act as the owner at the same time, even if
  * they cannot reach each other.
  */
-export class OwnerRanks {
+export class QuotaRoles {
   /** Lists of the members, the current one last. */
   private readonly lists: MemberList[] = [];
 
@@ -88,8 +88,8 @@
 
   private constructor(private readonly options: OwnerRanksOptions) {}
 
-  static create(options: OwnerRanksOptions): OwnerRanks {
-    return new OwnerRanks(options);
+  static create(options: OwnerRanksOptions): QuotaRoles {
+    return new QuotaRoles(options);
   }
 
   /** Applies a change of the members. */
@@ -210,7 +210,7 @@
   }
 
   private rankIn({ members, since }: MemberList, customer: string): Rank {
-    const order = owners(customer, members);
+    const order = rankMembers(customer, members);
     return { order, index: order.indexOf(this.options.self), since };
   }
 }
--- a/packages/request/quota/src/request-quotas.ts
+++ b/packages/request/quota/src/request-quotas.ts
@@ -1,6 +1,6 @@
 import type { Quota } from '@currantdrift/routes';
 import type { Result } from 'neverthrow';
-import type { QuotaRole } from './owner-ranks';
+import type { QuotaRole } from './quota-roles';
 
 /** Tokens that a request may use. */
 export interface QuotaGrant {
--- a/packages/request/routing/src/want-rate.ts
+++ b/packages/request/routing/src/choice-rate.ts
@@ -2,7 +2,7 @@
  * Rate at which requests would choose one endpoint, estimated from few events. The prior rate weighs
  * as much as one event, so that the first request neither looks like a burst nor is the only one.
  */
-export class WantRate {
+export class ChoiceRate {
   private wants = 0;
 
   private constructor(
@@ -11,8 +11,8 @@
   ) {}
 
   /** `priorPerMs` is the rate to expect before the first event. */
-  static create(priorPerMs: number, now: number): WantRate {
-    return new WantRate(Math.max(Number.EPSILON, priorPerMs), now);
+  static create(priorPerMs: number, now: number): ChoiceRate {
+    return new ChoiceRate(Math.max(Number.EPSILON, priorPerMs), now);
   }
 
   /** Records an event; returns the rate per ms that was to be expected before it. */
--- a/packages/request/routing/src/endpoint-pace.ts
+++ b/packages/request/routing/src/endpoint-pace.ts
@@ -119,13 +119,13 @@
    * Begins a slow start towards `target` requests in flight, from a share of them or from `carried`,
    * the number that the endpoint is known to carry.
    */
-  open(cause: PaceCause, target: number, carried: number, now: number): void {
+  open(openingCause: PaceCause, target: number, carried: number, now: number): void {
     const { minLimit, maxLimit } = this.settings;
     // An endpoint that fails while it opens still has its former target.
     const wanted = Math.max(target, this.opening?.target ?? 0);
     const full = Math.max(minLimit, Math.min(wanted, maxLimit));
-    this.opening = { cause, target: full, begunAt: now };
-    this.value = Math.max(minLimit, full * openingShares[cause], carried);
+    this.opening = { cause: openingCause, target: full, begunAt: now };
+    this.value = Math.max(minLimit, full * openingShares[openingCause], carried);
     this.endOpening();
   }
 
--- a/packages/request/routing/src/endpoint-room.ts
+++ b/packages/request/routing/src/endpoint-room.ts
@@ -11,7 +11,7 @@
 }
 
 /** What a request needs of an endpoint. */
-export interface RoomDemand {
+export interface RoomNeed {
   /** Tokens of the prompt and of the longest answer that the request allows; 0 if unknown. */
   readonly tokens: number;
   readonly promptTokens: number;
@@ -81,11 +81,11 @@
   }
 
   /** Whether the endpoint could run the request if it ran nothing else. */
-  static fits({ cacheTokens = Infinity }: EndpointCapacity, { tokens }: RoomDemand): boolean {
+  static fits({ cacheTokens = Infinity }: EndpointCapacity, { tokens }: RoomNeed): boolean {
     return tokens <= cacheTokens;
   }
 
-  state(endpoint: EndpointCapacity, demand: RoomDemand, now: number): RoomState {
+  state(endpoint: EndpointCapacity, demand: RoomNeed, now: number): RoomState {
     const { cacheTokens = Infinity, slots } = endpoint;
     const use = this.useOf(endpoint);
     const others = EndpointRooms.others(use, now);
@@ -100,7 +100,7 @@
   }
 
   /** Takes room at an endpoint, whether or not it has any. */
-  hold(endpoint: EndpointCapacity, { tokens, promptTokens }: RoomDemand): RoomHold {
+  hold(endpoint: EndpointCapacity, { tokens, promptTokens }: RoomNeed): RoomHold {
     const use = this.useOf(endpoint);
     this.observeTokens(tokens);
     use.inFlight += 1;
--- a/packages/request/routing/src/endpoint-stats.ts
+++ b/packages/request/routing/src/endpoint-stats.ts
@@ -4,8 +4,8 @@
 import { OutlierDetector } from './outlier-detector';
 import { PrefillRate } from './prefill-rate';
 import type { BalancerSettings } from './settings';
-import { SpeedFigure } from './speed-figure';
-import { WantRate } from './want-rate';
+import { WorkTimeFactor } from './work-time-factor';
+import { ChoiceRate } from './choice-rate';
 
 /** An endpoint that can serve a request. */
 export interface Candidate {
@@ -22,7 +22,7 @@
   readonly running: number;
   readonly waiting: number;
   /** Time that work takes at the endpoint now, in per cent of the usual; undefined if not stated. */
-  readonly speedPercent?: number;
+  readonly workTimePercent?: number;
 }
 
 /** How many daemons share an endpoint, and how often one that is opening is to be expected. */
@@ -82,7 +82,7 @@
 
   private readonly prefill = PrefillRate.create();
 
-  private readonly speed = SpeedFigure.create();
+  private readonly speed = WorkTimeFactor.create();
 
   private refusedAt = -Infinity;
 
@@ -98,7 +98,7 @@
   /** Time to the first byte at other endpoints, in ms. */
   private usualFirstByteMs: number | undefined;
 
-  private wants: WantRate | undefined;
+  private wants: ChoiceRate | undefined;
 
   private constructor(
     readonly bornAt: number,
@@ -154,7 +154,7 @@
   /** Probability with which a request that would choose the endpoint may use it. */
   chanceOfUse({ daemons, expectedPerMs, holdMs, firstByteMs }: Sharing, now: number): number {
     if (this.pace.cause === undefined) return 1;
-    this.wants ??= WantRate.create(expectedPerMs, now);
+    this.wants ??= ChoiceRate.create(expectedPerMs, now);
     this.usualHoldMs = holdMs;
     this.usualFirstByteMs = firstByteMs;
     return chanceOfUse({
@@ -201,7 +201,11 @@
   }
 
   /** Records the load that the endpoint reported with an answer. */
-  observeLoad({ running, waiting, speedPercent }: ReportedLoad, slots: number, now: number): void {
+  observeLoad(
+    { running, waiting, workTimePercent: speedPercent }: ReportedLoad,
+    slots: number,
+    now: number,
+  ): void {
     const total = running + waiting;
     this.reportedLoad = { others: Math.max(0, total - this.inFlight), at: now };
     if (speedPercent !== undefined) this.speed.observe(speedPercent, now);
--- a/packages/request/routing/src/speed-figure.ts
+++ b/packages/request/routing/src/work-time-factor.ts
@@ -9,15 +9,15 @@
 const slowFactor = 2;
 
 /** Time that work takes at an endpoint, relative to the usual time, as last reported. */
-export class SpeedFigure {
+export class WorkTimeFactor {
   private value = 1;
 
   private at = -Infinity;
 
   private constructor() {}
 
-  static create(): SpeedFigure {
-    return new SpeedFigure();
+  static create(): WorkTimeFactor {
+    return new WorkTimeFactor();
   }
 
   /** `percent` is 100 if work takes its usual time. */
--- a/packages/request/routing/test/endpoint-figures.test.ts
+++ b/packages/request/routing/test/endpoint-figures.test.ts
@@ -47,7 +47,7 @@
   const predict = (at: number, speedPercent?: number) => {
     const balancer = PredictiveBalancer.create(SeededRandom.create(1), () => 1);
     const first = balancer.reserve([candidate('a')], 0, Infinity, 0);
-    first?.observeLoad({ running: 1, waiting: 0, speedPercent }, 0);
+    first?.observeLoad({ running: 1, waiting: 0, workTimePercent: speedPercent }, 0);
     first?.release('served', 0);
     return balancer.reserve([candidate('a')], 0, Infinity, at)?.predictedMs;
   };
--- a/packages/request/routing/test/pace-replay.ts
+++ b/packages/request/routing/test/pace-replay.ts
@@ -76,7 +76,7 @@
     const waiting = this.inFlight - running;
     const speedPercent = reportsSpeed ? this.speedPercent(now) : undefined;
     begun.forEach((one) => {
-      one.reservation.observeLoad({ running, waiting, speedPercent }, now);
+      one.reservation.observeLoad({ running, waiting, workTimePercent: speedPercent }, now);
       one.reservation.observeFirstByte(one.firstByteAt - one.startedAt, now);
       Object.assign(one, { firstByteAt: Infinity });
     });
--- a/packages/tooling/bench/src/admission-cost.ts
+++ b/packages/tooling/bench/src/admission-cost.ts
@@ -65,7 +65,7 @@
       rooms: EndpointRooms.create(() => members),
       retrySpread: RetrySpread.create(defaultForwardSettings, this.random),
       configuration: () => undefined,
-      limitsRoom: true,
+      queuesWhenFull: true,
     });
   }
 
--- a/packages/version/residency/src/engine-timeline.ts
+++ b/packages/version/residency/src/engine-timeline.ts
@@ -104,7 +104,7 @@
   }
 
   private occupantOf(held: HeldModel, now: number): Occupant {
-    const keptMs = Math.max(0, held.leaseMs, held.isAwaited ? this.context.keepMs : 0);
+    const keptMs = Math.max(0, held.minKeepMs, held.isAwaited ? this.context.keepMs : 0);
     // A model with an eviction cost is idle, or has other replicas and is drained.
     const busyMs = held.costMs === undefined ? held.idleMs : held.drainMs;
     return { sizeMb: held.sizeMb, freeAt: now + Math.max(keptMs, busyMs) };
--- a/packages/version/residency/src/evictions.ts
+++ b/packages/version/residency/src/evictions.ts
@@ -25,7 +25,7 @@
   /** Cost of unloading it without a drain, in ms; undefined if it is awaited or in use. */
   readonly costMs: number | undefined;
   /** Time for which it is kept after its load, in ms from now; 0 or less if that has passed. */
-  readonly leaseMs: number;
+  readonly minKeepMs: number;
   /** Expected time until its running requests have ended if it gets no further ones, in ms. */
   readonly drainMs: number;
   /** Expected time until it is idle if it still gets requests, in ms. */
@@ -88,7 +88,7 @@
   planEviction(engine: EngineView, { sizeMb }: Model): Eviction | undefined {
     const { freeMb, held } = this.contentsOf(engine);
     const victims = held.flatMap((one): Victim[] => {
-      if (one.costMs === undefined || (this.isContended && one.leaseMs > 0)) return [];
+      if (one.costMs === undefined || (this.isContended && one.minKeepMs > 0)) return [];
       return [{ ...one, costMs: one.costMs, drainMs: this.isContended ? one.drainMs : 0 }];
     });
     return selectVictims(victims, sizeMb - freeMb);
@@ -127,14 +127,14 @@
     const reloadMs = this.reloadMs(engine, name);
     const drainMs = drainTimeMs(engine.inFlight.get(name) ?? 0, this.runMs);
     const rate = demand.rate(service, name, this.now);
-    const leaseEndsAt = (engine.loadedAt.get(name) ?? -Infinity) + reloadMs * settings.leaseRatio;
+    const keptUntil = (engine.loadedAt.get(name) ?? -Infinity) + reloadMs * settings.minKeepRatio;
     const replicas = Math.max(1, fleetIndex(this.input).replicas(name).length);
     return {
       name,
       sizeMb: modelMemoryMb(held, pool),
       isAwaited: this.awaitedModels.has(name),
       costMs: this.evictionCostMs(engine, name),
-      leaseMs: leaseEndsAt - this.now,
+      minKeepMs: keptUntil - this.now,
       drainMs,
       idleMs: idleAfterMs(drainMs, rate / replicas, this.runMs),
     };
--- a/packages/version/residency/src/residency-settings.ts
+++ b/packages/version/residency/src/residency-settings.ts
@@ -23,7 +23,7 @@
   /** Expected time until the running requests of a replica end and it can be unloaded, in ms. */
   readonly expectedRunMs: number;
   /** Minimum time for which a loaded model is kept under contention, as a multiple of its reload time. */
-  readonly leaseRatio: number;
+  readonly minKeepRatio: number;
   /** Highest eviction cost for an added replica, for one in a severe shortage, and for a copy, in ms. */
   readonly maxBusyEvictionMs: number;
   readonly maxSevereEvictionMs: number;
@@ -45,7 +45,7 @@
   secondReplicaRate: 0.5,
   evictionHorizonMs: 10_000,
   expectedRunMs: 1_000,
-  leaseRatio: 1,
+  minKeepRatio: 1,
   maxBusyEvictionMs: 1_500,
   maxSevereEvictionMs: 6_000,
   maxCopyEvictionMs: 1_500,
