Names: complete the renames of the platform's decoder, tests and package exports

Cause: the language service follows no optional property in a literal that is inferred, and keeps old names as aliases.

--- a/packages/process/gateway/src/process/quota-service.ts
+++ b/packages/process/gateway/src/process/quota-service.ts
@@ -1,13 +1,13 @@
 import type { Clock, Peers, Random, Telemetry } from '@currantdrift/core';
 import {
   decisionTimeoutMs,
-  OwnerRanks,
+  QuotaRoles,
   type QuotaAnswer,
   type QuotaBounds,
   type QuotaDecision,
   type QuotaHandover,
   type QuotaIssuer,
-  QuotaOwner,
+  QuotaAccounts,
   type QuotaQuestion,
   type QuotaReturn,
   QuotaRole,
@@ -45,16 +45,16 @@
 
 /** Grants tokens of customers' quotas at this process and obtains them from other members. */
 export class QuotaService implements QuotaIssuer {
-  private readonly ranks: OwnerRanks;
+  private readonly ranks: QuotaRoles;
 
-  private readonly owner: QuotaOwner;
+  private readonly owner: QuotaAccounts;
 
   private readonly succession: QuotaSuccession;
 
   private constructor(private readonly options: QuotaServiceOptions) {
     const { bounds = defaultBounds, changeBoundMs, clock, members, random, self } = options;
-    this.ranks = OwnerRanks.create({ self: self.host, maxViewAgeMs: changeBoundMs });
-    this.owner = QuotaOwner.create(bounds, random);
+    this.ranks = QuotaRoles.create({ self: self.host, maxViewAgeMs: changeBoundMs });
+    this.owner = QuotaAccounts.create(bounds, random);
     const { ranks, owner } = this;
     this.succession = QuotaSuccession.create({ ...options, ranks, owner });
     members.onMembersChange(() => {
--- a/packages/process/gateway/src/process/quota-succession.ts
+++ b/packages/process/gateway/src/process/quota-succession.ts
@@ -1,10 +1,10 @@
 import type { Clock, Peers, Telemetry } from '@currantdrift/core';
 import {
   decisionTimeoutMs,
-  type OwnerRanks,
-  owners,
+  type QuotaRoles,
+  rankMembers,
   type QuotaHandover,
-  type QuotaOwner,
+  type QuotaAccounts,
 } from '@currantdrift/quota';
 import type { Quota } from '@currantdrift/routes';
 import {
@@ -20,8 +20,8 @@
   readonly peers: Peers;
   readonly self: Member;
   readonly members: Members;
-  readonly ranks: OwnerRanks;
-  readonly owner: QuotaOwner;
+  readonly ranks: QuotaRoles;
+  readonly owner: QuotaAccounts;
   /** Time since `since`, in ms, with times in which the process or its host did not run. */
   readonly ageMs: (since: number, now: number) => number;
 }
@@ -87,7 +87,7 @@
   private formerOwner(customer: string, now: number): Member | undefined {
     const { members, self } = this.options;
     const others = members.recipients(self.host, now);
-    const [first, second] = owners(customer, [self.host, ...others.map(({ host }) => host)]);
+    const [first, second] = rankMembers(customer, [self.host, ...others.map(({ host }) => host)]);
     const former = first === self.host ? second : first;
     return others.find(({ host }) => host === former);
   }
--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -13,7 +13,7 @@
   type EndpointCapacity,
   type EndpointLoad,
   type Reservation,
-  type RoomDemand,
+  type RoomNeed,
   RoomState,
 } from '@currantdrift/routing';
 import type { Result } from 'neverthrow';
@@ -123,8 +123,8 @@
   }
 
   get isEnabled(): boolean {
-    const { queuesWhenFull: limitsRoom, configuration } = this.options;
-    return limitsRoom || configuration()?.customers?.isEmpty === false;
+    const { queuesWhenFull, configuration } = this.options;
+    return queuesWhenFull || configuration()?.customers?.isEmpty === false;
   }
 
   /** Number of requests that wait for room. */
@@ -133,7 +133,7 @@
   }
 
   /** What the request needs of an endpoint; it waits there for at most a part of its time. */
-  demandOf(request: ClientRequest, maxUnreadTokens: number, now: number): RoomDemand {
+  demandOf(request: ClientRequest, maxUnreadTokens: number, now: number): RoomNeed {
     const { promptTokens, maxNewTokens } = request.fields;
     const tokens = promptTokens + maxNewTokens;
     return { tokens, promptTokens, maxUnreadTokens, queueShare: this.queueShare(request, now) };
@@ -142,7 +142,7 @@
   /** Endpoints of `records` that the request may be sent to. */
   withRoom(
     records: readonly EndpointRecord[],
-    demand: RoomDemand,
+    demand: RoomNeed,
     level: RoomLevel,
     now: number,
   ): readonly EndpointRecord[] {
@@ -153,7 +153,7 @@
   }
 
   /** Takes room at the endpoint of a reservation until its release. */
-  hold(record: EndpointRecord, demand: RoomDemand, place: Reservation): Reservation {
+  hold(record: EndpointRecord, demand: RoomNeed, place: Reservation): Reservation {
     const hold = this.options.rooms.hold(this.capacityOf(record), demand);
     const history = this.historyOf(record.service);
     const startedAt = this.options.clock.now();
@@ -186,7 +186,7 @@
   }
 
   /** The refusal of a request that none of the endpoints can hold; undefined if one can. */
-  checkFit(records: readonly EndpointRecord[], demand: RoomDemand): NoEndpoint | undefined {
+  checkFit(records: readonly EndpointRecord[], demand: RoomNeed): NoEndpoint | undefined {
     if (records.length === 0) return undefined;
     if (records.some((record) => EndpointRooms.fits(this.capacityOf(record), demand))) {
       return undefined;
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
-import type { RoomDemand } from '@currantdrift/routing';
+import type { RoomNeed } from '@currantdrift/routing';
 import type { ClientRequest } from './client-request';
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import type { ForwardContext } from './forward-context';
@@ -191,7 +191,7 @@
       : records;
   }
 
-  private demand(now: number): RoomDemand {
+  private demand(now: number): RoomNeed {
     return this.context.admission.demandOf(this.request, this.prefillLimit(now), now);
   }
 
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -3,7 +3,7 @@
   Authorizer,
   type Authorized,
   type AuthorizationRefusal,
-  type KnownConfiguration as ConfigurationCurrency,
+  type KnownConfiguration,
 } from './authorizer';
 export type { ClientRequest } from './client-request';
 export type {
--- a/packages/request/forward/test/admission.test.ts
+++ b/packages/request/forward/test/admission.test.ts
@@ -26,7 +26,7 @@
 test('requests beyond the room of an endpoint wait and are all served', async () => {
   const { held, behaviour } = slow(50);
   harness = await ForwardHarness.create(behaviour);
-  harness.limitsRoom = true;
+  harness.queuesWhenFull = true;
   const seen = await Promise.all(Array.from({ length: 40 }, () => harness.call('/safe/')));
   expect(seen.map(({ status }) => status)).toEqual(Array.from({ length: 40 }, () => 200));
   expect(held.most).toBeLessThanOrEqual(places);
@@ -44,7 +44,7 @@
 test('requests that cannot be served in time are refused with a time to retry', async () => {
   const { behaviour } = slow(400);
   harness = await ForwardHarness.create(behaviour);
-  harness.limitsRoom = true;
+  harness.queuesWhenFull = true;
   await harness.call('/safe/');
   const seen = await Promise.all(Array.from({ length: 80 }, () => harness.call('/safe/')));
   const refused = seen.filter(({ status }) => status === 503);
@@ -58,7 +58,7 @@
 test('clients that leave while they wait are not sent', async () => {
   const { behaviour } = slow(200);
   harness = await ForwardHarness.create(behaviour);
-  harness.limitsRoom = true;
+  harness.queuesWhenFull = true;
   const served = Array.from({ length: places }, () => harness.call('/safe/'));
   const left = Array.from({ length: 8 }, () => harness.call('/safe/', { leaveAfterMs: 50 }));
   await Promise.all([...served, ...left]);
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -229,7 +229,7 @@
     ok({ customer, tokens, refund: () => {} });
 
   /** Whether requests wait while all endpoints are full. */
-  limitsRoom = false;
+  queuesWhenFull = false;
 
   /** Time since the configuration was last known to be current, in ms. */
   configurationAgeMs = 0;
@@ -453,7 +453,7 @@
   }
 
   private admissionControl(clock: Clock, retrySpread: RetrySpread): AdmissionControl {
-    const isLimited = () => this.limitsRoom;
+    const isLimited = () => this.queuesWhenFull;
     return AdmissionControl.create({
       get queuesWhenFull() {
         return isLimited();
--- a/packages/request/quota/src/index.ts
+++ b/packages/request/quota/src/index.ts
@@ -15,15 +15,10 @@
   type QuotaReturn,
   quotaReturnSchema,
 } from './messages';
-export {
-  type HeldRole,
-  QuotaRoles as OwnerRanks,
-  rankMembers as owners,
-  QuotaRole,
-} from './quota-roles';
+export { type HeldRole, QuotaRoles, rankMembers, QuotaRole } from './quota-roles';
 export { QuotaBucket } from './quota-bucket';
 export type { QuotaAnswer, QuotaIssuer } from './quota-issuer';
 export { QuotaLeases } from './quota-leases';
 export { type LeaseOptions } from './customer-lease';
-export { QuotaAccounts as QuotaOwner } from './quota-accounts';
+export { QuotaAccounts } from './quota-accounts';
 export type { QuotaGrant, QuotaRefusal, RequestQuotas } from './request-quotas';
--- a/packages/request/quota/test/fleet.ts
+++ b/packages/request/quota/test/fleet.ts
@@ -3,12 +3,12 @@
 import { type Quota, QuotaUnit } from '@currantdrift/routes';
 import {
   decisionTimeoutMs,
-  OwnerRanks,
-  owners,
+  QuotaRoles,
+  rankMembers,
   type QuotaAnswer,
   type QuotaBounds,
   QuotaLeases,
-  QuotaOwner,
+  QuotaAccounts,
   type QuotaQuestion,
   type QuotaReturn,
 } from '../src';
@@ -25,9 +25,9 @@
 export class FleetMember {
   readonly leases: QuotaLeases;
 
-  readonly ranks: OwnerRanks;
+  readonly ranks: QuotaRoles;
 
-  readonly owner: QuotaOwner;
+  readonly owner: QuotaAccounts;
 
   /** Time at which it lost the store; undefined while it is in touch. */
   cutOffAt: number | undefined;
@@ -39,8 +39,8 @@
     readonly host: string,
   ) {
     const { clock } = fleet;
-    this.ranks = OwnerRanks.create({ self: host, maxViewAgeMs });
-    this.owner = QuotaOwner.create(bounds, SeededRandom.create(fleet.members.size + 1));
+    this.ranks = QuotaRoles.create({ self: host, maxViewAgeMs });
+    this.owner = QuotaAccounts.create(bounds, SeededRandom.create(fleet.members.size + 1));
     this.leases = QuotaLeases.create({
       clock,
       ageMs: (since, now) => now - since,
@@ -79,7 +79,7 @@
   succeed(customer: string, quota: Quota, now: number): void {
     if (this.ranks.waitingSince(customer, now) === undefined) return;
     const { members } = this.fleet;
-    const former = owners(customer, [...members.keys()]).find((host) => host !== this.host);
+    const former = rankMembers(customer, [...members.keys()]).find((host) => host !== this.host);
     const other = members.get(former ?? '');
     if (other === undefined || other.isFrozen || !this.fleet.isLinked(this, other)) return;
     other.observe();
--- a/packages/request/quota/test/quota-owner.test.ts
+++ b/packages/request/quota/test/quota-accounts.test.ts
@@ -6,7 +6,7 @@
   decisionTimeoutMs,
   type HeldRole,
   type QuotaBounds,
-  QuotaOwner,
+  QuotaAccounts,
   QuotaRole,
 } from '../src';
 import { bounds, tokenQuota } from './fleet';
@@ -20,10 +20,14 @@
   unused,
 });
 
-const create = () => QuotaOwner.create(bounds, SeededRandom.create(1));
+const create = () => QuotaAccounts.create(bounds, SeededRandom.create(1));
 
-const ask = (quotas: QuotaOwner, quota: Quota, asked: ReturnType<typeof question>, now: number) =>
-  quotas.lease('acme', quota, asked, owner, now);
+const ask = (
+  quotas: QuotaAccounts,
+  quota: Quota,
+  asked: ReturnType<typeof question>,
+  now: number,
+) => quotas.lease('acme', quota, asked, owner, now);
 
 /** The most that members may grant for use in one window, as `allowancesOf` lists it. */
 const mostUsed = (quota: Quota, within: QuotaBounds): number => {
--- a/packages/request/routing/src/endpoint-stats.ts
+++ b/packages/request/routing/src/endpoint-stats.ts
@@ -202,13 +202,13 @@
 
   /** Records the load that the endpoint reported with an answer. */
   observeLoad(
-    { running, waiting, workTimePercent: speedPercent }: ReportedLoad,
+    { running, waiting, workTimePercent }: ReportedLoad,
     slots: number,
     now: number,
   ): void {
     const total = running + waiting;
     this.reportedLoad = { others: Math.max(0, total - this.inFlight), at: now };
-    if (speedPercent !== undefined) this.speed.observe(speedPercent, now);
+    if (workTimePercent !== undefined) this.speed.observe(workTimePercent, now);
     if (this.pace.cause === undefined) return;
     if (waiting > 0) this.pace.reduceForOverload(now);
     else if (!this.speed.isSlow(now))
--- a/packages/request/routing/src/index.ts
+++ b/packages/request/routing/src/index.ts
@@ -3,7 +3,7 @@
 export {
   type EndpointCapacity,
   EndpointRooms,
-  type RoomNeed as RoomDemand,
+  type RoomNeed,
   type RoomHold,
   RoomState,
 } from './endpoint-room';
--- a/packages/request/routing/test/endpoint-figures.test.ts
+++ b/packages/request/routing/test/endpoint-figures.test.ts
@@ -44,10 +44,10 @@
 
 // Guards against a prediction that ignores that a machine is slow now, or trusts an old figure.
 test('a reported speed counts for a limited time', () => {
-  const predict = (at: number, speedPercent?: number) => {
+  const predict = (at: number, workTimePercent?: number) => {
     const balancer = PredictiveBalancer.create(SeededRandom.create(1), () => 1);
     const first = balancer.reserve([candidate('a')], 0, Infinity, 0);
-    first?.observeLoad({ running: 1, waiting: 0, workTimePercent: speedPercent }, 0);
+    first?.observeLoad({ running: 1, waiting: 0, workTimePercent }, 0);
     first?.release('served', 0);
     return balancer.reserve([candidate('a')], 0, Infinity, at)?.predictedMs;
   };
--- a/packages/request/routing/test/pace-replay.ts
+++ b/packages/request/routing/test/pace-replay.ts
@@ -42,7 +42,7 @@
     /** Number of answers that take `coldFactor` times as long after the start. */
     private coldAnswers: number,
     /** Factor of all times, in per cent. */
-    readonly speedPercent: (now: number) => number = () => 100,
+    readonly workTimePercent: (now: number) => number = () => 100,
   ) {}
 
   get inFlight(): number {
@@ -59,7 +59,7 @@
     }
     const startFactor = this.taken < this.coldAnswers ? coldFactor : 1;
     this.taken += 1;
-    const factor = (startFactor * this.speedPercent(now)) / 100;
+    const factor = (startFactor * this.workTimePercent(now)) / 100;
     const ends = this.running.map(({ endsAt }) => endsAt).sort((a, b) => a - b);
     const beginsAt = ends.length < slots ? now : Math.max(now, ends[ends.length - slots]);
     const firstByteAt = beginsAt + roundTripMs + firstByteMs * factor;
@@ -74,9 +74,9 @@
     const begun = this.running.filter((one) => one.firstByteAt <= now);
     const running = Math.min(slots, this.inFlight);
     const waiting = this.inFlight - running;
-    const speedPercent = reportsSpeed ? this.speedPercent(now) : undefined;
+    const workTimePercent = reportsSpeed ? this.workTimePercent(now) : undefined;
     begun.forEach((one) => {
-      one.reservation.observeLoad({ running, waiting, workTimePercent: speedPercent }, now);
+      one.reservation.observeLoad({ running, waiting, workTimePercent }, now);
       one.reservation.observeFirstByte(one.firstByteAt - one.startedAt, now);
       Object.assign(one, { firstByteAt: Infinity });
     });
--- a/packages/request/routing/test/pace.test.ts
+++ b/packages/request/routing/test/pace.test.ts
@@ -125,8 +125,8 @@
   const takenAfterwards = { before: 0, after: 0 };
   const { before, after } = compare((paced) => {
     const others = settled(11);
-    const speedPercent = (now: number) => (now >= changesAt && now < slowUntil ? 400 : 100);
-    const slow = new FakeEndpoint({ id: 'slow', bornAt: 100, slots }, 0, speedPercent);
+    const workTimePercent = (now: number) => (now >= changesAt && now < slowUntil ? 400 : 100);
+    const slow = new FakeEndpoint({ id: 'slow', bornAt: 100, slots }, 0, workTimePercent);
     const taken = { slow: 0, others: 0 };
     const endpoints = (now: number) => {
       if (now === slowUntil) {
