Customers without keys still need keys for requests

Cause: a configuration whose last API key was withdrawn counted as one without customers: every request was let in, with its credentials passed on. Found by review. Change: customers count by name. The new test failed before.

--- a/packages/version/routes/src/customers.ts
+++ b/packages/version/routes/src/customers.ts
@@ -53,9 +53,9 @@
     return new CustomerTable(new Map(byDigest), new Map(byName));
   }
 
-  /** Whether requests need no API key, since the configuration has no customers. */
+  /** Whether requests need no API key, since the configuration has no customers, with or without keys. */
   get isEmpty(): boolean {
-    return this.byDigest.size === 0;
+    return this.byName.size === 0;
   }
 
   /** The customer that holds the key with a digest of `digestOfKey`. */
