--- a/packages/process/core/src/decode-json.ts
+++ b/packages/process/core/src/decode-json.ts
@@ -6,8 +6,9 @@
   let document: unknown;
   try {
     document = JSON.parse(Buffer.from(bytes).toString('utf8'));
-  } catch (error) {
-    return err(`not JSON: ${(error as Error).message}`);
+  } catch {
+    // The parser's message quotes the text, which may hold secrets.
+    return err('not JSON');
   }
   const parsed = schema.safeParse(document);
   if (parsed.success) return ok(parsed.data);
