Quotas: an owner that comes back, or a restarted one, grants no more than its share

A restarted process acted at once, though another member might act as the owner for as long as its list of the members may be old.

Ruled out: no resumption at all.

--- a/packages/request/quota/src/customer-account.ts
+++ b/packages/request/quota/src/customer-account.ts
@@ -36,6 +36,9 @@
 
   private readonly grants = new Map<number, BucketGrant>();
 
+  /** Since when this member last had the role of the owner. */
+  private ownerSince: number | undefined;
+
   private constructor(
     private allowances: QuotaAllowances,
     private held: GrantingRole,
@@ -67,6 +70,12 @@
   /** Applies the quota and the role of the moment; what the bucket holds is kept up to the new capacity. */
   update(allowances: QuotaAllowances, held: GrantingRole, now: number): void {
     const isNewRole = held.role !== this.held.role || held.since !== this.held.since;
+    const wasOwner = this.ownerSince !== undefined;
+    if (held.role === QuotaRole.owner) {
+      // Another member may have granted the quota since this one last did.
+      if (wasOwner && held.since !== this.ownerSince) this.bucket.takeAll(now);
+      this.ownerSince = held.since;
+    }
     this.allowances = allowances;
     this.held = held;
     if (isNewRole) this.bucket.restart(this.limits, held.since);
--- a/packages/request/quota/src/quota-roles.ts
+++ b/packages/request/quota/src/quota-roles.ts
@@ -109,8 +109,8 @@
 
   /**
    * Records that this process has replaced the registration of an earlier one on its host that had not
-   * expired. No other member can have become first meanwhile, so this one goes on in its roles at once,
-   * with empty buckets.
+   * expired. No other member can have become first meanwhile, so this one
+   * goes on in its roles, with empty buckets, once all current lists show what its own shows.
    */
   resume(now: number): void {
     this.resumedAt ??= now;
@@ -177,9 +177,12 @@
     if (index === 0 && takenOverAt >= heldSince) {
       return { role: QuotaRole.owner, since: takenOverAt };
     }
+    const { maxViewAgeMs } = this.options;
     const resumedAt = this.resumedIn(since);
     if (index === 0 && resumedAt !== undefined) {
-      return { role: QuotaRole.owner, since: Math.max(heldSince, resumedAt) };
+      const resumableAt = Math.max(heldSince, resumedAt) + maxViewAgeMs;
+      const role = now >= resumableAt ? QuotaRole.owner : QuotaRole.none;
+      return { role, since: resumableAt };
     }
     const settledAt = heldSince + factors.settle * this.options.maxViewAgeMs;
     const isOwner = index === 0 && now >= settledAt;
