--- a/packages/process/gateway/test/quota-service.test.ts
+++ b/packages/process/gateway/test/quota-service.test.ts
@@ -1,6 +1,6 @@
 import { type Message, NoopTelemetry, type Peers, SeededRandom } from '@currantdrift/core';
 import { VirtualClock } from '@currantdrift/fakes';
-import { type QuotaAnswer, owners } from '@currantdrift/quota';
+import { type QuotaAnswer, rankMembers } from '@currantdrift/quota';
 import { type Configuration, CustomerTable, type Quota, QuotaUnit } from '@currantdrift/routes';
 import { ok } from 'neverthrow';
 import {
@@ -12,7 +12,7 @@
 import { encodeMember, type Member, memberPrefix, Members } from '../src/version/members';
 
 const hosts = ['h1', 'h2', 'h3'];
-const [first, second, third] = owners('acme', hosts);
+const [first, second, third] = rankMembers('acme', hosts);
 
 const memberOf = (host: string): Member => ({
   host,
