Loads: the correction of promises follows loads that came; no forecast for a load in progress

Cause (review): a promise that ended as nobody waited any more counted as if the model had come then, so that refusals raised the correction, which raised refusals.

Also: a new controller announced every engine as idle before its members had reported, so that all members sent what waited at once. It begins with the announcement of loads after 1.5 s.

--- a/packages/process/gateway/src/process/announcer.ts
+++ b/packages/process/gateway/src/process/announcer.ts
@@ -12,6 +12,9 @@
 /** Interval between announcements of the requests in flight, in ms. */
 const loadAnnouncementIntervalMs = 300;
 
+/** Time within which all members have reported to a new controller, in ms. */
+const firstReportsMs = 1_500;
+
 /** What the controller tells all members; each part is empty if there is no update. */
 export interface Announcement {
   readonly inventories: readonly Inventory[];
@@ -34,6 +37,9 @@
 
   private loadsAnnouncedAt = -Infinity;
 
+  /** Time of the first announcement of the term. */
+  private beganAt: number | undefined;
+
   private constructor(
     private readonly limits: EndpointLimits,
     private readonly announce: (announcement: Announcement) => void,
@@ -91,6 +97,9 @@
     flights: UsageMessage['flights'],
     now: number,
   ): EndpointLoad[] {
+    this.beganAt ??= now;
+    // Before the members have reported to a new controller, every engine would look idle.
+    if (now - this.beganAt < firstReportsMs) return [];
     if (now - this.loadsAnnouncedAt < loadAnnouncementIntervalMs) return [];
     this.loadsAnnouncedAt = now;
     const counts = new Map([...engines.keys()].map((id) => [id, 0]));
--- a/packages/version/residency/src/load-promises.ts
+++ b/packages/version/residency/src/load-promises.ts
@@ -107,7 +107,9 @@
 
   private close(promise: OpenPromise, actualMs: number, isReady: boolean): SettledPromise {
     const { model, source, promisedMs, estimateMs, isQueued } = promise;
-    if (isQueued) this.ratiosOf(source).record(actualMs / Math.max(minPromiseMs, estimateMs));
+    // A model that nobody waits for any more may never be loaded, which says nothing of the estimate.
+    if (isQueued && isReady)
+      this.ratiosOf(source).record(actualMs / Math.max(minPromiseMs, estimateMs));
     const ratio = actualMs / Math.max(minPromiseMs, promisedMs);
     return { model, source, promisedMs, actualMs, ratio, isReady };
   }
--- a/packages/version/residency/src/ready-estimate.ts
+++ b/packages/version/residency/src/ready-estimate.ts
@@ -1,4 +1,5 @@
 import type { WaitingRequest } from './demand';
+import { EvictionPlanner } from './evictions';
 import { type EngineOperation, type EngineView, LoadSource, loadSource } from './engine-view';
 import { LoadForecast } from './load-forecast';
 import type { LoadForecasts } from './load-forecasts';
@@ -111,19 +112,19 @@
     const readyMs = adapter === undefined ? 0 : adapterReadyMs(replicas, now);
     return { readyMs, source: undefined, isQueued: false };
   }
-  const request = requestFor(input, need, now);
-  const forecast = forecasts
-    ? forecasts.current(input, now, request)
-    : LoadForecast.create(input, now, request);
-  const isQueued = forecast !== undefined;
   const loading = input.engines.find(
     ({ operation }) => operation?.kind === 'load' && operation.model === name,
   );
   if (loading?.operation !== undefined) {
     const { operation } = loading;
     const source = operation.remote ? LoadSource.remote : LoadSource.disk;
+    const isQueued = EvictionPlanner.of(input, now).needs.length > 0;
     return readyEstimate(remainingMs(operation, isQueued, now), source, isQueued);
   }
+  const request = requestFor(input, need, now);
+  const forecast = forecasts
+    ? forecasts.current(input, now, request)
+    : LoadForecast.create(input, now, request);
   const load = forecast?.load(name);
   return load === undefined
     ? estimateAlone(input, name, now)
