Admission: refuse by the rate of the queue, not by this member's few requests

Cause (review): with many members, a member runs none or one request of a queue, so that the estimated wait was that of a fleet with one slot, and requests were refused while engines were free. The most urgent requests waited to their deadline where memory was full. Ejected and unreachable endpoints were the only ones with room. A queue was kept for ten minutes for each name of a model that a client made up.

Change: where members share the endpoints, only grants under backlog give a rate; what has missed its target as everything was full is refused; sound endpoints go first; queues are kept for models that endpoints hold.

--- a/packages/request/admission/src/queue.ts
+++ b/packages/request/admission/src/queue.ts
@@ -84,7 +84,7 @@
     private readonly settings: AdmissionSettings,
     private readonly onFinish: (now: number) => void,
   ) {
-    this.rate = ServiceRate.create(settings.rateTimeConstantMs);
+    this.rate = ServiceRate.create(settings.rateTimeConstantMs, settings.rateFromRunning);
   }
 
   /** `onFinish` is called when a grant has ended; by default it calls `pump`. */
--- a/packages/request/admission/src/service-rate.ts
+++ b/packages/request/admission/src/service-rate.ts
@@ -30,10 +30,14 @@
 
   private deviationMs = 0;
 
-  private constructor(private readonly timeConstantMs: number) {}
-
-  static create(timeConstantMs: number): ServiceRate {
-    return new ServiceRate(timeConstantMs);
+  private constructor(
+    private readonly timeConstantMs: number,
+    private readonly fromRunning: () => boolean,
+  ) {}
+
+  /** `fromRunning` is the setting `rateFromRunning` of the queue. */
+  static create(timeConstantMs: number, fromRunning = () => true): ServiceRate {
+    return new ServiceRate(timeConstantMs, fromRunning);
   }
 
   /** Sets whether entries wait from `now` on. */
@@ -84,6 +88,7 @@
       // The interval in progress counts once it raises the estimate, as when service stalls.
       return Math.max(complete, this.backloggedMs / (this.grants + 1));
     }
+    if (!this.fromRunning()) return undefined;
     const { conservativeServiceMs } = this;
     if (this.meanMs === undefined || conservativeServiceMs === undefined || running === 0)
       return undefined;
--- a/packages/request/admission/src/settings.ts
+++ b/packages/request/admission/src/settings.ts
@@ -6,6 +6,11 @@
   readonly maxPerCaller: number;
   /** Refuse if the estimated wait exceeds the time left. Disabled only to test this protection. */
   readonly earlyRefusal: boolean;
+  /**
+   * Whether the number of running entries shows the rate of service while there are few grants under
+   * backlog. It does not where others use the same endpoints.
+   */
+  readonly rateFromRunning: () => boolean;
   /** Waiting entries that are checked at once for those that can no longer be served in time. */
   readonly reviewSize: number;
   /** Time constant of the measured rates, in ms. */
@@ -21,6 +26,7 @@
   maxWaiting: 256,
   maxPerCaller: 64,
   earlyRefusal: true,
+  rateFromRunning: () => true,
   reviewSize: 256,
   rateTimeConstantMs: 5_000,
   minRetryAfterMs: 50,
--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -111,7 +111,12 @@
   private constructor(private readonly options: AdmissionControlOptions) {
     this.queues = AdmissionQueues.create<Attempted, QueuedRequest>(
       (key, request, now) => this.attempt(key, request, now),
-      { maxWaiting: maxWaitingInQueue, maxPerCaller: maxWaitingInQueue, reviewSize },
+      {
+        maxWaiting: maxWaitingInQueue,
+        maxPerCaller: maxWaitingInQueue,
+        reviewSize,
+        rateFromRunning: () => !options.rooms.areShared,
+      },
       // The release of the place that ends a grant serves the queues that can use it.
       () => {},
     );
@@ -284,9 +289,9 @@
    * Whether a request has missed its target as the endpoints were full all the time, without any of this
    * member's requests from whose end a wait could be estimated.
    */
-  private isHopeless(key: string, { enqueuedAt, target, request }: QueuedRequest, now: number) {
+  private isHopeless(key: string, { enqueuedAt, target }: QueuedRequest, now: number) {
     const isMissed = now > enqueuedAt && now > target;
-    return isMissed && !this.isWaitKnown(key, now) && !this.isMostUrgent(request, now);
+    return isMissed && !this.isWaitKnown(key, now);
   }
 
   private isWaitKnown(key: string, now: number): boolean {
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -143,8 +143,10 @@
     now: number,
   ): Promise<SelectedEndpoint | NoEndpoint | undefined> {
     const { admission, stopping } = this.context;
-    if (!admission.isEnabled) return this.tryReserve(tried, now, 'any');
-    const tooLarge = admission.checkFit(this.reachableEndpoints(now), this.demand(now));
+    const reachable = admission.isEnabled ? this.reachableEndpoints(now) : [];
+    // Clients choose the names of models, so queues are kept only for those that endpoints hold.
+    if (reachable.length === 0) return this.tryReserve(tried, now, 'any');
+    const tooLarge = admission.checkFit(reachable, this.demand(now));
     if (tooLarge !== undefined) return tooLarge;
     const attempt = (at: number, level: RoomLevel) => this.attempt(tried, at, level);
     return admission.admit(this.request, attempt, tried.size > 0, [this.gone, stopping]);
@@ -185,10 +187,14 @@
     level: RoomLevel,
     now: number,
   ): readonly EndpointRecord[] {
-    const { admission } = this.context;
-    return admission.isEnabled
-      ? admission.withRoom(records, this.demand(now), level, now)
-      : records;
+    const { admission, balancer } = this.context;
+    if (!admission.isEnabled) return records;
+    // An endpoint that fails what it gets always has room, so it is left out first.
+    const sound = records.filter(
+      ({ id }) => !balancer.isEjected(id, now) && !balancer.isUnreachable(id, now),
+    );
+    const usable = sound.length > 0 ? sound : records;
+    return admission.withRoom(usable, this.demand(now), level, now);
   }
 
   private demand(now: number): RoomNeed {
--- a/packages/request/routing/src/endpoint-room.ts
+++ b/packages/request/routing/src/endpoint-room.ts
@@ -80,6 +80,11 @@
     return new EndpointRooms(members);
   }
 
+  /** Whether other members send to the same endpoints. */
+  get areShared(): boolean {
+    return this.members() > 1;
+  }
+
   /** Whether the endpoint could run the request if it ran nothing else. */
   static fits({ cacheTokens = Infinity }: EndpointCapacity, { tokens }: RoomNeed): boolean {
     return tokens <= cacheTokens;
