--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -159,14 +159,26 @@
     this.response.writeHead(status, headers);
   }
 
-  /** Sends a part of the response; resolves when more can be written, or the client disconnected. */
-  async write(bytes: Buffer): Promise<void> {
+  /**
+   * Sends a part of the response; resolves when more can be written, the client has disconnected, or
+   * `signal` aborts: a client that stops reading must not keep the place at the endpoint.
+   */
+  async write(bytes: Buffer, signal?: AbortSignal): Promise<void> {
     if (this.gone.aborted || this.response.write(bytes)) return;
     this.bytes.countUnread();
     if (this.gone.aborted || this.response.destroyed) return;
+    const { response } = this;
     await new Promise<void>((resolve) => {
-      this.response.once('drain', resolve);
-      this.response.once('close', resolve);
+      const finish = () => {
+        response.off('drain', finish);
+        response.off('close', finish);
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      response.once('drain', finish);
+      response.once('close', finish);
+      signal?.addEventListener('abort', finish, { once: true });
+      if (signal?.aborted) finish();
     });
     this.bytes.countUnread();
   }
