--- a/packages/connection/http/test/byte-budget.test.ts
+++ b/packages/connection/http/test/byte-budget.test.ts
@@ -63,20 +63,20 @@
   expect({ small, large, unstated: sharesOf({}, heapBytes) }).toMatchInlineSnapshot(`
    {
      "large": {
-       "clientBytes": 126528170,
        "clientConnections": 3922,
+       "heldBytes": 126528170,
        "peerConnections": 2615,
        "statusConnections": 209,
      },
      "small": {
-       "clientBytes": 21845333,
        "clientConnections": 1462,
+       "heldBytes": 21845333,
        "peerConnections": 975,
        "statusConnections": 78,
      },
      "unstated": {
-       "clientBytes": 95070890,
        "clientConnections": 6069,
+       "heldBytes": 95070890,
        "peerConnections": 4046,
        "statusConnections": 323,
      },
--- a/packages/request/forward/src/authorizer.ts
+++ b/packages/request/forward/src/authorizer.ts
@@ -62,10 +62,10 @@
  * was last known to be current, so a process that has lost contact refuses what it cannot verify.
  */
 export class Authorizer {
-  private constructor(private readonly currency: KnownConfiguration) {}
+  private constructor(private readonly known: KnownConfiguration) {}
 
-  static create(currency: KnownConfiguration): Authorizer {
-    return new Authorizer(currency);
+  static create(known: KnownConfiguration): Authorizer {
+    return new Authorizer(known);
   }
 
   /** Authorizes a request that has just arrived. */
@@ -93,18 +93,18 @@
   }
 
   private customers(): CustomerTable {
-    return this.currency.configuration()?.customers ?? noCustomers;
+    return this.known.configuration()?.customers ?? noCustomers;
   }
 
   /** Whether any withdrawal that must be obeyed by now would be known. */
   private isVerifiable(now: number): boolean {
-    const { revocationBoundMs = Infinity, ageMs } = this.currency;
+    const { revocationBoundMs = Infinity, ageMs } = this.known;
     return ageMs(now) < usableAgeShare * revocationBoundMs;
   }
 
   /** A key that this process does not know may be new. */
   private unknownKey(now: number): AuthorizationRefusal {
-    const { ageMs, changeBoundMs } = this.currency;
+    const { ageMs, changeBoundMs } = this.known;
     if (ageMs(now) >= changeBoundMs) return unverifiable;
     return { status: httpStatus.unauthorized, reason: 'the API key is not valid' };
   }
