API keys are checked again when the connection to the endpoint is ready

Cause (review, by reading): a request was checked when its endpoint was chosen; a process that froze while the connection opened wrote it later. The send also passes its signal to the writes to its client.

--- a/packages/connection/http/src/exchange.ts
+++ b/packages/connection/http/src/exchange.ts
@@ -14,6 +14,8 @@
   readonly progressTimeoutMs: number;
   /** Unread bytes above which reading from the server pauses. */
   readonly highWaterBytes: number;
+  /** Whether the request may still be sent, asked just before its first byte is written. */
+  readonly maySend?: () => boolean;
 }
 
 /**
@@ -95,6 +97,8 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.limits.maySend?.() === false)
+      this.fail(new Error('the request may not be sent any more'));
     if (this.error !== undefined) {
       controller.abort(this.error);
       return;
--- a/packages/connection/http/src/http-client.ts
+++ b/packages/connection/http/src/http-client.ts
@@ -21,6 +21,11 @@
   readonly progressTimeoutMs: number;
   /** Aborting it closes the connection. */
   readonly signal?: AbortSignal;
+  /**
+   * Called when a connection is ready for the request; if it returns false, nothing is sent. For requests
+   * that may have become invalid meanwhile, for example while this process was suspended.
+   */
+  readonly maySend?: () => boolean;
 }
 
 /** A request whose response is read completely. */
@@ -248,13 +253,16 @@
 
   private dispatch(call: HttpCall): Exchange {
     const { pool } = this;
-    const { progressTimeoutMs, signal } = call;
+    const { progressTimeoutMs, signal, maySend } = call;
     const { highWaterBytes } = this.settings;
     let onAbort: () => void = () => {};
-    const exchange: Exchange = Exchange.create({ progressTimeoutMs, highWaterBytes }, () => {
-      signal?.removeEventListener('abort', onAbort);
-      if (exchange.timedOut) this.replacePool(pool);
-    });
+    const exchange: Exchange = Exchange.create(
+      { progressTimeoutMs, highWaterBytes, maySend },
+      () => {
+        signal?.removeEventListener('abort', onAbort);
+        if (exchange.timedOut) this.replacePool(pool);
+      },
+    );
     onAbort = () => {
       const reason: unknown = signal?.reason;
       exchange.stop(reason instanceof Error ? reason : new Error('the call was aborted'));
--- a/packages/connection/http/test/http-client.test.ts
+++ b/packages/connection/http/test/http-client.test.ts
@@ -20,11 +20,11 @@
   return server;
 };
 
-const call = async (serve: (socket: Socket) => void) => {
+const call = async (serve: (socket: Socket) => void, maySend?: () => boolean) => {
   const server = await listen(serve);
   const { port } = server.address() as AddressInfo;
   const client = HttpClient.create(`127.0.0.1:${port}`, 'endpoint', limits);
-  const answer = await client.whole({ step: 'test', method: 'GET', path: '/' }, 1_000);
+  const answer = await client.whole({ step: 'test', method: 'GET', path: '/', maySend }, 1_000);
   await client.close();
   await new Promise((resolve) => {
     server.close(resolve);
@@ -36,6 +36,16 @@
   setTimeout(action, 20);
 };
 
+// Guards against a request that became invalid while its connection opened, for example in a freeze.
+test('a request that may not be sent any more is not written', async () => {
+  let received = 0;
+  const serve = () => {
+    received += 1;
+  };
+  expect(await call(serve, () => false)).toEqual({ failure: 'unreachable' });
+  expect(received).toBe(0);
+});
+
 describe('the end of a response', () => {
   const head = 'HTTP/1.1 200 OK\r\n';
 
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -112,11 +112,11 @@
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
     const isStream = this.request.route.kind === RequestKind.stream && answer.status === 200;
     if (isStream && this.request.route.resumable) this.recordStream();
-    return isStream ? this.relay(answer) : this.bufferAnswer(answer);
+    return isStream ? this.relay(answer, signal) : this.bufferAnswer(answer);
   }
 
   private open(signal: AbortSignal, now: number) {
-    const { protocol, client } = this.context;
+    const { protocol, client, authorizer, clock } = this.context;
     const { record } = this.selected;
     const { headers, body, method, path, deadline } = this.request;
     const deadlineMs = Math.max(1, Math.floor(deadline - now));
@@ -134,6 +134,8 @@
       body: body.length > 0 ? body : undefined,
       progressTimeoutMs: deadlineMs,
       signal,
+      // The key may be withdrawn while the connection opens, or the process be suspended.
+      maySend: () => authorizer.recheck(this.request.authorized, clock.now()) === undefined,
     });
   }
 
@@ -184,7 +186,7 @@
   }
 
   /** Relays complete events as they arrive. */
-  private async relay(answer: OpenAnswer): Promise<SendResult> {
+  private async relay(answer: OpenAnswer, signal: AbortSignal): Promise<SendResult> {
     const { clock } = this.context;
     const splitter = EventSplitter.create();
     let longestPauseMs = 0;
@@ -208,7 +210,7 @@
         this.watched.recordEvent(now);
         this.begin(answer);
         this.position.lastEventId = events.lastId ?? this.position.lastEventId;
-        await this.client.write(events.bytes);
+        await this.client.write(events.bytes, signal);
       }
     }
   }
