Comments: times of the roles of quotas, settings, the age of a lease

Cause: read by somebody new to the project: the proof behind the roles' times stood in one paragraph, two comments were wrong. Comments and two headings only.

--- a/packages/request/quota/src/quota-roles.ts
+++ b/packages/request/quota/src/quota-roles.ts
@@ -21,14 +21,23 @@
   rendezvousOrder(`quota ${customer}`, members);
 
 /**
- * Times as multiples of the age A that a current list of the members may have. A member that is first on
- * its own account waits for `settle`. An owner that loses contact with the store for less than `blind`
- * remains the owner afterwards: a member that was first meanwhile acts 2.5 A after the last confirmation at
- * the earliest, and by then has learnt within A what the owner has learnt by 1.5 A. A former owner may hand its
- * role over for `release`: a third member that does not know of the successor yet, for A at most, can only
- * act 1.5 A after the former owner learnt that it was not first any more.
+ * Times as multiples of A = `maxViewAgeMs`. A change of the members reaches each member whose list is
+ * current within A.
  */
-const factors = { settle: 2.5, blind: 1.5, release: 0.5 } as const;
+const factors = {
+  /** Time for which a member must have been first before it grants without the former owner's consent. */
+  settle: 2.5,
+  /**
+   * Age of the list up to which an owner remains the owner once its list is current again. Its successor
+   * acts 2.5 A after the last confirmation at the earliest, and knows by then what the owner learnt by 1.5 A.
+   */
+  blind: 1.5,
+  /**
+   * Time after a member learnt that it is not first any more in which it may hand its role over. A third
+   * member that does not know of the successor yet acts 1.5 A after that moment at the earliest.
+   */
+  release: 0.5,
+} as const;
 
 /** Former lists of the members that are kept. */
 const maxLists = 16;
@@ -195,7 +204,7 @@
     return isFirstList && this.restartedAt === this.firstCurrentAt ? this.resumedAt : undefined;
   }
 
-  /** Whether the list has been current for long enough that what it shows is not what was missed before. */
+  /** Whether the list has been current for so long that a change in it is new, not one missed before. */
   private isSteady(now: number): boolean {
     return now - this.currencySince > factors.release * this.options.maxViewAgeMs;
   }
--- a/packages/request/quota/src/request-quotas.ts
+++ b/packages/request/quota/src/request-quotas.ts
@@ -18,7 +18,7 @@
   readonly retryAfterMs: number | undefined;
   /** Role of the member that decided; undefined if none did. */
   readonly role: Exclude<QuotaRole, 'none'> | undefined;
-  /** Age of the last lease for the customer, in ms; undefined if there is none. */
+  /** Age of the lease that this member still holds, in ms; undefined after a question, which gives it up. */
   readonly leaseAgeMs: number | undefined;
 }
 
--- a/packages/request/routing/src/work-time-factor.ts
+++ b/packages/request/routing/src/work-time-factor.ts
@@ -1,7 +1,7 @@
-/** Time for which a reported speed counts, in ms; it changes many times per second. */
+/** Time for which a report counts, in ms; the figure changes many times per second. */
 const lifetimeMs = 500;
 
-/** Bounds within which a reported speed is believed, as factors of the usual time. */
+/** Bounds of what is believed of a report, as factors of the usual time. */
 const minFactor = 0.5;
 const maxFactor = 10;
 
