Admission control is off unless a setting asks for it

Change: the setting admission.queues turns it on; neither customers nor the list of contracts do. The test of the old switch is replaced by one of the new, as strict.

--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -81,7 +81,7 @@
   readonly rooms: EndpointRooms;
   readonly retrySpread: RetrySpread;
   readonly configuration: () => Configuration | undefined;
-  /** Whether the deployment's settings ask for admission control; customers do so as well. */
+  /** Whether the settings ask for admission control. */
   readonly queuesWhenFull: boolean;
 }
 
@@ -128,8 +128,7 @@
   }
 
   get isEnabled(): boolean {
-    const { queuesWhenFull, configuration } = this.options;
-    return queuesWhenFull || configuration()?.customers?.isEmpty === false;
+    return this.options.queuesWhenFull;
   }
 
   /** Number of requests that wait for room. */
--- a/packages/request/forward/test/admission.test.ts
+++ b/packages/request/forward/test/admission.test.ts
@@ -70,6 +70,7 @@
 test('a customer with few requests does not wait behind one with many', async () => {
   const { behaviour } = slow(60);
   harness = await ForwardHarness.create(behaviour);
+  harness.queuesWhenFull = true;
   harness.customers = CustomerTable.create(
     ['many', 'few'].map((name) => ({
       customer: { name, priority: undefined, quota: undefined },
