A request whose time is up ends by its deadline, not as a failure of its endpoint

Cause: the progress timeout of the connection was the time left, rounded down, so that it could end before the deadline's own timer: 502 in place of 504. Change: it is 50 ms longer.

--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -15,6 +15,12 @@
   readonly body: Buffer;
 }
 
+/**
+ * Time by which the progress timeout exceeds the deadline, in ms, so that a request whose time is up ends by
+ * its deadline and not as a failure of its endpoint.
+ */
+const deadlineSlackMs = 50;
+
 /** Whether only the end of its connection marks the end of an endpoint's answer. */
 const endsWithConnection = ({ headers }: Head): boolean =>
   headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -132,7 +138,7 @@
         resumeAfter: this.position.lastEventId,
       }),
       body: body.length > 0 ? body : undefined,
-      progressTimeoutMs: deadlineMs,
+      progressTimeoutMs: deadlineMs + deadlineSlackMs,
       signal,
       // The key may be withdrawn while the connection opens, or the process be suspended.
       maySend: () => authorizer.recheck(this.request.authorized, clock.now()) === undefined,
