A planned stop takes no request that it cannot answer before its end

Cause: the end of acceptance was looked at every 100 ms, counted from the moment at which the process handled the signal, and nothing asked whether an answer fits into what is left: streams of 5 s were taken with 4.6 s left. Idle connections heard nothing of the stop, so that late requests came on them.

Change: PlannedStop decides at the time of each request. The limit counts from the last moment at which the event loop had certainly run before the signal; a request has to be expected to end before the process, by the latest answers of its service; so does a repeat. What is not taken is refused at once, as not run, with 50 ms to wait. Idle connections are closed 2.2 s after the signal, when the balancer has noticed, so that clients go elsewhere before they send.

--- a/packages/process/core/src/index.ts
+++ b/packages/process/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer-times';
 export * from './bounded-map';
 export * from './bundle';
 export * from './clock';
@@ -9,8 +10,10 @@
 export * from './hash';
 export * from './hosts';
 export * from './item';
+export * from './loop-ticks';
 export * from './nearest-word';
 export * from './network';
+export * from './planned-stop';
 export * from './prefix-store';
 export * from './random';
 export * from './seeded-random';
--- a/packages/process/gateway/src/process/client-http-server.ts
+++ b/packages/process/gateway/src/process/client-http-server.ts
@@ -82,12 +82,16 @@
     this.stopping = true;
   }
 
-  /** Stops accepting connections and closes those without a request in progress. */
-  stopAccepting(): void {
-    if (this.server.listening) this.server.close();
+  /** Closes kept connections without a request in progress. */
+  closeIdle(): void {
     this.server.closeIdleConnections();
   }
 
+  /** Stops accepting connections. */
+  stopAccepting(): void {
+    this.server.close();
+  }
+
   connections(): Promise<number> {
     return new Promise((resolve) => {
       this.server.getConnections((_error, count) => resolve(count ?? 0));
--- a/packages/process/gateway/src/process/gateway.ts
+++ b/packages/process/gateway/src/process/gateway.ts
@@ -1,9 +1,12 @@
 import { setMaxListeners } from 'node:events';
 import {
+  AnswerTimes,
   type Clock,
+  LoopTicks,
   type Message,
   NoopTelemetry,
   MonotonicClock,
+  PlannedStop,
   SystemRandom,
   type Telemetry,
 } from '@currantdrift/core';
@@ -37,7 +40,7 @@
 import { ControllerElection } from './controller-election';
 import { ClientHttpServer, type ListenFailure } from './client-http-server';
 import type { GatewaySettings } from './gateway-settings';
-import { awaitClients } from './graceful-stop';
+import { awaitClients, stopDurations } from './graceful-stop';
 import { LeavingNotices } from './leaving-notices';
 import { ControllerModelWaker } from './controller-model-waker';
 import { ControllerTerms } from './controller-terms';
@@ -83,6 +86,12 @@
 
   private readonly closing = new AbortController();
 
+  private readonly answerTimes = AnswerTimes.create();
+
+  private readonly ticks = LoopTicks.create(this.clock.now());
+
+  private readonly plannedStop: PlannedStop;
+
   private readonly storeCache: StoreCache;
 
   private readonly self: Member;
@@ -122,14 +131,13 @@
 
   private readonly terms: ControllerTerms;
 
-  private stopping = false;
-
   private constructor(private readonly options: GatewayOptions) {
     const { settings, platform, telemetry } = options;
     // Every waiting request adds a listener, so the default limit would print warnings.
     setMaxListeners(0, this.stopped.signal, this.closing.signal);
     this.resources = HostResources.create(settings.limits ?? {}, telemetry);
     const { memory, shares } = this.resources;
+    this.plannedStop = PlannedStop.create(stopDurations(settings.graceMs), this.answerTimes);
     const { host, peerAddress: address, domain, processors } = settings;
     this.self = { host, address, domain, processors };
     this.choice = EndpointChoice.create({
@@ -300,6 +308,7 @@
     if (listening.isErr()) {
       telemetry.log('peers.unavailable', { reason: listening.error.message });
     }
+    this.ticks.start(this.clock);
     this.startTasks();
     telemetry.log('start', { domain: settings.domain, firstStart: settings.firstStart });
     return served;
@@ -307,16 +316,17 @@
 
   /** Gives up its roles at once, serves requests meanwhile, and returns within the grace period. */
   async stop(): Promise<void> {
-    const { settings, telemetry } = this.options;
+    const { telemetry } = this.options;
     const startedAt = this.clock.now();
-    this.stopping = true;
+    this.plannedStop.begin(this.ticks.signalledAfter, startedAt);
     this.clientServer.beginStop();
     this.stopped.abort();
     telemetry.log('stop', { openRequests: this.forwarder.openRequests });
     this.runInBackground(this.registration.leave());
     await awaitClients({
       clock: this.clock,
-      graceMs: settings.graceMs,
+      stop: this.plannedStop,
+      closeIdle: () => this.clientServer.closeIdle(),
       stopAccepting: () => {
         this.closing.abort();
         this.clientServer.stopAccepting();
@@ -333,7 +343,7 @@
   /** Whether a configuration and at least one endpoint are known, and the process is not stopping. */
   private isReady(): boolean {
     return (
-      !this.stopping &&
+      !this.plannedStop.isStopping &&
       this.storeCache.configuration !== undefined &&
       this.directory.all().length > 0
     );
@@ -359,6 +369,8 @@
       streamVersions: this.streamHandling.ledger,
       stopping: this.stopped.signal,
       closing: this.closing.signal,
+      stop: this.plannedStop,
+      answerTimes: this.answerTimes,
       waker: ControllerModelWaker.create(
         this.peers,
         this.members,
--- a/packages/request/forward/src/client-request.ts
+++ b/packages/request/forward/src/client-request.ts
@@ -1,4 +1,4 @@
-import { digest } from '@currantdrift/core';
+import { digest, type ExpectedWork } from '@currantdrift/core';
 import type { Headers } from '@currantdrift/http';
 import type { Route } from '@currantdrift/routes';
 import type { Authorized } from './authorizer';
@@ -34,6 +34,17 @@
 export const deadlineOf = (route: Route, fields: RequestFields, arrivedAt: number): number =>
   arrivedAt + Math.min(route.timeoutMs, fields.deadlineMs ?? route.timeoutMs);
 
+/** What decides how long the request may take. */
+export const expectedWork = ({
+  fields,
+  service,
+  deadline,
+}: Pick<ClientRequest, 'fields' | 'service' | 'deadline'>): ExpectedWork => ({
+  service,
+  tokens: fields.maxNewTokens,
+  deadline,
+});
+
 /** Digest of a request's method, path, caller and body. Other headers may differ between repeats. */
 export const digestOf = (
   { method, path, headers, body }: Pick<ClientRequest, 'method' | 'path' | 'headers' | 'body'>,
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,7 +1,7 @@
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
 import type { RoomNeed } from '@currantdrift/routing';
-import type { ClientRequest } from './client-request';
+import { type ClientRequest, expectedWork } from './client-request';
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import type { ForwardContext } from './forward-context';
 import { PermitWait } from './permit-wait';
@@ -112,11 +112,16 @@
     if (this.gone.aborted) {
       return { kind: 'gone', reason: 'the client disconnected', retryAfterMs: 0 };
     }
-    // What is passed on for the first time so late might be cut when the process exits.
-    if (this.context.closing.aborted && tried.size === 0) return this.refuseDuringStop();
+    if (tried.size === 0 && !this.mayBegin(now)) return this.refuseDuringStop();
     return this.checkAuthorization(now) ?? this.checkQuarantine(now);
   }
 
+  /** Whether the process may still take the request, which may have waited since it arrived. */
+  private mayBegin(now: number): boolean {
+    const { closing, stop } = this.context;
+    return !closing.aborted && stop.takes(expectedWork(this.request), now);
+  }
+
   /** Refuses the request if its API key was withdrawn, or cannot be verified any more. */
   private checkAuthorization(now: number): NoEndpoint | undefined {
     const refusal = this.context.authorizer.recheck(this.request.authorized, now);
--- a/packages/request/forward/src/forward-context.ts
+++ b/packages/request/forward/src/forward-context.ts
@@ -1,4 +1,4 @@
-import type { Clock, Telemetry } from '@currantdrift/core';
+import type { AnswerTimes, Clock, PlannedStop, Telemetry } from '@currantdrift/core';
 import type { RetryBudget } from '@currantdrift/attempt';
 import type { EndpointDirectory, EndpointRecord } from '@currantdrift/fleet';
 import type { ClientMemory, HttpClient } from '@currantdrift/http';
@@ -49,6 +49,10 @@
   readonly stopping: AbortSignal;
   /** Aborted when the process stops accepting requests. */
   readonly closing: AbortSignal;
+  /** Decides which requests may begin while the process stops. */
+  readonly stop: PlannedStop;
+  /** How long answers take, by service. */
+  readonly answerTimes: AnswerTimes;
   /** Memory for requests and responses of all clients. */
   readonly clientMemory: ClientMemory;
   /** Returns undefined until the first configuration has been received. */
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -1,7 +1,7 @@
 import type { EndpointRecord } from '@currantdrift/fleet';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import type { ClientExchange } from './client-exchange';
-import type { ClientRequest } from './client-request';
+import { type ClientRequest, expectedWork } from './client-request';
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import { EndpointSelector } from './endpoint-selector';
 import type { ForwardContext } from './forward-context';
@@ -218,7 +218,7 @@
   /** Whether the request is sent again; withdraws a retry from the budget if it needs one. */
   private takeRetry(result: FailedSend): boolean {
     const { settings, budget, clock } = this.context;
-    if (this.mayHaveCrashed) return false;
+    if (this.mayHaveCrashed || !this.endsBeforeStop()) return false;
     const counts = { runs: this.runs, refusals: this.refusals };
     if (!isRetryAllowed(this.request.route, result.kind, counts, settings.maxRefusals))
       return false;
@@ -227,6 +227,15 @@
     return budget(this.request.service).withdraw(clock.now());
   }
 
+  /**
+   * Whether a repeat would end before this process stops; otherwise the client tries another process. What
+   * it has of a stream stays worth something, so that goes on.
+   */
+  private endsBeforeStop(): boolean {
+    const { stop, clock } = this.context;
+    return this.position.hasBegun || stop.fits(expectedWork(this.request), clock.now());
+  }
+
   private giveUp({ kind, reason, status, retryAfterMs }: NoEndpoint): ForwardResult {
     if (kind === 'gone') return { outcome: 'gone', status: 0, reason };
     if (this.client.started) return this.cut(reason);
@@ -244,8 +253,11 @@
   private fail(result: FailedSend): ForwardResult {
     if (this.client.started) return this.cut(result.reason);
     if (this.runs === 0) {
-      const { defaultRetryAfterMs } = this.context.settings;
-      return this.answer('refused', httpStatus.unavailable, result.reason, defaultRetryAfterMs);
+      const { settings, stop } = this.context;
+      const retryAfterMs = stop.isStopping
+        ? settings.shutdownRetryAfterMs
+        : settings.defaultRetryAfterMs;
+      return this.answer('refused', httpStatus.unavailable, result.reason, retryAfterMs);
     }
     const { held } = result;
     if (held === undefined) {
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -3,7 +3,7 @@
 import type { ClientLimits, Configuration } from '@currantdrift/routes';
 import { RouteTable, selectService } from '@currantdrift/routes';
 import { ClientExchange } from './client-exchange';
-import { type ClientRequest, deadlineOf, digestOf } from './client-request';
+import { type ClientRequest, deadlineOf, digestOf, expectedWork } from './client-request';
 import type { RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
@@ -74,10 +74,7 @@
       const retryAfterMs = this.context.settings.defaultRetryAfterMs;
       return this.refuse(client, 503, 'no configuration has been received yet', retryAfterMs);
     }
-    if (this.context.closing.aborted) {
-      const { shutdownRetryAfterMs } = this.context.settings;
-      return this.refuse(client, httpStatus.unavailable, shutdownReason, shutdownRetryAfterMs);
-    }
+    if (this.isClosed(arrivedAt)) return this.refuseDuringStop(client);
     const { url = '/', method = 'GET', headers } = client.request;
     const route = this.tableFor(configuration).match(headers.host ?? '', url);
     if (route === undefined) {
@@ -95,6 +92,9 @@
       this.context.usage.recordArrival(service, fields.model, fields.adapter);
     }
     const deadline = deadlineOf(route, fields, arrivedAt);
+    if (!this.context.stop.takes(expectedWork({ fields, service, deadline }), arrivedAt)) {
+      return this.refuseDuringStop(client);
+    }
     const read = await this.readBody(client, configuration.limits, deadline);
     if (read.kind !== 'complete') return this.endWithoutBody(client, read.kind);
     const content = { method, path: url, headers, body: read.body };
@@ -132,6 +132,17 @@
     return result;
   }
 
+  /** Whether no new request is taken any more. */
+  private isClosed(now: number): boolean {
+    const { closing, stop } = this.context;
+    return closing.aborted || now >= stop.acceptsUntil;
+  }
+
+  private refuseDuringStop(client: ClientExchange): ForwardResult {
+    const { shutdownRetryAfterMs } = this.context.settings;
+    return this.refuse(client, httpStatus.unavailable, shutdownReason, shutdownRetryAfterMs);
+  }
+
   private tableFor(configuration: Configuration): RouteTable {
     if (this.table === undefined || this.tableConfiguration !== configuration) {
       this.table = RouteTable.create(configuration);
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -118,7 +118,17 @@
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
     const isStream = this.request.route.kind === RequestKind.stream && answer.status === 200;
     if (isStream && this.request.route.resumable) this.recordStream();
-    return isStream ? this.relay(answer, signal) : this.bufferAnswer(answer);
+    const result = await (isStream ? this.relay(answer, signal) : this.bufferAnswer(answer));
+    if (result.kind === 'delivered' && !this.client.gone.aborted) {
+      this.recordTime(firstByteMs, clock.now() - startedAt);
+    }
+    return result;
+  }
+
+  private recordTime(firstByteMs: number, elapsedMs: number): void {
+    const { fields, service } = this.request;
+    const restMs = elapsedMs - firstByteMs;
+    this.context.answerTimes.record(service, { firstByteMs, restMs, tokens: fields.maxNewTokens });
   }
 
   private open(signal: AbortSignal, now: number) {
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -327,6 +327,67 @@
   });
 });
 
+describe('which requests begin in a planned stop', () => {
+  const begin = (sinceMs: number) => {
+    const now = performance.now();
+    harness.stop.begin(now - sinceMs, now - sinceMs);
+  };
+
+  /** Replaces what is known of the answers' times. */
+  const learn = (restMs: number) =>
+    Array.from({ length: 64 }, () =>
+      harness.answerTimes.record('s', { firstByteMs: 0, restMs, tokens: 10 }),
+    );
+
+  const callAll = (count: number, path: string, headers?: Record<string, string>) =>
+    Promise.all(Array.from({ length: count }, () => harness.call(path, { headers })));
+
+  const statusCounts = (seen: readonly ClientResponse[]) => {
+    const counts: Record<number, number> = {};
+    seen.forEach(({ status }) => {
+      counts[status] = (counts[status] ?? 0) + 1;
+    });
+    return counts;
+  };
+
+  // Guards against requests that begin after the limit because the process has not looked at the time yet.
+  test('none from the limit on, whenever the process notices it', async () => {
+    await withEndpoints(good);
+    begin(1_000);
+    const seen = [...(await callAll(10, '/safe/')), ...(await callAll(10, '/once/'))];
+    expect(statusCounts(seen)).toEqual({ 503: 20 });
+    expect(seen[0].retryAfter).toBe('0.05');
+    expect(harness.arrivals).toEqual([0]);
+  });
+
+  // Guards against long requests that are taken though the process ends before them. What it costs callers: a
+  // request that would have ended sooner than nine in ten is refused like the others, unless its deadline ends it.
+  test('none that is expected to outlast the process', async () => {
+    const slow: Behaviour = (socket) => setTimeout(() => socket.end(whole(200, 'fine')), 100);
+    await withEndpoints(slow);
+    learn(1_500);
+    begin(0);
+    const first = await callAll(10, '/safe/');
+    learn(1_950);
+    const second = await callAll(10, '/safe/', { deadline: '1500' });
+    const third = await callAll(10, '/safe/');
+    const seen = [first, second, third];
+    expect(seen.map(statusCounts)).toEqual([{ 200: 10 }, { 200: 10 }, { 503: 10 }]);
+    expect(harness.arrivals).toEqual([20]);
+  });
+
+  // Guards against repeats that begin so late that the process ends in the middle of them.
+  test('no repeat that is expected to outlast the process', async () => {
+    const fails: Behaviour = (socket) => setTimeout(() => socket.end(whole(500, 'no')), 100);
+    await withEndpoints(fails, fails);
+    learn(1_950);
+    begin(0);
+    const seen = await callAll(5, '/safe/');
+    expect(statusCounts(seen)).toEqual({ 500: 5 });
+    expect(harness.arrivals.reduce((sum, count) => sum + count)).toBe(5);
+  });
+});
+
 describe('answers of a process that ends', () => {
   const unframed = `${head(200, 'Content-Type: text/event-stream\r\n')}\r\n${event(1)}`;
   const halfStream: Behaviour = (socket) => socket.write(unframed);
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -1,10 +1,12 @@
 import { createServer, type IncomingMessage, request, type Server } from 'node:http';
 import { type AddressInfo, connect, createServer as createTcpServer, type Socket } from 'node:net';
 import {
+  AnswerTimes,
   type Clock,
   SeededRandom,
   NoopTelemetry,
   MonotonicClock,
+  PlannedStop,
   type WakeRefusal,
 } from '@currantdrift/core';
 import { RetryBudget } from '@currantdrift/attempt';
@@ -203,6 +205,14 @@
 
   readonly closing = new AbortController();
 
+  readonly answerTimes = AnswerTimes.create();
+
+  /** A planned stop that takes requests for 1 s and ends after 2 s, once it has begun. */
+  readonly stop = PlannedStop.create(
+    { keepIdleMs: 1_000, acceptMs: 1_000, finishMs: 2_000 },
+    this.answerTimes,
+  );
+
   /** Ids of the endpoints that announced their shutdown. */
   readonly leaving: string[] = [];
 
@@ -428,6 +438,8 @@
       }),
       stopping: this.closing.signal,
       closing: this.closing.signal,
+      stop: this.stop,
+      answerTimes: this.answerTimes,
       clientMemory: {
         budget: ByteBudget.create(64_000_000),
         report: ShedReport.create(NoopTelemetry.create()),
