currantdriftd takes no request in a planned stop that it cannot answer before its end

Callers saw bookings cut without an answer after they had run, when drainDelayMs leaves little of timeoutMs: a request on a kept connection was taken until drainDelayMs had passed, whatever it takes. Requests that daemons of other domains relay were taken even after that.

Change: the daemon asks PlannedStop too, for chats by the pool of their model and for calls by their service. A daemon whose relayed call is refused as stopping asks the next one.

--- a/packages/process/daemon/src/process/daemon.ts
+++ b/packages/process/daemon/src/process/daemon.ts
@@ -53,6 +53,11 @@
     prices: settings.prices,
     weights: settings.weights,
     queue: settings.queue,
+    stopDurations: {
+      keepIdleMs: settings.stopping.drainDelayMs,
+      acceptMs: settings.stopping.drainDelayMs,
+      finishMs: settings.stopping.timeoutMs,
+    },
     clock,
     telemetry,
     random: SystemRandom.create(),
@@ -162,7 +167,7 @@
     const { callers, operators, node, telemetry, settings, clock } = this.parts;
     const end = clock.now() + settings.stopping.timeoutMs;
     telemetry.log('stopping');
-    node.failReadiness();
+    node.beginStop();
     // The load balancer notices the failed readiness check with a delay; until then, new
     // connections are still served.
     await clock.sleep(settings.stopping.drainDelayMs);
--- a/packages/process/daemon/src/request/body.ts
+++ b/packages/process/daemon/src/request/body.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@currantdrift/core';
 import type { BodyRead, ClientBytes } from '@currantdrift/http';
 import { err, ok, type Result } from 'neverthrow';
-import { RefusalCode } from '@currantdrift/node';
+import { RefusalCode, stoppingRetryMs } from '@currantdrift/node';
 import { badRequest, type Problem } from './problem';
 
 export interface BodyLimits {
@@ -16,9 +16,6 @@
 const tooSlow = (limits: BodyLimits): Problem =>
   badRequest(408, 'body_timeout', `the body did not arrive within ${limits.timeoutMs} ms`);
 
-/** Time after which a caller may try again, at another daemon, in ms. */
-const stoppingRetryMs = 1_000;
-
 const stopping: Problem = {
   status: 503,
   code: RefusalCode.stopping,
--- a/packages/process/node/src/process/node-options.ts
+++ b/packages/process/node/src/process/node-options.ts
@@ -8,6 +8,7 @@
   LimitSource,
   Network,
   Random,
+  StopDurations,
   Store,
   Telemetry,
 } from '@currantdrift/core';
@@ -70,6 +71,8 @@
   readonly hostList: HostList;
   readonly connector: EndpointConnector & LimitSource;
   readonly network: Network;
+  /** Phases of a planned stop, which `Node.beginStop` begins. */
+  readonly stopDurations: StopDurations;
   readonly attempts?: Partial<AttemptSettings>;
   readonly placement?: Partial<PlacementSettings>;
   readonly protections?: NodeProtections;
--- a/packages/process/node/src/process/node.ts
+++ b/packages/process/node/src/process/node.ts
@@ -31,8 +31,6 @@
 
   private startedAt: number | undefined;
 
-  private stopping = false;
-
   /** Control traffic up to the last report, in bytes. */
   private reportedBytes = { in: 0, out: 0 };
 
@@ -76,9 +74,17 @@
     return ok(undefined);
   }
 
-  /** Makes the readiness check fail, so that the load balancer sends no new callers. */
-  failReadiness(): void {
-    this.stopping = true;
+  /**
+   * Makes the readiness check fail, so that the load balancer sends no new callers, and takes only requests
+   * that are expected to end in time.
+   */
+  beginStop(): void {
+    const now = this.options.clock.now();
+    this.parts.plannedStop.begin(now, now);
+  }
+
+  private get isStopping(): boolean {
+    return this.parts.plannedStop.isStopping;
   }
 
   /** Gives up this daemon's roles and leaves the domain. Requests in progress continue. */
@@ -205,7 +211,7 @@
    */
   private isReady(): boolean {
     const { startedAt } = this;
-    if (startedAt === undefined || this.stopping) return false;
+    if (startedAt === undefined || this.isStopping) return false;
     if (this.parts.holder.current === undefined) return false;
     return this.options.clock.now() - startedAt > readinessGraceMs || this.knowsAllEndpoints();
   }
@@ -222,7 +228,7 @@
       ...this.parts,
       options: this.options,
       ready: this.isReady(),
-      stopping: this.stopping,
+      stopping: this.isStopping,
     };
   }
 }
--- a/packages/process/node/src/process/wiring.ts
+++ b/packages/process/node/src/process/wiring.ts
@@ -2,7 +2,7 @@
 import { RetryBudget } from '@currantdrift/attempt';
 import { ClaimLedger } from '@currantdrift/booking';
 import { BundleExchange, BundleHolder, BundleReader } from '@currantdrift/bundle';
-import { type Host, HostKind, type Waker } from '@currantdrift/core';
+import { AnswerTimes, type Host, HostKind, PlannedStop, type Waker } from '@currantdrift/core';
 import {
   DomainLinks,
   DomainSummaries,
@@ -327,8 +327,12 @@
     },
   });
   const { crashes, crashLinks } = wireCrashes(options, domain, placement.endpoints);
+  const answerTimes = AnswerTimes.create();
+  const plannedStop = PlannedStop.create(options.stopDurations, answerTimes);
   const entry = CallerEntry.create({
     holder,
+    plannedStop,
+    answerTimes,
     context: {
       own,
       view,
@@ -355,6 +359,7 @@
     crashLinks,
     domains,
     ledger,
+    plannedStop,
     entry,
     admissionAbort,
   };
--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -1,6 +1,15 @@
 import { createHash } from 'node:crypto';
 import type { BundleHolder, PreparedBundle } from '@currantdrift/bundle';
-import type { Caller, Message, Service, ServiceCall, Span } from '@currantdrift/core';
+import type {
+  AnswerTimes,
+  Caller,
+  ExpectedWork,
+  Message,
+  PlannedStop,
+  Service,
+  ServiceCall,
+  Span,
+} from '@currantdrift/core';
 import { FailureKind, modelOf } from '@currantdrift/core';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
@@ -13,7 +22,7 @@
   forwardedChatSchema,
   type ForwardedPart,
 } from './messages';
-import { notRun, outcomeUnknown, type Refusal, RefusalCode } from './refusal';
+import { notRun, outcomeUnknown, type Refusal, RefusalCode, stoppingRetryMs } from './refusal';
 import type {
   ChatRequest,
   ChatStream,
@@ -26,6 +35,10 @@
 export interface CallerEntryOptions {
   readonly holder: BundleHolder;
   readonly context: ServiceContext;
+  /** Decides which requests may begin while the daemon stops. */
+  readonly plannedStop: PlannedStop;
+  /** How long answers take, by service and by pool of engines. */
+  readonly answerTimes: AnswerTimes;
 }
 
 /** Retry delay for callers while the daemon has no bundle, in ms. */
@@ -47,6 +60,13 @@
 const malformed = (error: z.ZodError): Refusal =>
   notRun(RefusalCode.noEndpoint, `the forwarded request is malformed: ${z.prettifyError(error)}`);
 
+const stopsTooSoon = (): Refusal =>
+  notRun(RefusalCode.stopping, 'this daemon stops before the answer would end', stoppingRetryMs);
+
+/** Refusals after which the next daemon of another domain may be asked: nothing ran. */
+const isTriedElsewhere = ({ code, outcome }: Refusal): boolean =>
+  outcome === 'not_run' && (code === RefusalCode.noEndpoint || code === RefusalCode.stopping);
+
 interface FoundCall {
   readonly service: Service;
   readonly call: ServiceCall;
@@ -117,12 +137,25 @@
       yield err(found.error);
       return;
     }
+    const { pool: service } = found.value;
+    const work = { service, tokens: request.maxTokens, deadline: request.deadline };
+    if (!this.mayBegin(work)) {
+      yield err(stopsTooSoon());
+      return;
+    }
     const span = this.begin('chat', request);
+    const startedAt = context.clock.now();
+    let firstPartAt: number | undefined;
     let outcome = 'cancelled';
     try {
       for await (const part of runChat(context, request, found.value, origin, span, signal)) {
+        const now = context.clock.now();
+        firstPartAt ??= now;
         if (part.isErr()) outcome = part.error.outcome;
-        else if (part.value.kind === 'end') outcome = 'answered';
+        else if (part.value.kind === 'end') {
+          outcome = 'answered';
+          this.recordTime(work, startedAt, firstPartAt, now);
+        }
         yield part;
       }
     } finally {
@@ -184,8 +217,7 @@
       if (left <= 0) return err(notRun(RefusalCode.deadlinePassed, 'the deadline has passed'));
       const answer = await this.forwardCallTo(address, request, left, span);
       // The next daemon may be tried only if this attempt certainly did not run.
-      if (answer.isOk() || answer.error.code !== RefusalCode.noEndpoint) return answer;
-      if (answer.error.outcome === 'unknown') return answer;
+      if (answer.isOk() || !isTriedElsewhere(answer.error)) return answer;
       last = answer.error;
     }
     return err(last);
@@ -299,12 +331,34 @@
     request: ServiceRequest,
     run: (span: Span) => Promise<Result<T, Refusal>>,
   ): Promise<Result<T, Refusal>> {
+    const { clock } = this.options.context;
+    const work = { service: request.service, tokens: 0, deadline: request.deadline };
+    if (!this.mayBegin(work)) return err(stopsTooSoon());
     const span = this.begin(kind, request);
+    const startedAt = clock.now();
     const result = await run(span);
+    const endedAt = clock.now();
+    if (result.isOk()) this.recordTime(work, startedAt, endedAt, endedAt);
     this.finish(kind, span, result.isOk() ? 'answered' : result.error.outcome);
     return result;
   }
 
+  private mayBegin(work: ExpectedWork): boolean {
+    const { plannedStop, context } = this.options;
+    return plannedStop.takes(work, context.clock.now());
+  }
+
+  private recordTime(
+    { service, tokens }: ExpectedWork,
+    startedAt: number,
+    firstByteAt: number,
+    endedAt: number,
+  ): void {
+    const firstByteMs = firstByteAt - startedAt;
+    const restMs = endedAt - firstByteAt;
+    this.options.answerTimes.record(service, { firstByteMs, restMs, tokens });
+  }
+
   private begin(kind: string, request: ChatRequest | ServiceRequest): Span {
     this.openCount += 1;
     const { requestId, caller } = request;
--- a/packages/process/node/src/request/refusal.ts
+++ b/packages/process/node/src/request/refusal.ts
@@ -35,6 +35,9 @@
   readonly retryAfterMs?: number;
 }
 
+/** Time after which a caller that a stopping daemon refuses may try again, at another one, in ms. */
+export const stoppingRetryMs = 1_000;
+
 /** Creates a refusal of a request that did not run. */
 export const notRun = (code: RefusalCode, message: string, retryAfterMs?: number): Refusal => ({
   code,
--- a/packages/tooling/demo/test/processes.test.ts
+++ b/packages/tooling/demo/test/processes.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
@@ -104,6 +105,40 @@
   expect(load.answers.length).toBeGreaterThan(50);
 });
 
+// Guards against requests that a stopping daemon takes though it ends before their answers (G8).
+test('a planned stop cuts no call, and answers those that end in time', async () => {
+  const name = 'vake-2';
+  const file = join(deployment.folder, 'daemons', `${name}.json`);
+  await daemonNamed(name).process.stop();
+  const settings = JSON.parse(readFileSync(file, 'utf8'));
+  const stopping = { drainDelayMs: 3_000, timeoutMs: 4_500 };
+  writeFileSync(file, JSON.stringify({ ...settings, stopping }));
+  deployment.startDaemon(name);
+  await deployment.ready([name]);
+  await postStandin(ledger, '/faults', { delayMs: 2_500 });
+  const caller = CallerClient.create(daemonNamed(name).callers, key);
+  const book = (id: string) =>
+    caller.call('POST', 'shipments/book', { lanterns: 1 }, id).then(
+      ({ status }) => status,
+      () => 'closed',
+    );
+  const bookAll = (from: string) =>
+    Promise.all(Array.from({ length: 4 }, (_, index) => book(`${from}-${index}`)));
+  const before = await bookAll('before');
+  const exit = daemonNamed(name).process.stop();
+  const early = bookAll('early');
+  await sleep(2_400);
+  const late = await bookAll('late');
+  const { runsByKey } = await readStats<ServiceStats>(ledger);
+  expect({ before, early: await early, late, exit: (await exit).code }).toEqual({
+    before: [200, 200, 200, 200],
+    early: [200, 200, 200, 200],
+    late: [503, 503, 503, 503],
+    exit: 0,
+  });
+  expect(Object.keys(runsByKey).filter((id) => id.startsWith('late'))).toEqual([]);
+});
+
 // Guards against a daemon that ends when its session does: the kernel sends SIGHUP to its processes.
 test('SIGHUP does not end a daemon', async () => {
   const { process } = daemonNamed('vake-2');
--- a/packages/tooling/scenario/src/daemon.ts
+++ b/packages/tooling/scenario/src/daemon.ts
@@ -36,6 +36,12 @@
 /** Time between the first sign of a stop and the end of new callers, in ms. */
 const drainDelayMs = 1_000;
 
+const stopDurations = {
+  keepIdleMs: drainDelayMs,
+  acceptMs: drainDelayMs,
+  finishMs: drainDelayMs + stopLimitMs,
+};
+
 const weights = {
   loadsPerSecond: 4,
   loadsAtOnce: 4,
@@ -135,7 +141,7 @@
       return;
     }
     const { node, process } = this;
-    node.failReadiness();
+    node.beginStop();
     this.isOpen = false;
     await process.clock.sleep(drainDelayMs);
     await node.leave();
@@ -233,6 +239,7 @@
       prices: { idleHour: 0, coldSecond: 1 },
       weights,
       queue: { capacity: 256, callerCapacity: 256 },
+      stopDurations,
       clock: process.clock,
       random: SeededRandom.create(seedOf(seed, `${name} ${this.incarnation}`)),
       telemetry: NoopTelemetry.create(),
