Only the rest of a stream is relayed as its rest

Ruled out: answers of any other status, unsealed ones, half a head, junk.

Change: before its first byte is relayed, the rest has to be an event stream, to begin with an event that has an id, and that id has to follow. Ids that go back end an answer. An answer without events does not complete a stream that has begun, and a stream without ids is not repeated.

It counts what sound streams lose: one more take-up where a stream had lost only its end.

--- a/packages/request/forward/src/event-splitter.ts
+++ b/packages/request/forward/src/event-splitter.ts
@@ -4,16 +4,27 @@
 export interface CompleteEvents {
   /** The bytes of the events, unchanged. */
   readonly bytes: Buffer;
-  /** Id of the last event that has one. */
-  readonly lastId: string | undefined;
+  /** Ids of the events that have one, in order. */
+  readonly ids: readonly string[];
 }
 
-const lastIdOf = (events: Buffer): string | undefined => {
-  const text = events.toString('latin1');
-  const at = Math.max(text.startsWith('id:') ? 0 : -1, text.lastIndexOf('\nid:') + 1 || -1);
-  if (at < 0) return undefined;
-  const end = text.indexOf('\n', at);
-  return text.slice(at + 3, end < 0 ? undefined : end).trim();
+const idLine = /^id:(.*)$/gmu;
+
+const blankLine = /\r?\n\r?\n/u;
+
+const idsOf = (events: Buffer): readonly string[] =>
+  Array.from(events.toString('latin1').matchAll(idLine), ([, id]) => id.trim());
+
+const isComment = (event: string): boolean =>
+  event.split('\n').every((line) => line.startsWith(':') || line.trim() === '');
+
+/** Whether the first of the events, apart from comments, has an id. */
+export const beginsWithId = ({ bytes }: CompleteEvents): boolean => {
+  const first = bytes
+    .toString('latin1')
+    .split(blankLine)
+    .find((event) => !isComment(event));
+  return first === undefined || /^id:/mu.test(first);
 };
 
 /** Splits the bytes of a server-sent event stream after its last complete event. */
@@ -33,7 +44,7 @@
     this.pending = bytes.subarray(end);
     if (end === 0) return undefined;
     const whole = bytes.subarray(0, end);
-    return { bytes: whole, lastId: lastIdOf(whole) };
+    return { bytes: whole, ids: idsOf(whole) };
   }
 
   /** Bytes after the last complete event. */
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -5,6 +5,7 @@
 import type { NoEndpoint, SelectedEndpoint } from './endpoint-selection';
 import { EndpointSelector } from './endpoint-selector';
 import type { ForwardContext } from './forward-context';
+import { EventSequence } from './event-sequence';
 import { isRetryAllowed, SendFailure } from './retry';
 import { Send, type SendResult, type StreamPosition } from './send';
 
@@ -21,11 +22,7 @@
 
 /** Forwards one request: selects an endpoint, sends the request and retries where that is allowed. */
 export class ForwardRun {
-  private readonly position: StreamPosition = {
-    hasBegun: false,
-    lastEventId: undefined,
-    softwareVersion: undefined,
-  };
+  private readonly position: StreamPosition;
 
   private readonly tried = new Set<string>();
 
@@ -43,7 +40,13 @@
     private readonly context: ForwardContext,
     private readonly request: ClientRequest,
     private readonly client: ClientExchange,
-  ) {}
+  ) {
+    this.position = {
+      hasBegun: false,
+      events: EventSequence.create(request.fields.resumesAfter),
+      softwareVersion: undefined,
+    };
+  }
 
   static create(
     context: ForwardContext,
@@ -218,7 +221,7 @@
   /** Whether the request is sent again; withdraws a retry from the budget if it needs one. */
   private takeRetry(result: FailedSend): boolean {
     const { settings, budget, clock } = this.context;
-    if (this.mayHaveCrashed || !this.endsBeforeStop()) return false;
+    if (this.mayHaveCrashed || !this.endsBeforeStop() || !this.mayGoOn()) return false;
     const counts = { runs: this.runs, refusals: this.refusals };
     if (!isRetryAllowed(this.request.route, result.kind, counts, settings.maxRefusals))
       return false;
@@ -236,6 +239,11 @@
     return this.position.hasBegun || stop.fits(expectedWork(this.request), clock.now());
   }
 
+  /** Whether another endpoint can tell where to go on with the stream, if it has begun. */
+  private mayGoOn(): boolean {
+    return !this.position.hasBegun || this.position.events.lastId !== undefined;
+  }
+
   private giveUp({ kind, reason, status, retryAfterMs }: NoEndpoint): ForwardResult {
     if (kind === 'gone') return { outcome: 'gone', status: 0, reason };
     if (this.client.started) return this.cut(reason);
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -4,7 +4,8 @@
 import type { ClientExchange } from './client-exchange';
 import type { ClientRequest } from './client-request';
 import type { SelectedEndpoint } from './endpoint-selection';
-import { EventSplitter } from './event-splitter';
+import type { EventSequence } from './event-sequence';
+import { beginsWithId, type CompleteEvents, EventSplitter } from './event-splitter';
 import type { ForwardContext } from './forward-context';
 import { SendFailure } from './retry';
 
@@ -25,6 +26,9 @@
 const endsWithConnection = ({ headers }: Head): boolean =>
   headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 
+const isEventStream = ({ headers }: Head): boolean =>
+  String(headers['content-type']).startsWith('text/event-stream');
+
 /** How far an endpoint has answered a send. */
 export const AnswerProgress = {
   /** Nothing was received. */
@@ -58,7 +62,8 @@
 export interface StreamPosition {
   /** Whether the head of the answer was relayed. */
   hasBegun: boolean;
-  lastEventId: string | undefined;
+  /** The events that the client has. */
+  readonly events: EventSequence;
   /** Software version at which the stream began and may go on; undefined until it has begun. */
   softwareVersion: string | undefined;
 }
@@ -117,6 +122,9 @@
     this.selected.place.observeFirstByte(firstByteMs, clock.now());
     telemetry.observe('currantdrift_first_byte_seconds', firstByteMs / 1000);
     const isStream = this.request.route.kind === RequestKind.stream && answer.status === 200;
+    if (isStream && this.goesOn && !isEventStream(answer)) {
+      return this.reject(answer, 'an answer of another type instead of the remaining stream');
+    }
     if (isStream && this.request.route.resumable) this.recordStream();
     const result = await (isStream ? this.relay(answer, signal) : this.bufferAnswer(answer));
     if (result.kind === 'delivered' && !this.client.gone.aborted) {
@@ -145,7 +153,7 @@
         deadlineMs,
         urgency: this.request.fields.model === undefined ? undefined : this.request.priority,
         identity: this.request.authorized.identity,
-        resumeAfter: this.position.lastEventId,
+        resumeAfter: this.position.hasBegun ? this.position.events.lastId : undefined,
       }),
       body: body.length > 0 ? body : undefined,
       progressTimeoutMs: deadlineMs + deadlineSlackMs,
@@ -201,43 +209,73 @@
     return { kind: 'delivered', status };
   }
 
+  /** Whether the answer goes on with a stream that the client has the beginning of. */
+  private get goesOn(): boolean {
+    return this.position.hasBegun || this.position.events.lastId !== undefined;
+  }
+
   /** Relays complete events as they arrive. */
   private async relay(answer: OpenAnswer, signal: AbortSignal): Promise<SendResult> {
     const { clock } = this.context;
     const splitter = EventSplitter.create();
+    const isRest = this.position.hasBegun;
     let longestPauseMs = 0;
     let lastAt: number | undefined;
     for (;;) {
       const chunk = await answer.exchange.read();
       if (chunk.isErr()) return this.broken(chunk.error.message);
-      if (chunk.value === undefined) return this.finish(answer, splitter, longestPauseMs);
+      if (chunk.value === undefined) {
+        return this.finish(answer, splitter, isRest, longestPauseMs);
+      }
       const events = splitter.push(chunk.value);
       const { maxEventBytes } = this.context.settings;
       if (splitter.remainder.length > maxEventBytes) {
-        const reason = `an event exceeds ${maxEventBytes} bytes`;
-        answer.exchange.stop(new Error(reason));
-        return this.broken(reason);
+        return this.reject(answer, `an event exceeds ${maxEventBytes} bytes`);
       }
       if (events !== undefined) {
+        const misfit = this.append(events);
+        if (misfit !== undefined) return this.reject(answer, misfit);
         const now = clock.now();
         longestPauseMs = Math.max(longestPauseMs, now - (lastAt ?? now));
         lastAt = now;
         this.answerProgress = AnswerProgress.streaming;
         this.watched.recordEvent(now);
         this.begin(answer);
-        this.position.lastEventId = events.lastId ?? this.position.lastEventId;
         await this.client.write(events.bytes, signal);
       }
     }
   }
 
-  private finish(answer: OpenAnswer, splitter: EventSplitter, longestPauseMs: number): SendResult {
+  /** Notes that events are about to be relayed; returns why they must not be. */
+  private append(events: CompleteEvents): string | undefined {
+    const isFirst = this.answerProgress !== AnswerProgress.streaming;
+    const beginsRest = isFirst && this.goesOn;
+    if (beginsRest && !beginsWithId(events)) return 'text instead of the remaining events';
+    return this.position.events.append(events.ids, beginsRest);
+  }
+
+  /** Ends a send whose answer must not be relayed any further. */
+  private reject(answer: OpenAnswer, reason: string): SendResult {
+    answer.exchange.stop(new Error(reason));
+    return this.broken(reason);
+  }
+
+  /** `isRest`: the answer goes on with a stream that this process has begun to relay. */
+  private finish(
+    answer: OpenAnswer,
+    splitter: EventSplitter,
+    isRest: boolean,
+    longestPauseMs: number,
+  ): SendResult {
     if (splitter.remainder.length > 0) return this.broken('the stream ended within an event');
     // The end of a connection does not tell a complete answer from a crash before the first event.
     const isEmpty = this.answerProgress !== AnswerProgress.streaming;
     if (isEmpty && endsWithConnection(answer)) {
       return this.broken('the stream ended before its first event');
     }
+    // Nothing tells a stream without a remaining event from an answer that has lost its events, so the client
+    // is not told that it has all; it may take the stream up.
+    if (isEmpty && isRest) return this.broken('no event instead of the remaining stream');
     this.begin(answer);
     this.context.telemetry.observe('currantdrift_stream_pause_seconds', longestPauseMs / 1000);
     this.client.end();
--- a/packages/request/forward/test/event-splitter.test.ts
+++ b/packages/request/forward/test/event-splitter.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { EventSplitter } from '../src';
+import { beginsWithId } from '../src/event-splitter';
 
 const events = ['id: 1\ndata: a\n\n', 'id: 2\r\ndata: b\r\n\r\n', 'data: c\n\n', 'id:4\n\n'];
 
@@ -24,11 +25,23 @@
 });
 
 // Guards against resuming a stream after the wrong event.
-test('lastId is the id of the last complete event with an id', () => {
+test('ids are those of the complete events that have one', () => {
   const splitter = EventSplitter.create();
-  expect(splitter.push(Buffer.from(`${events[0]}${events[1]}${events[2]}id: 9\nda`))?.lastId).toBe(
-    '2',
-  );
-  expect(splitter.push(Buffer.from('ta: x\n\n'))?.lastId).toBe('9');
-  expect(splitter.push(Buffer.from(events[2]))?.lastId).toBeUndefined();
+  const push = (text: string) => splitter.push(Buffer.from(text))?.ids;
+  expect(push(`${events[0]}${events[1]}${events[2]}id: 9\nda`)).toEqual(['1', '2']);
+  expect(push('ta: x\n\n')).toEqual(['9']);
+  expect(push(events[2])).toEqual([]);
+});
+
+// Guards against an error's text that is taken for the rest of a stream, and against sound streams that begin
+// with a comment or with another field.
+test.each([
+  ['id: 6\ndata: x\n\n', true],
+  [': comment\n\nversion: 2\r\nid: 6\r\ndata: x\r\n\r\n', true],
+  [': comment\n\n', true],
+  ['{"error":"overloaded"}\n\n', false],
+  ['data: x\n\nid: 6\n\n', false],
+])('%j begins with an id: %j', (text, expected) => {
+  const found = EventSplitter.create().push(Buffer.from(text));
+  expect(found && beginsWithId(found)).toBe(expected);
 });
