currantdriftd passes on an answer without a length without one

Change: such an answer is marked where it is read, stays marked between daemons, and goes to the caller without a length. A booking does not keep its body. One copy of the code for both programs.

Answers that mark their end keep their length and connection.

--- a/packages/connection/endpoint/src/http-endpoint.ts
+++ b/packages/connection/endpoint/src/http-endpoint.ts
@@ -16,6 +16,7 @@
 } from '@currantdrift/core';
 import {
   type ByteBudget,
+  endsWithConnection,
   type Head,
   HttpClient,
   impliesNotRun,
@@ -240,6 +241,7 @@
       return err(reported ?? this.client.failure(step, FailureKind.unknown, message));
     }
     const contentType = String(headers['content-type'] ?? '');
-    return ok({ status, contentType, body: new Uint8Array(body) });
+    const response = { status, contentType, body: new Uint8Array(body) };
+    return ok(endsWithConnection(answer) ? { ...response, endsWithConnection: true } : response);
   }
 }
--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -14,3 +14,4 @@
 export type { HttpSettings } from './settings';
 export { impliesNotRun } from './not-run-status';
 export { ShedReport } from './shed-report';
+export { beginUnmarked, endsWithConnection } from './unmarked-answer';
--- a/packages/process/core/src/endpoint.ts
+++ b/packages/process/core/src/endpoint.ts
@@ -63,6 +63,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly body: Uint8Array;
+  /** Whether only the end of the connection marked its end, so that it may be incomplete; false by default. */
+  readonly endsWithConnection?: boolean;
 }
 
 export const OrderKind = { load: 'load', unload: 'unload', role: 'role' } as const;
--- a/packages/process/daemon/src/request/callers-interface.ts
+++ b/packages/process/daemon/src/request/callers-interface.ts
@@ -1,8 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Caller, Clock, Telemetry } from '@currantdrift/core';
-import { ClientBytes, type ClientMemory } from '@currantdrift/http';
-import type { RequestEntry, ServiceRequest } from '@currantdrift/node';
+import { beginUnmarked, ClientBytes, type ClientMemory } from '@currantdrift/http';
+import type { RequestEntry, ServiceAnswer, ServiceRequest } from '@currantdrift/node';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
 import { ok, type Result } from 'neverthrow';
@@ -157,9 +157,20 @@
     };
     const answer = await entry.call(request, callerSignal(context.env.outgoing));
     if (answer.isErr()) return this.refuse(context, problemOf(answer.error));
-    if (answer.value.replayed) context.header('Idempotent-Replayed', 'true');
-    context.header('Content-Type', answer.value.contentType);
-    return context.body(Buffer.from(answer.value.body), answer.value.status as 200);
+    return CallersInterface.answerCall(context, answer.value);
+  }
+
+  private static answerCall(context: CallerContext, answer: ServiceAnswer): Response {
+    const { status, contentType, body, replayed, endsWithConnection = false } = answer;
+    const headers = {
+      'content-type': contentType,
+      ...(replayed && { 'idempotent-replayed': 'true' }),
+    };
+    if (!endsWithConnection) return context.body(Buffer.from(body), status as 200, headers);
+    const { outgoing } = context.env;
+    beginUnmarked(outgoing, status, { 'x-request-id': context.get('requestId'), ...headers });
+    outgoing.end(body);
+    return RESPONSE_ALREADY_SENT;
   }
 
   /** Reads the body; a request that is not read to its end closes its connection. */
--- a/packages/process/node/src/request/caller-entry.ts
+++ b/packages/process/node/src/request/caller-entry.ts
@@ -253,8 +253,8 @@
     const answer = reply.value as ForwardedAnswer;
     span.end(answer.kind);
     if (answer.kind === EntryMessage.refused) return err(answer.refusal);
-    const { status, contentType, body, replayed } = answer;
-    return ok({ status, contentType, body, replayed });
+    const { kind, ...received } = answer;
+    return ok(received);
   }
 
   private async *handleForwardedChat(
--- a/packages/process/node/src/request/messages.ts
+++ b/packages/process/node/src/request/messages.ts
@@ -86,6 +86,8 @@
         readonly contentType: string;
         readonly body: Uint8Array;
         readonly replayed: boolean;
+        /** Absent for false. */
+        readonly endsWithConnection?: boolean;
       }
     | { readonly kind: typeof EntryMessage.refused; readonly refusal: Refusal }
   );
--- a/packages/process/node/src/request/service-run.ts
+++ b/packages/process/node/src/request/service-run.ts
@@ -121,10 +121,11 @@
 ): Result<ServiceAnswer, Refusal> => {
   const { status, contentType, body, bodyBytes } = outcome;
   if (body === undefined && bodyBytes > 0) {
-    const message = `the call was answered with status ${status}; its body of ${bodyBytes} bytes was too large to keep`;
+    const message = `the call was answered with status ${status}; its body of ${bodyBytes} bytes was not kept`;
     return err(outcomeUnknown(RefusalCode.outcomeUnknown, message));
   }
-  return ok({ status, contentType, body: Buffer.from(body ?? '', 'base64'), replayed: true });
+  const answer = { status, contentType, body: Buffer.from(body ?? '', 'base64'), replayed: true };
+  return ok(body === undefined ? { ...answer, endsWithConnection: true } : answer);
 };
 
 /** Converts the result of a booking to the caller's answer or refusal. */
--- a/packages/request/booking/src/dispatch.ts
+++ b/packages/request/booking/src/dispatch.ts
@@ -32,12 +32,16 @@
   message,
 });
 
-const outcomeOf = ({ status, contentType, body }: ServiceCallResponse): RecordedOutcome => ({
-  status,
-  contentType: contentType.slice(0, maxContentTypeChars),
-  bodyBytes: body.length,
-  bodyDigest: bodyDigest(body),
-  ...(body.length <= maxKeptBodyBytes && { body: Buffer.from(body).toString('base64') }),
+/** A body that may be incomplete is not kept: a replay would present it as the whole one. */
+const keepsBody = ({ body, endsWithConnection = false }: ServiceCallResponse): boolean =>
+  body.length <= maxKeptBodyBytes && !endsWithConnection;
+
+const outcomeOf = (response: ServiceCallResponse): RecordedOutcome => ({
+  status: response.status,
+  contentType: response.contentType.slice(0, maxContentTypeChars),
+  bodyBytes: response.body.length,
+  bodyDigest: bodyDigest(response.body),
+  ...(keepsBody(response) && { body: Buffer.from(response.body).toString('base64') }),
 });
 
 /**
--- a/packages/request/booking/test/ledger.test.ts
+++ b/packages/request/booking/test/ledger.test.ts
@@ -1,6 +1,6 @@
 // Guards against bookings that run twice, and against wrong "not run" or "repeat" results.
 import { FailureKind, hadNoEffect, type ServiceCallResponse } from '@currantdrift/core';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { callEndpointOnce, dispatchOnce, keyHash, type Permit } from '../src';
 import { bucketKey, decodeBucket, encodeBucket, maxBucketBytesForClaims } from '../src/bucket';
 import { type Claim, claimLifetimeMs, maxKeptBodyBytes } from '../src/claim';
@@ -254,3 +254,22 @@
   expect(await cluster.clock.settle(book('k', 'body'))).toMatchSnapshot();
   expect(hadNoEffect({ kind: 'invalid', step: '', peer: '', message: '' })).toBe(false);
 });
+
+// Guards against a replay that presents an answer as whole which may have been broken off.
+test('a body of which only the connection marked the end is not kept', async () => {
+  const cluster = new TestCluster();
+  const { ledger, book } = cluster.daemon('a');
+  const request = { caller: 'hall', key: 'k', call: callOf('body'), deadline: Infinity };
+  const claimed = await ledger.claim(
+    { ...request, deadline: cluster.clock.now() + 9 },
+    cluster.clock.now(),
+  );
+  if (claimed.kind !== 'granted') throw new Error('the claim was not granted');
+  const ticket = claimed.permit.consume(cluster.clock.now())._unsafeUnwrap();
+  const broken = { ...answerOf('half an ans'), endsWithConnection: true };
+  await dispatchOnce(ticket, () => Promise.resolve(ok(broken)));
+  await cluster.clock.advance(10);
+  const repeat = await cluster.clock.settle(book('k', 'body'));
+  expect(repeat).toMatchObject({ state: 'done', outcome: { status: 201, bodyBytes: 11 } });
+  expect(repeat).not.toHaveProperty('outcome.body');
+});
--- a/packages/request/forward/src/client-exchange.ts
+++ b/packages/request/forward/src/client-exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
+  beginUnmarked,
   type BodyRead,
   type BodyReadLimits,
   ClientBytes,
@@ -133,18 +134,15 @@
     this.beginWith(status, headers, this.request.httpVersion === '1.0');
   }
 
-  /**
-   * Sends a response that ends with its connection, as the endpoint's response did. Whether that was
-   * complete cannot be determined, so neither a length nor chunks may mark it as complete.
-   */
+  /** Sends a response that ends with its connection, as the endpoint's response did. */
   async answerUnmarked(
     status: number,
     headers: Record<string, string | string[]>,
     body: Buffer,
   ): Promise<void> {
-    this.response.useChunkedEncodingByDefault = false;
-    this.response.shouldKeepAlive = false;
-    this.beginWith(status, headers, true);
+    if (this.gone.aborted) return;
+    this.endsWithConnection = true;
+    beginUnmarked(this.response, status, headers);
     await this.write(body);
     this.end();
   }
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -1,4 +1,4 @@
-import { type Head, impliesNotRun, type OpenAnswer } from '@currantdrift/http';
+import { endsWithConnection, type Head, impliesNotRun, type OpenAnswer } from '@currantdrift/http';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import { RequestKind } from '@currantdrift/routes';
 import type { ClientExchange } from './client-exchange';
@@ -22,10 +22,6 @@
  */
 const deadlineSlackMs = 50;
 
-/** Whether only the end of its connection marks the end of an endpoint's answer. */
-const endsWithConnection = ({ headers }: Head): boolean =>
-  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-
 const isEventStream = ({ headers }: Head): boolean =>
   String(headers['content-type']).startsWith('text/event-stream');
 
