A planned stop sends the answers that it has written

A client that reads slowly lost the end of its answer when a planned stop closed idle connections: Node's closeIdleConnections, and its close of the port, take a connection for idle once its answer is written, not once it is sent.

Change: ConnectionGuard counts unanswered requests and closes the connections whose last answer has left the process; both programs use it. With requests sent in a row a connection counted as waiting after the first answer, which is mended too.

Idle connections are closed as before.

--- a/packages/connection/http/src/connection-guard.ts
+++ b/packages/connection/http/src/connection-guard.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as NetServer, type Socket } from 'node:net';
 import type { ShedReport } from './shed-report';
 
 export interface ConnectionLimits {
@@ -21,28 +21,66 @@
 
   private readonly counts = new Map<string, number>();
 
+  /** Requests of each connection that are not answered yet; a client may send several in a row. */
+  private readonly unanswered = new Map<Socket, number>();
+
+  /** Open connections whose requests have all been answered. */
+  private readonly answered = new Set<Socket>();
+
   private constructor(
+    private readonly server: Server,
     private readonly limits: ConnectionLimits,
     private readonly report: ShedReport,
   ) {}
 
   /** Begins to guard the connections of `server`. */
   static attach(server: Server, limits: ConnectionLimits, report: ShedReport): ConnectionGuard {
-    const guard = new ConnectionGuard(limits, report);
+    const guard = new ConnectionGuard(server, limits, report);
     server.on('connection', (socket: Socket) => guard.accept(socket));
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-      guard.waiting.delete(request.socket);
-      response.once('close', () => guard.touch(request.socket));
+      guard.beginRequest(request.socket);
+      response.once('close', () => guard.endRequest(request.socket));
     });
     return guard;
   }
 
+  /**
+   * Closes the kept connections whose last answer has left this process. `Server.closeIdleConnections` also
+   * closes those whose answer is written and not sent yet.
+   */
+  closeIdle(): void {
+    [...this.answered].forEach((socket) => socket.destroy());
+  }
+
+  /** Takes no more connections; unlike `Server.close` of HTTP it leaves all open ones alone. */
+  stopAccepting(): void {
+    NetServer.prototype.close.call(this.server);
+  }
+
   /** Notes that a connection is in use: it has now waited for the shortest time. */
   touch(socket: Socket): void {
     this.waiting.delete(socket);
     if (this.open.has(socket)) this.waiting.add(socket);
   }
 
+  private beginRequest(socket: Socket): void {
+    this.waiting.delete(socket);
+    this.answered.delete(socket);
+    this.unanswered.set(socket, (this.unanswered.get(socket) ?? 0) + 1);
+  }
+
+  private endRequest(socket: Socket): void {
+    const left = (this.unanswered.get(socket) ?? 1) - 1;
+    if (left > 0) {
+      this.unanswered.set(socket, left);
+      return;
+    }
+    this.unanswered.delete(socket);
+    if (!this.open.has(socket)) return;
+    this.answered.add(socket);
+    this.touch(socket);
+  }
+
   private accept(socket: Socket): void {
     const address = socket.remoteAddress ?? '';
     const count = (this.counts.get(address) ?? 0) + 1;
@@ -73,6 +111,8 @@
     if (address === undefined) return;
     this.open.delete(socket);
     this.waiting.delete(socket);
+    this.answered.delete(socket);
+    this.unanswered.delete(socket);
     const left = (this.counts.get(address) ?? 1) - 1;
     if (left > 0) this.counts.set(address, left);
     else this.counts.delete(address);
--- a/packages/process/daemon/src/process/http-server.ts
+++ b/packages/process/daemon/src/process/http-server.ts
@@ -27,6 +27,7 @@
 export class HttpServer {
   private constructor(
     private readonly server: Server,
+    private readonly guard: ConnectionGuard,
     private readonly address: string,
   ) {}
 
@@ -55,8 +56,8 @@
     });
     // Node drops the lines above this number, and a request with that many is refused.
     server.maxHeadersCount = maxHeaderLines + 1;
-    ConnectionGuard.attach(server, limits, report);
-    return new HttpServer(server, address);
+    const guard = ConnectionGuard.attach(server, limits, report);
+    return new HttpServer(server, guard, address);
   }
 
   /** Opens the port and returns its number. */
@@ -78,12 +79,13 @@
   async close(clock: Clock, limitMs: number): Promise<number> {
     if (!this.server.listening) return 0;
     let closed = false;
-    this.server.close(() => {
+    this.server.once('close', () => {
       closed = true;
     });
+    this.guard.stopAccepting();
     const end = clock.now() + limitMs;
     while (!closed && clock.now() < end) {
-      this.server.closeIdleConnections();
+      this.guard.closeIdle();
       await clock.sleep(closePollMs);
     }
     const left = await this.openConnections();
--- a/packages/process/daemon/test/unmarked-answers.test.ts
+++ b/packages/process/daemon/test/unmarked-answers.test.ts
@@ -45,7 +45,14 @@
     fencing: false,
   });
   const entry: Pick<RequestEntry, 'authenticate' | 'call'> = {
-    authenticate: () => ({ name: 'c', keyHashes: [], items: [], services: [], maxPriority: 5, weight: 1 }),
+    authenticate: () => ({
+      name: 'c',
+      keyHashes: [],
+      items: [],
+      services: [],
+      maxPriority: 5,
+      weight: 1,
+    }),
     call: async (request, signal) => {
       const answer = await endpoint.call(request, signal);
       return answer
--- a/packages/process/gateway/src/process/client-http-server.ts
+++ b/packages/process/gateway/src/process/client-http-server.ts
@@ -28,7 +28,10 @@
 export class ClientHttpServer {
   private stopping = false;
 
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    private readonly guard: ConnectionGuard,
+  ) {}
 
   static create(
     handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>,
@@ -46,8 +49,8 @@
     });
     // By default Node drops the header lines above a number; the size of the head limits them, too.
     server.maxHeadersCount = 0;
-    ConnectionGuard.attach(server, limits, report);
-    const clientServer = new ClientHttpServer(server);
+    const guard = ConnectionGuard.attach(server, limits, report);
+    const clientServer = new ClientHttpServer(server, guard);
     server.on('request', (request, response) => {
       if (clientServer.stopping) response.shouldKeepAlive = false;
       handle(request, response).catch((error: unknown) => {
@@ -84,12 +87,12 @@
 
   /** Closes kept connections without a request in progress. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.guard.closeIdle();
   }
 
   /** Stops accepting connections. */
   stopAccepting(): void {
-    this.server.close();
+    this.guard.stopAccepting();
   }
 
   connections(): Promise<number> {
