Token counts that a double does not hold are refused where they are read

Ruled out: refusals of the engines, quarantines.

Change: the header holds one or two whole numbers of at most 12 digits; others get 400 with the field's name. A prompt that no engine of its service holds is refused at once, before it costs a quota or an endpoint anything, and a request without a model counts no prompt.

--- a/packages/request/forward/src/admission-control.ts
+++ b/packages/request/forward/src/admission-control.ts
@@ -60,7 +60,9 @@
 const maxPriority = 9;
 
 /** Retry time of a request that no endpoint can hold, which another configuration may change, in ms. */
-const tooLargeRetryAfterMs = 10_000;
+export const tooLargeRetryAfterMs = 10_000;
+
+export const tooLargeReason = 'the request needs more memory than an endpoint has';
 
 /** Name under which requests without a customer share the endpoints. */
 const anonymousCaller = '';
@@ -195,8 +197,7 @@
     if (records.some((record) => EndpointRooms.fits(this.capacityOf(record), demand))) {
       return undefined;
     }
-    const reason = 'the request needs more memory than an endpoint has';
-    return { kind: 'refused', reason, retryAfterMs: tooLargeRetryAfterMs };
+    return { kind: 'refused', reason: tooLargeReason, retryAfterMs: tooLargeRetryAfterMs };
   }
 
   /**
--- a/packages/request/forward/src/endpoint-protocol.ts
+++ b/packages/request/forward/src/endpoint-protocol.ts
@@ -1,6 +1,7 @@
 import type { StatedLimit } from '@currantdrift/core';
 import type { Head, Headers } from '@currantdrift/http';
 import type { ReportedLoad } from '@currantdrift/routing';
+import type { Result } from 'neverthrow';
 
 /** Fields that are parsed from the headers of a client's request. */
 export interface RequestFields {
@@ -14,7 +15,7 @@
   readonly apiKey: string | undefined;
   readonly model: string | undefined;
   readonly adapter: string | undefined;
-  /** Tokens of the prompt, and the maximum number to generate; 0 if unknown. */
+  /** Tokens of the prompt, and the maximum number to generate, whole and finite; 0 if unknown. */
   readonly promptTokens: number;
   readonly maxNewTokens: number;
   /** Id of the last event of a broken stream that the client has; undefined for a new stream. */
@@ -25,6 +26,13 @@
   readonly promptParts: readonly string[];
 }
 
+/** A field of a request that is missing, or not of the type and range that it must have. */
+export interface InvalidField {
+  readonly field: string;
+  /** What it must be, as a noun phrase. */
+  readonly expected: string;
+}
+
 /** Identity of a request's sender, as the endpoint sees it. */
 export interface ForwardedIdentity {
   /** Name of the customer; undefined on public routes. */
@@ -47,8 +55,8 @@
 
 /** Maps between header names and formats of a platform and the fields used for forwarding. */
 export interface EndpointProtocol {
-  /** Returns undefined if the request has no valid id. */
-  requestFields(headers: Headers): RequestFields | undefined;
+  /** Fails with the first field that is missing or outside its range. */
+  requestFields(headers: Headers): Result<RequestFields, InvalidField>;
   /** Headers of the request to an endpoint: the end-to-end headers of the client and `fields`. */
   requestHeaders(headers: Headers, envelope: ForwardingFields): Record<string, string>;
   /** Headers of the answer to the client: the end-to-end headers of the endpoint. */
--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -264,7 +264,9 @@
       slots,
       roundTripMs: roundTripMs(domain),
     }));
-    const { promptTokens } = this.request.fields;
+    const { fields } = this.request;
+    // Without a model nothing is prefilled, whatever the request states.
+    const promptTokens = fields.model === undefined ? 0 : fields.promptTokens;
     const place = balancer.reserve(candidates, promptTokens, maxUnreadTokens, now);
     const record = place && directory.get(place.endpoint);
     if (place === undefined || record === undefined) return undefined;
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -2,14 +2,16 @@
 import type { BodyRead } from '@currantdrift/http';
 import type { ClientLimits, Configuration } from '@currantdrift/routes';
 import { RouteTable, selectService } from '@currantdrift/routes';
+import type { Result } from 'neverthrow';
+import { tooLargeReason, tooLargeRetryAfterMs } from './admission-control';
 import { ClientExchange } from './client-exchange';
 import { type ClientRequest, deadlineOf, digestOf, expectedWork } from './client-request';
-import type { RequestFields } from './endpoint-protocol';
+import type { InvalidField, RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
 import { RequestTimes } from './request-times';
 
-const httpStatus = { timeout: 408, tooLarge: 413, unavailable: 503 } as const;
+const httpStatus = { invalid: 400, timeout: 408, tooLarge: 413, unavailable: 503 } as const;
 
 /** Length to which texts that clients send are cut in logs, in characters. */
 const maxLoggedLength = 200;
@@ -20,6 +22,16 @@
 
 const shutdownReason = 'this process is shutting down';
 
+/** Whether the prompt is larger than what any engine of the service can hold. */
+const exceedsEngines = (
+  { services }: Configuration,
+  service: string,
+  { model, promptTokens }: RequestFields,
+): boolean => {
+  const engines = services.get(service)?.engines;
+  return model !== undefined && engines !== undefined && promptTokens > engines.cacheTokens;
+};
+
 /** Handles clients' requests: validates each, reads its body and forwards it to an endpoint. */
 export class Forwarder {
   private table: RouteTable | undefined;
@@ -60,12 +72,12 @@
       ? await this.serve(client, fields, arrivedAt, times)
       : this.endWithoutBody(client, 'shed');
     this.openCount -= 1;
-    this.report(client, fields, result, arrivedAt, times);
+    this.report(client, fields.unwrapOr(undefined), result, arrivedAt, times);
   }
 
   private async serve(
     client: ClientExchange,
-    fields: RequestFields | undefined,
+    decoded: Result<RequestFields, InvalidField>,
     arrivedAt: number,
     times: RequestTimes,
   ): Promise<ForwardResult> {
@@ -80,7 +92,11 @@
     if (route === undefined) {
       return this.refuse(client, 404, `no route matches in configuration ${configuration.version}`);
     }
-    if (fields === undefined) return this.refuse(client, 400, 'the request has no identifier');
+    if (decoded.isErr()) {
+      const { field, expected } = decoded.error;
+      return this.refuse(client, httpStatus.invalid, `${field}: expected ${expected}`);
+    }
+    const fields = decoded.value;
     const authorized = this.context.authorizer.authorize(route, fields.apiKey, arrivedAt);
     if (authorized.isErr()) {
       const { status, reason, retryAfterMs } = authorized.error;
@@ -88,6 +104,9 @@
     }
     // A stream goes on at the service that began it, so the attempt that began it decides.
     const service = selectService(route, fields.resumes ?? fields.id);
+    if (exceedsEngines(configuration, service, fields)) {
+      return this.refuse(client, httpStatus.unavailable, tooLargeReason, tooLargeRetryAfterMs);
+    }
     if (fields.model !== undefined) {
       this.context.usage.recordArrival(service, fields.model, fields.adapter);
     }
--- a/packages/request/forward/src/index.ts
+++ b/packages/request/forward/src/index.ts
@@ -8,6 +8,7 @@
 export type { ClientRequest } from './client-request';
 export type {
   EndpointProtocol,
+  InvalidField,
   ForwardedIdentity,
   ForwardingFields,
   RequestFields,
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -293,6 +293,43 @@
   });
 });
 
+describe('sizes that clients state', () => {
+  const engines = {
+    slots: 1,
+    cacheTokens: 1_000,
+    memoryMb: 1,
+    adapterSlots: 0,
+    remoteLoadsPerSecond: 1,
+    models: new Map(),
+  };
+  const service = { name: 's', healthPath: '/', maxConnections: 1, engines };
+
+  // Guards against a prompt that no engine can hold and that is tried at one after the other.
+  test('a prompt larger than every engine is refused at once', async () => {
+    await withEndpoints(answers(stream(1) + lastChunk));
+    harness.services = new Map([['s', service]]);
+    harness.directory.put(harness.endpoint(0).record([{ name: 'm1', adapters: [] }]));
+    const call = (tokens: number) =>
+      harness.call('/once/', { headers: { model: 'm1', tokens: String(tokens) }, body: 'b' });
+    expect(await call(1_001)).toMatchObject({ status: 503, retryAfter: '10.00' });
+    expect(harness.arrivals).toEqual([0]);
+    expect((await call(1_000)).status).toBe(200);
+  });
+
+  // Guards against a request without a model that keeps others from its endpoint by the size that it states.
+  test('a size that nothing reads delays nobody', async () => {
+    await withEndpoints((socket, request) => {
+      if (!request.includes('tokens: 999999999999')) socket.end(whole(200, 'fine'));
+      else setTimeout(() => socket.end(whole(200, 'fine')), 300);
+    });
+    const odd = harness.call('/safe/', { headers: { tokens: '999999999999' } });
+    const others = await Promise.all([0, 1, 2].map(() => harness.call('/safe/')));
+    expect(others.map(({ status }) => status)).toEqual([200, 200, 200]);
+    expect(Math.max(...others.map(({ elapsedMs }) => elapsedMs))).toBeLessThan(200);
+    expect((await odd).status).toBe(200);
+  });
+});
+
 describe('a planned stop', () => {
   const withBody = (id: string, sent: string) =>
     `POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nId: ${id}\r\nContent-Length: 10\r\n\r\n${sent}`;
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -28,7 +28,7 @@
 import type { RequestQuotas } from '@currantdrift/quota';
 import { MemberPermits, PermitIssuer, defaultRateLimitSettings } from '@currantdrift/rate-limit';
 import { EndpointRooms, PredictiveBalancer } from '@currantdrift/routing';
-import { ok, type Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import {
   AdmissionControl,
   Authorizer,
@@ -48,28 +48,29 @@
 
 /** A protocol with plain header names that no platform uses. */
 const protocol: EndpointProtocol = {
-  requestFields: (headers: Headers) => {
+  requestFields: (headers: Headers): ReturnType<EndpointProtocol['requestFields']> => {
     const id = first(headers.id);
     return id === undefined || id === ''
-      ? undefined
-      : {
+      ? err({ field: 'id', expected: 'an identifier' })
+      : ok({
           id,
           deadlineMs: Number(first(headers.deadline) ?? 2_000),
           caller: first(headers.authorization),
           apiKey: first(headers.authorization),
           model: first(headers.model),
           adapter: undefined,
-          promptTokens: 10,
+          promptTokens: Number(first(headers.tokens) ?? 10),
           maxNewTokens: 10,
           resumesAfter: first(headers['last-event-id']),
           resumes: first(headers.resumes),
           promptParts: first(headers.prompt)?.split(' ') ?? [],
-        };
+        });
   },
   requestHeaders: (headers: Headers, envelope: ForwardingFields) => ({
     host: first(headers.host) ?? '',
     id: first(headers.id) ?? '',
     only: envelope.endpoint,
+    ...(headers.tokens !== undefined && { tokens: first(headers.tokens) ?? '' }),
     ...(envelope.identity?.customer === undefined ? {} : { customer: envelope.identity.customer }),
     deadline: String(envelope.deadlineMs),
     ...(headers.prompt === undefined ? {} : { prompt: first(headers.prompt) ?? '' }),
@@ -231,6 +232,9 @@
   /** Software versions at which no stream may begin yet. */
   readonly settling = new Set<string>();
 
+  /** The configuration's services, by name. */
+  services: Configuration['services'] = new Map();
+
   /** Replaces the configuration's customers. */
   customers: CustomerTable | undefined;
 
@@ -291,7 +295,7 @@
   }
 
   private configuration(): Configuration {
-    return { ...configuration, customers: this.customers };
+    return { ...configuration, customers: this.customers, services: this.services };
   }
 
   /** Number of requests that arrived at each endpoint. */
