Requests for models that no configuration has are refused before they are counted

Ruled out: waiting requests, which lapse, and the logs, whose texts are cut.

Change: such a request is refused at once, with 503 and a retry time as before, but before it is counted, charged or reported; the controller checks reported names too.

--- a/packages/process/gateway/src/process/controller.ts
+++ b/packages/process/gateway/src/process/controller.ts
@@ -11,7 +11,7 @@
   type Step,
   AdaptiveLoadLimit,
 } from '@currantdrift/residency';
-import type { Configuration, Service } from '@currantdrift/routes';
+import { type Configuration, knowsModel, type Service } from '@currantdrift/routes';
 import type { EngineControl } from '../connection/engine-control';
 import type { UsageMessage, LoadRequestResponse } from '../connection/peer-messages';
 import { Announcer, type Announcement } from './announcer';
@@ -199,7 +199,11 @@
     const now = this.options.clock.now();
     this.usage.record(message, now);
     this.options.onLimits(message.limits, message.host);
+    const configuration = this.options.configuration();
     message.uses.forEach(({ service, model, adapter, arrivals }) => {
+      // A member may have another configuration, or none of the names may exist.
+      if (configuration === undefined || !knowsModel(configuration, service, model, adapter))
+        return;
       this.demand.recordArrivals(service, model, arrivals, now);
       if (adapter !== undefined) this.demand.recordAdapterUse(service, model, adapter, now);
     });
--- a/packages/request/forward/src/forwarder.ts
+++ b/packages/request/forward/src/forwarder.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { BodyRead } from '@currantdrift/http';
 import type { ClientLimits, Configuration } from '@currantdrift/routes';
-import { RouteTable, selectService } from '@currantdrift/routes';
+import { knowsModel, RouteTable, selectService } from '@currantdrift/routes';
 import type { Result } from 'neverthrow';
 import { tooLargeReason, tooLargeRetryAfterMs } from './admission-control';
 import { ClientExchange } from './client-exchange';
@@ -9,15 +9,11 @@
 import type { InvalidField, RequestFields } from './endpoint-protocol';
 import type { ForwardContext } from './forward-context';
 import { type ForwardResult, ForwardRun } from './forward-run';
+import { logText } from './log-text';
 import { RequestTimes } from './request-times';
 
 const httpStatus = { invalid: 400, timeout: 408, tooLarge: 413, unavailable: 503 } as const;
 
-/** Length to which texts that clients send are cut in logs, in characters. */
-const maxLoggedLength = 200;
-
-const bounded = (text: string | undefined): string | undefined => text?.slice(0, maxLoggedLength);
-
 const memoryReason = 'the memory for requests is exhausted';
 
 const shutdownReason = 'this process is shutting down';
@@ -32,6 +28,12 @@
   return model !== undefined && engines !== undefined && promptTokens > engines.cacheTokens;
 };
 
+const namesKnownModel = (
+  configuration: Configuration,
+  service: string,
+  { model, adapter }: RequestFields,
+): boolean => model === undefined || knowsModel(configuration, service, model, adapter);
+
 /** Handles clients' requests: validates each, reads its body and forwards it to an endpoint. */
 export class Forwarder {
   private table: RouteTable | undefined;
@@ -104,6 +106,11 @@
     }
     // A stream goes on at the service that began it, so the attempt that began it decides.
     const service = selectService(route, fields.resumes ?? fields.id);
+    if (!namesKnownModel(configuration, service, fields)) {
+      const { defaultRetryAfterMs } = this.context.settings;
+      const reason = `configuration ${configuration.version} has no such model or adapter`;
+      return this.refuse(client, httpStatus.unavailable, reason, defaultRetryAfterMs);
+    }
     if (exceedsEngines(configuration, service, fields)) {
       return this.refuse(client, httpStatus.unavailable, tooLargeReason, tooLargeRetryAfterMs);
     }
@@ -243,18 +250,18 @@
       telemetry.observe('currantdrift_request_wait_seconds', ms / 1000, { part }),
     );
     telemetry.log('request', {
-      id: bounded(fields?.id),
-      authority: bounded(client.request.headers.host),
-      path: bounded(client.request.url),
+      id: logText(fields?.id),
+      authority: logText(client.request.headers.host),
+      path: logText(client.request.url),
       version: this.context.configuration()?.version,
       versionAgeMs: Math.round(this.context.configurationAgeMs(now)),
-      model: bounded(fields?.model),
-      adapter: bounded(fields?.adapter),
-      resumes: bounded(fields?.resumes),
-      resumesAfter: bounded(fields?.resumesAfter),
+      model: logText(fields?.model),
+      adapter: logText(fields?.adapter),
+      resumes: logText(fields?.resumes),
+      resumesAfter: logText(fields?.resumesAfter),
       outcome: result.outcome,
       status: result.status,
-      reason: result.reason === '' ? undefined : bounded(result.reason),
+      reason: result.reason === '' ? undefined : logText(result.reason),
       elapsedMs: Math.round(elapsedMs),
       ...times.fields,
     });
--- a/packages/request/forward/test/forwarder.test.ts
+++ b/packages/request/forward/test/forwarder.test.ts
@@ -296,7 +296,7 @@
   });
 });
 
-describe('sizes that clients state', () => {
+describe('names and sizes that clients state', () => {
   const engines = {
     slots: 1,
     cacheTokens: 1_000,
@@ -305,12 +305,39 @@
     remoteLoadsPerSecond: 1,
     models: new Map(),
   };
+  const model = {
+    name: 'm1',
+    sizeMb: 1,
+    remoteLoadMs: 1,
+    diskLoadMs: 1,
+    memoryLoadMs: 1,
+    adapterMb: 1,
+    adapters: new Set(['a1']),
+  };
+  const models = new Map([['m1', model]]);
   const service = { name: 's', healthPath: '/', maxConnections: 1, engines };
 
+  // Guards against names that clients make up and that are counted, reported and remembered for ever.
+  test.each([
+    ['another model', 'm2', 503],
+    ['a model with an adapter that it does not have', 'm1/a2', 503],
+    ['a model with its adapter', 'm1/a1', 200],
+    ['a model', 'm1', 200],
+  ])('a request for %s of a configuration', async (_name, name, status) => {
+    await withEndpoints(answers(stream(1) + lastChunk));
+    harness.services = new Map([['s', { ...service, engines: { ...engines, models } }]]);
+    harness.directory.put(harness.endpoint(0).record([{ name: 'm1', adapters: ['a1'] }]));
+    const seen = await harness.call('/once/', { headers: { model: name }, body: 'b' });
+    expect(seen.status).toBe(status);
+    const uses = harness.usage.takeReport().uses.map(({ arrivals }) => arrivals);
+    expect(uses).toEqual(status === 200 ? [1] : []);
+    expect(harness.arrivals).toEqual([status === 200 ? 1 : 0]);
+  });
+
   // Guards against a prompt that no engine can hold and that is tried at one after the other.
   test('a prompt larger than every engine is refused at once', async () => {
     await withEndpoints(answers(stream(1) + lastChunk));
-    harness.services = new Map([['s', service]]);
+    harness.services = new Map([['s', { ...service, engines: { ...engines, models } }]]);
     harness.directory.put(harness.endpoint(0).record([{ name: 'm1', adapters: [] }]));
     const call = (tokens: number) =>
       harness.call('/once/', { headers: { model: 'm1', tokens: String(tokens) }, body: 'b' });
--- a/packages/request/forward/test/harness.ts
+++ b/packages/request/forward/test/harness.ts
@@ -57,8 +57,8 @@
           deadlineMs: Number(first(headers.deadline) ?? 2_000),
           caller: first(headers.authorization),
           apiKey: first(headers.authorization),
-          model: first(headers.model),
-          adapter: undefined,
+          model: first(headers.model)?.split('/')[0],
+          adapter: first(headers.model)?.split('/')[1],
           promptTokens: Number(first(headers.tokens) ?? 10),
           maxNewTokens: 10,
           resumesAfter: first(headers['last-event-id']),
@@ -252,6 +252,8 @@
   /** Time since the configuration was last known to be current, in ms. */
   configurationAgeMs = 0;
 
+  readonly usage = ModelUsage.create();
+
   budget = RetryBudget.create({ minRetries: 10 });
 
   /** The controller's answer for a model that no endpoint holds. */
@@ -435,7 +437,7 @@
       protocol,
       directory,
       balancer: PredictiveBalancer.create(SeededRandom.create(1), () => 1),
-      usage: ModelUsage.create(),
+      usage: this.usage,
       waker,
       retrySpread,
       quotas: QuotaAdmission.create({
--- a/packages/version/routes/src/configuration.ts
+++ b/packages/version/routes/src/configuration.ts
@@ -55,6 +55,8 @@
   readonly memoryLoadMs: number;
   /** Size of one of its adapters, in MB. */
   readonly adapterMb: number;
+  /** Names of its adapters; undefined if the configuration does not list them. */
+  readonly adapters?: ReadonlySet<string>;
 }
 
 /** Properties that all engines of a service share. */
@@ -98,3 +100,21 @@
   /** Undefined if the deployment has no customers: requests carry no API keys. */
   readonly customers?: CustomerTable;
 }
+
+/**
+ * Whether a configuration knows a model, with its adapter if one is named. Clients choose the names that they
+ * send, so nothing may be kept under a name before this holds. A service that the configuration does not
+ * describe has no list of models to check.
+ */
+export const knowsModel = (
+  { services }: Pick<Configuration, 'services'>,
+  service: string,
+  model: string,
+  adapter: string | undefined,
+): boolean => {
+  const described = services.get(service);
+  if (described === undefined) return true;
+  const found = described.engines?.models.get(model);
+  if (found === undefined) return false;
+  return adapter === undefined || (found.adapters?.has(adapter) ?? true);
+};
