Requests are remembered under keys of bounded length

Ruled out: held answers, and the same bytes in another header.

Change: an id of more than 64 characters is replaced by a digest of fixed length wherever a request is remembered, told to other members or registered at the controller; log lines cut what clients send.

--- a/packages/request/forward/src/endpoint-selector.ts
+++ b/packages/request/forward/src/endpoint-selector.ts
@@ -1,3 +1,4 @@
+import { requestKey } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
 import { isRequestSubject } from '@currantdrift/quarantine';
 import type { RoomNeed } from '@currantdrift/routing';
@@ -386,7 +387,7 @@
       onTimeLeftMs,
       priority: this.request.priority,
       limited: this.permitWait.isWaiting,
-      request: id,
+      request: requestKey(id),
       unreachable,
     };
     const answer = await this.context.waker.wake(loadRequest);
--- a/packages/request/forward/src/forward-run.ts
+++ b/packages/request/forward/src/forward-run.ts
@@ -1,3 +1,4 @@
+import { requestKey } from '@currantdrift/core';
 import type { EndpointRecord } from '@currantdrift/fleet';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import type { ClientExchange } from './client-exchange';
@@ -6,6 +7,7 @@
 import { EndpointSelector } from './endpoint-selector';
 import type { ForwardContext } from './forward-context';
 import { EventSequence } from './event-sequence';
+import { logText } from './log-text';
 import { isRetryAllowed, SendFailure } from './retry';
 import { Send, type SendResult, type StreamPosition } from './send';
 
@@ -105,7 +107,8 @@
     const { fields, route, service } = this.request;
     if (!route.resumable || fields.resumesAfter === undefined) return undefined;
     const { streamVersions, telemetry, settings } = this.context;
-    const softwareVersion = await streamVersions.find(fields.resumes, service);
+    const begun = fields.resumes === undefined ? undefined : requestKey(fields.resumes);
+    const softwareVersion = await streamVersions.find(begun, service);
     this.position.softwareVersion = softwareVersion;
     if (softwareVersion !== undefined) return undefined;
     telemetry.count('currantdrift_unknown_streams_total');
@@ -143,13 +146,13 @@
     this.recordResult(result, found);
     telemetry.count('currantdrift_sends_total', { outcome: result.kind });
     telemetry.log('send', {
-      id: fields.id,
+      id: logText(fields.id),
       send: this.sends,
       endpoint: record.id,
       address: record.address,
       domain: record.domain,
       softwareVersion: record.softwareVersion,
-      model: fields.model,
+      model: logText(fields.model),
       service: this.request.service,
       candidates: found.candidates,
       limitPerS,
@@ -163,7 +166,7 @@
       progress: result.kind === 'delivered' ? undefined : send.progress,
       // Requests that end their engines are recognized by these, alone or by a common part.
       digest: result.kind === 'delivered' ? undefined : this.request.digest,
-      promptParts: result.kind === 'delivered' ? undefined : fields.promptParts.join(','),
+      promptParts: result.kind === 'delivered' ? undefined : logText(fields.promptParts.join(',')),
       longestPauseMs:
         result.kind === 'delivered' && result.longestPauseMs !== undefined
           ? Math.round(result.longestPauseMs)
--- a/packages/request/forward/src/quota-admission.ts
+++ b/packages/request/forward/src/quota-admission.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { ClientRequest } from './client-request';
 import type { RequestFields } from './endpoint-protocol';
+import { logText } from './log-text';
 import type { RetrySpread } from './retry-spread';
 
 const httpStatus = { tooMany: 429, unavailable: 503 } as const;
@@ -73,7 +74,7 @@
       retryAfterMs: retrySpread.next(waitMs ?? defaultRetryAfterMs),
     };
     telemetry.log('quota', {
-      id,
+      id: logText(id),
       customer: name,
       cost,
       outcome: kind,
--- a/packages/request/forward/src/send.ts
+++ b/packages/request/forward/src/send.ts
@@ -1,3 +1,4 @@
+import { requestKey } from '@currantdrift/core';
 import { endsWithConnection, type Head, impliesNotRun, type OpenAnswer } from '@currantdrift/http';
 import type { WatchedSend } from '@currantdrift/quarantine';
 import { RequestKind } from '@currantdrift/routes';
@@ -281,7 +282,8 @@
   private recordStream(): void {
     const { fields, service } = this.request;
     const { softwareVersion } = this.selected.record;
-    this.context.streamVersions.record({ request: fields.id, service, softwareVersion });
+    const request = requestKey(fields.id);
+    this.context.streamVersions.record({ request, service, softwareVersion });
   }
 
   private begin(answer: OpenAnswer): void {
--- a/packages/request/forward/test/software-versions.test.ts
+++ b/packages/request/forward/test/software-versions.test.ts
@@ -120,3 +120,15 @@
   expect((await waiting).status).toBe(200);
   expect(harness.arrivals).toEqual([3, 2]);
 });
+
+// Guards against ids of any length that are remembered for 20,000 streams; a stream with one is taken up still.
+test('a stream is remembered by a key of bounded length', async () => {
+  await start(['v1'], whole);
+  const id = 'x'.repeat(8_000);
+  expect((await stream({ id })).status).toBe(200);
+  const [{ request, softwareVersion }] = harness.begunStreams;
+  expect(request.length).toBeLessThan(100);
+  harness.streamVersions.set(request, softwareVersion);
+  const { complete, body } = await stream({ resumes: id, 'last-event-id': '2' });
+  expect([complete, ids(body)]).toEqual([true, [3, 4]]);
+});
