--- a/packages/connection/http/src/connection-guard.ts
+++ b/packages/connection/http/src/connection-guard.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import type { ShedReport } from './shed-report';
+import { UnfinishedRequests } from './unfinished-requests';
 
 export interface ConnectionLimits {
   /** Open connections of all clients together. */
@@ -10,8 +11,9 @@
 }
 
 /**
- * Limits the connections to a server. At the limit the connection that has waited longest without a
- * request is closed, so clients that connect and send nothing do not keep others out.
+ * Limits the connections to a server. At the limit a connection whose request has stalled is closed, or else
+ * the one that has waited longest without a request, so clients that connect and send nothing, or not the end
+ * of a body, do not keep others out.
  */
 export class ConnectionGuard {
   /** Open connections without a request, the one that has waited longest first. */
@@ -24,6 +26,8 @@
   /** Requests of each connection that are not answered yet; a client may send several in a row. */
   private readonly unanswered = new Map<Socket, number>();
 
+  private readonly unfinished = UnfinishedRequests.create();
+
   /** Open connections whose requests have all been answered. */
   private readonly answered = new Set<Socket>();
 
@@ -36,9 +40,9 @@
   /** Begins to guard the connections of `server`. */
   static attach(server: Server, limits: ConnectionLimits, report: ShedReport): ConnectionGuard {
     const guard = new ConnectionGuard(server, limits, report);
-    server.on('connection', (socket: Socket) => guard.accept(socket));
+    server.on('connection', (socket: Socket) => guard.accept(socket, performance.now()));
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-      guard.beginRequest(request.socket);
+      guard.beginRequest(request, performance.now());
       response.once('close', () => guard.endRequest(request.socket));
     });
     return guard;
@@ -63,13 +67,16 @@
     if (this.open.has(socket)) this.waiting.add(socket);
   }
 
-  private beginRequest(socket: Socket): void {
+  private beginRequest(request: IncomingMessage, now: number): void {
+    const { socket } = request;
+    this.unfinished.add(request, now);
     this.waiting.delete(socket);
     this.answered.delete(socket);
     this.unanswered.set(socket, (this.unanswered.get(socket) ?? 0) + 1);
   }
 
   private endRequest(socket: Socket): void {
+    this.unfinished.delete(socket);
     const left = (this.unanswered.get(socket) ?? 1) - 1;
     if (left > 0) {
       this.unanswered.set(socket, left);
@@ -81,10 +88,10 @@
     this.touch(socket);
   }
 
-  private accept(socket: Socket): void {
+  private accept(socket: Socket, now: number): void {
     const address = socket.remoteAddress ?? '';
     const count = (this.counts.get(address) ?? 0) + 1;
-    if (count > (this.limits.perAddress ?? Infinity) || !this.makeRoom()) {
+    if (count > (this.limits.perAddress ?? Infinity) || !this.makeRoom(now)) {
       this.report.record('connection');
       socket.destroy();
       return;
@@ -95,10 +102,11 @@
     socket.once('close', () => this.remove(socket));
   }
 
-  /** Closes the connection that has waited longest if there are too many; false if none waits. */
-  private makeRoom(): boolean {
+  /** Closes a connection if there are too many; false if each is of use to its client. */
+  private makeRoom(now: number): boolean {
     if (this.open.size < this.limits.maxConnections) return true;
-    const [victim] = this.waiting;
+    const [longestWaiting] = this.waiting;
+    const victim = this.unfinished.findStalled(now) ?? longestWaiting;
     if (victim === undefined) return false;
     this.report.record('connection');
     victim.destroy();
@@ -113,6 +121,7 @@
     this.waiting.delete(socket);
     this.answered.delete(socket);
     this.unanswered.delete(socket);
+    this.unfinished.delete(socket);
     const left = (this.counts.get(address) ?? 1) - 1;
     if (left > 0) this.counts.set(address, left);
     else this.counts.delete(address);
