--- a/packages/connection/http/src/unfinished-requests.ts
+++ b/packages/connection/http/src/unfinished-requests.ts
@@ -38,8 +38,13 @@
 
   /** A connection whose request has stalled; undefined if none of the oldest has. */
   findStalled(now: number): Socket | undefined {
-    const oldest = [...this.bySocket.keys()].slice(0, maxLooks);
-    return oldest.find((socket) => this.isStalled(socket, now));
+    let looksLeft = maxLooks;
+    for (const socket of this.bySocket.keys()) {
+      if (this.isStalled(socket, now)) return socket;
+      looksLeft -= 1;
+      if (looksLeft === 0) return undefined;
+    }
+    return undefined;
   }
 
   /** Forgets a request that is complete, and puts one that has made progress last. */
--- a/packages/request/booking/test/ledger.test.ts
+++ b/packages/request/booking/test/ledger.test.ts
@@ -1,7 +1,7 @@
 // Guards against bookings that run twice, and against wrong "not run" or "repeat" results.
 import { FailureKind, hadNoEffect, type ServiceCallResponse } from '@currantdrift/core';
 import { err, ok } from 'neverthrow';
-import { callEndpointOnce, dispatchOnce, keyHash, type Permit } from '../src';
+import { callEndpointOnce, type ClaimLedger, dispatchOnce, keyHash, type Permit } from '../src';
 import { bucketKey, decodeBucket, encodeBucket, maxBucketBytesForClaims } from '../src/bucket';
 import { type Claim, claimLifetimeMs, maxKeptBodyBytes } from '../src/claim';
 import { recordOutcome, existingClaimResult } from '../src/claim-decisions';
@@ -232,16 +232,19 @@
   expect(encodeBucket(bucket)?.length).toBeLessThan(1_000_000);
 });
 
+/** The ticket of a claim for the key `k`. */
+const ticketOf = async (cluster: TestCluster, ledger: ClaimLedger) => {
+  const now = cluster.clock.now();
+  const request = { caller: 'hall', key: 'k', call: callOf('body'), deadline: now + 9 };
+  const claimed = await ledger.claim(request, now);
+  if (claimed.kind !== 'granted') throw new Error('the claim was not granted');
+  return claimed.permit.consume(cluster.clock.now())._unsafeUnwrap();
+};
+
 test('a large body is kept by its digest, and a damaged bucket refuses', async () => {
   const cluster = new TestCluster();
   const { ledger, book } = cluster.daemon('a');
-  const request = { caller: 'hall', key: 'k', call: callOf('body'), deadline: Infinity };
-  const claimed = await ledger.claim(
-    { ...request, deadline: cluster.clock.now() + 9 },
-    cluster.clock.now(),
-  );
-  if (claimed.kind !== 'granted') throw new Error('the claim was not granted');
-  const ticket = claimed.permit.consume(cluster.clock.now())._unsafeUnwrap();
+  const ticket = await ticketOf(cluster, ledger);
   const large = answerOf('x'.repeat(maxKeptBodyBytes + 1));
   const endpoint = { call: () => Promise.resolve({ isOk: () => true, value: large }) };
   await callEndpointOnce(ticket, endpoint as never, callOf('body'), new AbortController().signal);
@@ -259,13 +262,7 @@
 test('a body of which only the connection marked the end is not kept', async () => {
   const cluster = new TestCluster();
   const { ledger, book } = cluster.daemon('a');
-  const request = { caller: 'hall', key: 'k', call: callOf('body'), deadline: Infinity };
-  const claimed = await ledger.claim(
-    { ...request, deadline: cluster.clock.now() + 9 },
-    cluster.clock.now(),
-  );
-  if (claimed.kind !== 'granted') throw new Error('the claim was not granted');
-  const ticket = claimed.permit.consume(cluster.clock.now())._unsafeUnwrap();
+  const ticket = await ticketOf(cluster, ledger);
   const broken = { ...answerOf('half an ans'), endsWithConnection: true };
   await dispatchOnce(ticket, () => Promise.resolve(ok(broken)));
   await cluster.clock.advance(10);
