Soak: the proxy passes on a reset that comes with data

The proxy between gateways and endpoints took a reset that came with the last data for an orderly end, by the same short cut of libuv, and Node ends a connection in order that is reset while data waits.

Change: both sides report resets, and the other side is reset once it has what came before.

--- a/packages/connection/http/src/index.ts
+++ b/packages/connection/http/src/index.ts
@@ -13,5 +13,6 @@
 export { errorSchema, parseJson } from './json';
 export type { HttpSettings } from './settings';
 export { impliesNotRun } from './not-run-status';
+export { reportResets } from './reset-detection';
 export { ShedReport } from './shed-report';
 export { beginUnmarked, endsWithConnection } from './unmarked-answer';
--- a/packages/tooling/soak/src/loopback-proxy.ts
+++ b/packages/tooling/soak/src/loopback-proxy.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { reportResets } from '@currantdrift/http';
 
 interface Pair {
   readonly near: Socket;
@@ -77,11 +78,14 @@
     const far = connect({ ...this.target, allowHalfOpen: true });
     const pair = { near, far };
     this.pairs.add(pair);
+    [near, far].forEach(reportResets);
     this.relay(near, far);
     this.relay(far, near);
     this.applyBlock(pair);
     [near, far].forEach((socket) =>
-      socket.on('close', () => {
+      socket.on('close', (hasFailed) => {
+        // A failed side resets the other one, once that has what came before.
+        if (hasFailed && !(near.destroyed && far.destroyed)) return;
         this.pairs.delete(pair);
         near.destroy();
         far.destroy();
@@ -100,7 +104,9 @@
       waiting.push(pass);
       setTimeout(() => waiting.shift()?.(), this.delayMs);
     };
-    from.on('error', () => (to.connecting ? to.destroy() : to.resetAndDestroy()));
+    // Node would end a connection in order that it resets while data waits to be sent.
+    const reset = () => to.write('', () => to.resetAndDestroy());
+    from.on('error', () => (to.connecting || !to.writable ? to.destroy() : reset()));
     from.on('data', (piece: Buffer) => later(() => to.writable && to.write(piece)));
     from.on('end', () => later(() => to.end()));
   }
